--- /dev/null
+++ b/Makefile
@@ -0,0 +1,10 @@
+.PHONY: build test demo soak
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -count=1 ./...
+
+demo: build
+	scripts/demo
--- /dev/null
+++ b/record/shard.go
@@ -0,0 +1,29 @@
+package record
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// CallShards is the number of streams over which claims are spread.
+const CallShards = 4
+
+// CallStream returns the stream that carries the claims of a key.
+func CallStream(key string) string {
+	return CallShardStream(int(xxhash.Sum64String(key) % CallShards))
+}
+
+// CallShardStream returns the stream of one shard of claims.
+func CallShardStream(shard int) string {
+	return streamCallsPrefix + strconv.Itoa(shard)
+}
+
+// Streams returns the names of all streams that every node follows.
+func Streams() []string {
+	s := []string{StreamConfig, StreamControl, StreamSuspects}
+	for i := range CallShards {
+		s = append(s, CallShardStream(i))
+	}
+	return s
+}
