Judge log records by the prefix of their stream alone

Cause: every node must come to the same verdict on each record, whatever its clock and whatever answers of appends were lost. Ruled out: deciding by the answer of an append, which the log loses after the effect; a claim dropped on release without memory, because a repeated append of the same claim would then claim the key again.

--- /dev/null
+++ b/ledger/config.go
@@ -0,0 +1,79 @@
+package ledger
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+// ValidateDocument checks a configuration document. It must be a pure function
+// of the text, so that all nodes accept the same documents.
+type ValidateDocument func(text string) error
+
+// ConfigState is the accepted configuration.
+type ConfigState struct {
+	// Version counts accepted changes; 0 is before the first.
+	Version int64 `json:"version"`
+	// Document is the YAML text in force.
+	Document string `json:"document"`
+	// Author published it.
+	Author string `json:"author,omitempty"`
+	// RecordID is that of the accepted change.
+	RecordID string `json:"record_id,omitempty"`
+}
+
+// Config is the ledger of the configuration stream.
+type Config struct {
+	validate ValidateDocument
+	state    ConfigState
+}
+
+// NewConfig returns the ledger before the first change.
+func NewConfig(validate ValidateDocument) *Config {
+	return &Config{validate: validate}
+}
+
+// State returns the accepted configuration.
+func (c *Config) State() ConfigState { return c.state }
+
+// Apply implements Ledger.
+func (c *Config) Apply(_ record.Position, r record.Record) Result {
+	change := r.Config
+	if change == nil {
+		return rejected(CauseWrongStream)
+	}
+	if r.ID == c.state.RecordID {
+		return rejected(CauseDuplicate)
+	}
+	if change.Base != c.state.Version {
+		return rejected(CauseStaleBase)
+	}
+	if err := c.validate(change.Document); err != nil {
+		return rejected(CauseInvalid)
+	}
+	c.state = ConfigState{
+		Version:  c.state.Version + 1,
+		Document: change.Document,
+		Author:   change.Author,
+		RecordID: r.ID,
+	}
+	return accepted()
+}
+
+// Snapshot implements Ledger.
+func (c *Config) Snapshot() (json.RawMessage, error) { return json.Marshal(c.state) }
+
+// Restore implements Ledger.
+func (c *Config) Restore(state json.RawMessage) error {
+	var s ConfigState
+	if err := json.Unmarshal(state, &s); err != nil {
+		return errors.Wrap(err, "configuration checkpoint")
+	}
+	c.state = s
+	return nil
+}
+
+// Reset implements Ledger.
+func (c *Config) Reset() { c.state = ConfigState{} }
