--- a/ledger/suspects.go
+++ b/ledger/suspects.go
@@ -35,8 +35,8 @@
 	Attempt string `json:"attempt,omitempty"`
 	// Node runs the trial.
 	Node record.NodeID `json:"node,omitempty"`
-	// Since is the position of the first suspicion.
-	Since record.Position `json:"since"`
+	// Generation is that of the replica that crashed first.
+	Generation record.Position `json:"generation"`
 }
 
 // Suspects is the ledger of requests that may crash their upstreams.
@@ -75,10 +75,10 @@
 func (s *Suspects) Len() int { return len(s.byPrint) }
 
 // Apply implements Ledger.
-func (s *Suspects) Apply(pos record.Position, r record.Record) Result {
+func (s *Suspects) Apply(_ record.Position, r record.Record) Result {
 	switch {
 	case r.Suspect != nil:
-		return s.suspect(pos, *r.Suspect)
+		return s.suspect(*r.Suspect)
 	case r.Trial != nil:
 		return s.trial(*r.Trial)
 	case r.TrialEnd != nil:
@@ -88,11 +88,18 @@
 	}
 }
 
-func (s *Suspects) suspect(pos record.Position, r record.Suspect) Result {
-	if _, ok := s.byPrint[r.Fingerprint]; ok {
+// suspect notes a crash. A second crash of another replica quarantines the
+// request, also when it did not run as a trial.
+func (s *Suspects) suspect(r record.Suspect) Result {
+	known, ok := s.byPrint[r.Fingerprint]
+	if !ok {
+		s.insert(SuspectState{Fingerprint: r.Fingerprint, Phase: SuspectOpen, Generation: r.Generation})
+		return accepted()
+	}
+	if known.Generation == r.Generation || known.Phase == SuspectQuarantined {
 		return rejected(CauseDuplicate)
 	}
-	s.insert(SuspectState{Fingerprint: r.Fingerprint, Phase: SuspectOpen, Since: pos})
+	known.Phase = SuspectQuarantined
 	return accepted()
 }
 
