--- a/logfollow/appender.go
+++ b/logfollow/appender.go
@@ -14,12 +14,16 @@
 	// minRetry and maxRetry bound the delay before an append is repeated.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 2 * time.Second
+	// maxEntryBytes bounds the records of one entry together; a single larger
+	// record goes alone.
+	maxEntryBytes = 1 << 20
 )
 
 // pending is a record that was not read back yet.
 type pending struct {
 	Append
-	sent bool
+	bytes int
+	sent  bool
 	// answered says that the log confirmed an append with the record; it is
 	// not sent again, but waits for the read-back.
 	answered bool
@@ -37,14 +41,20 @@
 	timerSet  bool
 }
 
-// add queues a record unless it is queued already.
-func (a *appender) add(req Append) {
+// add queues a record unless it is queued already. An error means that the
+// record can't be encoded.
+func (a *appender) add(req Append) error {
 	for _, p := range a.queue {
 		if p.Record.ID == req.Record.ID {
-			return
+			return nil
 		}
 	}
-	a.queue = append(a.queue, &pending{Append: req})
+	data, err := record.Encode(record.Group{Records: []record.Record{req.Record}})
+	if err != nil {
+		return err
+	}
+	a.queue = append(a.queue, &pending{Append: req, bytes: len(data)})
+	return nil
 }
 
 // ready reports whether an entry may be sent now.
@@ -55,10 +65,16 @@
 // next encodes the waiting records as one entry and marks them in flight.
 func (a *appender) next(now time.Time) []byte {
 	group := record.Group{}
+	size := 0
 	for _, p := range a.queue {
-		if p.answered || now.After(p.GiveUp) || len(group.Records) == record.MaxGroup {
+		if p.answered || now.After(p.GiveUp) {
 			continue
 		}
+		size += p.bytes
+		full := len(group.Records) == record.MaxGroup || size > maxEntryBytes
+		if full && len(group.Records) > 0 {
+			break
+		}
 		group.Records = append(group.Records, p.Record)
 		a.inFlight = append(a.inFlight, p)
 	}
--- a/logfollow/checkpoint.go
+++ b/logfollow/checkpoint.go
@@ -43,8 +43,7 @@
 	if err != nil {
 		return out
 	}
-	a := s.appenders[stream]
-	a.add(Append{
+	return append(out, s.append(now, Append{
 		Stream: stream,
 		GiveUp: now.Add(maxRetry),
 		Record: record.Record{
@@ -52,8 +51,7 @@
 			AtMillis:   now.UnixMilli(),
 			Checkpoint: &record.Checkpoint{Through: f.next, State: state},
 		},
-	})
-	return append(out, s.pump(now, stream)...)
+	})...)
 }
 
 // Snapshot is a stream's state for a peer.
--- a/logfollow/service.go
+++ b/logfollow/service.go
@@ -48,6 +48,11 @@
 	return l
 }
 
+// ForKey returns the ledger of the shard of an idempotency key.
+func (l *Ledgers) ForKey(key string) *ledger.Calls {
+	return l.Calls[record.CallShard(key)]
+}
+
 // Service follows all streams and appends to them.
 type Service struct {
 	ledgers     *Ledgers
@@ -119,8 +124,7 @@
 	case retryRead:
 		return s.read(m.stream)
 	case Append:
-		s.appenders[m.Stream].add(m)
-		return s.pump(now, m.Stream)
+		return s.append(now, m)
 	case AppendDone:
 		s.appenders[m.Stream].done(now, m.Err)
 		return s.pump(now, m.Stream)
@@ -137,6 +141,17 @@
 	return nil
 }
 
+// append queues a record; one that can't be encoded goes back to its sender.
+func (s *Service) append(now time.Time, m Append) []kernel.Effect {
+	if err := s.appenders[m.Stream].add(m); err != nil {
+		if m.From == "" {
+			return nil
+		}
+		return []kernel.Effect{kernel.Send{To: m.From, Msg: Abandoned{Stream: m.Stream, Record: m.Record, NeverSent: true}}}
+	}
+	return s.pump(now, m.Stream)
+}
+
 func (s *Service) read(stream string) []kernel.Effect {
 	return []kernel.Effect{Read{Stream: stream, From: s.followers[stream].next}}
 }
--- a/record/shard.go
+++ b/record/shard.go
@@ -11,7 +11,12 @@
 
 // CallStream returns the stream that carries the claims of a key.
 func CallStream(key string) string {
-	return CallShardStream(int(xxhash.Sum64String(key) % CallShards))
+	return CallShardStream(CallShard(key))
+}
+
+// CallShard returns the shard of a key, from 0 to CallShards-1.
+func CallShard(key string) int {
+	return int(xxhash.Sum64String(key) % CallShards)
 }
 
 // CallShardStream returns the stream of one shard of claims.
