Forget local suspicion when a trial cleared the request

Cause: a node kept its own suspicion after another node's trial had ended well, so each later request with that content waited for a trial record. Change: an applied end of trial clears the local table.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -207,6 +207,9 @@
 
 // applied answers a Check whose trial record was read back.
 func (s *Service) applied(m logfollow.Applied) []kernel.Effect {
+	if end := m.Record.TrialEnd; end != nil && !end.Crashed {
+		s.local.clear(end.Fingerprint)
+	}
 	if m.Record.Trial == nil {
 		return nil
 	}
@@ -220,6 +223,7 @@
 		return reply(c.Ask, TrialRun{})
 	}
 	if _, known := s.log.Ledgers().Suspects.State(c.Fingerprint); !known {
+		s.local.clear(c.Fingerprint)
 		return reply(c.Ask, Clear{})
 	}
 	return reply(c.Ask, busy())
