Read configuration and settings strictly, with places and remedies

Cause: the types of the configuration and the settings had no codec, and the YAML library stops at the first fault and knows nothing of remedies. Ruled out: the library's own struct decoding (one fault at a time), and anchors and aliases (a small document could become expensive).

--- /dev/null
+++ b/config/strictyaml/decode.go
@@ -0,0 +1,166 @@
+package strictyaml
+
+import (
+	"encoding"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// exampleTag is the struct tag that holds an example of a field's value.
+const exampleTag = "example"
+
+// Decode fills the struct that target points to and records every problem.
+// Fields are found by their yaml tags; the example tag shows operators what to
+// write. Values with a unit implement encoding.TextUnmarshaler.
+func (s *Source) Decode(target any) {
+	s.decode(s.root, reflect.ValueOf(target).Elem(), "", "")
+}
+
+func (s *Source) decode(node ast.Node, v reflect.Value, path, example string) {
+	if text, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		s.decodeText(node, text, path, example)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		s.decodeStruct(node, v, path)
+	case reflect.Slice:
+		s.decodeSlice(node, v, path, example)
+	default:
+		s.decodeScalar(node, v, path, example)
+	}
+}
+
+func (s *Source) decodeStruct(node ast.Node, v reflect.Value, path string) {
+	pairs, ok := mapping(node)
+	if !ok {
+		s.Add(path, "fields were expected here, not "+nodeName(node), "write one of "+fieldNames(v.Type())+", each as name: value")
+		return
+	}
+	for _, pair := range pairs {
+		s.decodeField(pair, v, path)
+	}
+}
+
+func (s *Source) decodeField(pair *ast.MappingValueNode, v reflect.Value, path string) {
+	key := pair.Key.GetToken()
+	child := join(path, key.Value)
+	if s.Has(child) {
+		s.add(Problem{Line: key.Position.Line, Column: key.Position.Column, Field: child, Message: "the field is written twice", Instead: "remove one of the two"})
+		return
+	}
+	s.places[child] = *key.Position
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		if yamlName(f) == key.Value {
+			s.decode(pair.Value, v.Field(i), child, f.Tag.Get(exampleTag))
+			return
+		}
+	}
+	s.Add(child, "the field is not known", "remove it or write one of "+fieldNames(v.Type()))
+}
+
+func (s *Source) decodeSlice(node ast.Node, v reflect.Value, path, example string) {
+	list, ok := node.(*ast.SequenceNode)
+	if !ok {
+		s.Add(path, "a list was expected here, not "+nodeName(node), "start each entry on a line of its own with - ")
+		return
+	}
+	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
+	for i, entry := range list.Values {
+		child := fmt.Sprintf("%s[%d]", path, i)
+		s.places[child] = *entry.GetToken().Position
+		s.decode(entry, v.Index(i), child, example)
+	}
+}
+
+func (s *Source) decodeText(node ast.Node, text encoding.TextUnmarshaler, path, example string) {
+	scalar, ok := node.(ast.ScalarNode)
+	if !ok || node.Type() == ast.NullType {
+		s.Add(path, "a value was expected here, not "+nodeName(node), suchAs(example))
+		return
+	}
+	if err := text.UnmarshalText([]byte(scalar.GetToken().Value)); err != nil {
+		s.Add(path, err.Error(), suchAs(example))
+	}
+}
+
+func (s *Source) decodeScalar(node ast.Node, v reflect.Value, path, example string) {
+	want := ast.StringType
+	if v.Kind() == reflect.Bool {
+		want = ast.BoolType
+	}
+	if node.Type() != want {
+		s.Add(path, fmt.Sprintf("%s was expected here, not %s", typeNames[want], nodeName(node)), suchAs(example))
+		return
+	}
+	if err := yaml.NodeToValue(node, v.Addr().Interface()); err != nil {
+		s.Add(path, err.Error(), suchAs(example))
+	}
+}
+
+// mapping returns the pairs of a mapping.
+func mapping(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+// typeNames says what a node is in words for operators.
+var typeNames = map[ast.NodeType]string{
+	ast.StringType:   "text",
+	ast.LiteralType:  "a block of text",
+	ast.IntegerType:  "a number",
+	ast.FloatType:    "a number",
+	ast.BoolType:     "true or false",
+	ast.NullType:     "nothing",
+	ast.MappingType:  "fields",
+	ast.SequenceType: "a list",
+}
+
+func nodeName(node ast.Node) string {
+	if _, ok := mapping(node); ok {
+		return typeNames[ast.MappingType]
+	}
+	if name, ok := typeNames[node.Type()]; ok {
+		return name
+	}
+	return strings.ToLower(node.Type().YAMLName())
+}
+
+func suchAs(example string) string {
+	if example == "" {
+		return ""
+	}
+	return "write for example " + example
+}
+
+func join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
+
+// yamlName returns the name of a field in documents.
+func yamlName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	return name
+}
+
+// fieldNames lists the fields of a struct type.
+func fieldNames(t reflect.Type) string {
+	names := make([]string, t.NumField())
+	for i := range names {
+		names[i] = yamlName(t.Field(i))
+	}
+	return strings.Join(names, ", ")
+}
