--- /dev/null
+++ b/health/health.go
@@ -0,0 +1,326 @@
+package health
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/ledger"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+)
+
+// Replicas gives the live replicas of the control ledger.
+type Replicas interface {
+	Replicas() []ledger.Replica
+}
+
+// vmState is what the service knows of one VM.
+type vmState struct {
+	Observation
+	probing bool
+	// suspected says that a request found the VM unreachable after HeardAt.
+	suspected bool
+}
+
+// Service is the kernel service of health checking.
+type Service struct {
+	replicas    Replicas
+	rng         *rand.Rand
+	vms         map[platform.VMID]*vmState
+	models      platform.ModelList
+	subscribers []string
+	observers   []string
+	// eligible holds the replicas of the latest publication.
+	eligible map[string]Upstream
+}
+
+// New returns the service. rng spreads probes over time.
+func New(replicas Replicas, rng *rand.Rand) *Service {
+	return &Service{
+		replicas: replicas,
+		rng:      rng,
+		vms:      map[platform.VMID]*vmState{},
+		eligible: map[string]Upstream{},
+	}
+}
+
+// Subscribe sends Changed and LoadSeen to a service.
+func (s *Service) Subscribe(service string) { s.subscribers = append(s.subscribers, service) }
+
+// Observe sends Observed to a service.
+func (s *Service) Observe(service string) { s.observers = append(s.observers, service) }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Starter.
+func (s *Service) Start(time.Time) []kernel.Effect {
+	return []kernel.Effect{FetchInventory{}, timer(publishEvery, publishTick{})}
+}
+
+func timer(after time.Duration, msg kernel.Message) kernel.Effect {
+	return kernel.SetTimer{To: Name, After: after, Msg: msg}
+}
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
+	switch m := msg.(type) {
+	case inventoryTick:
+		return []kernel.Effect{FetchInventory{}}
+	case InventoryDone:
+		return append(s.inventory(m), timer(inventoryEvery, inventoryTick{}))
+	case probeTick:
+		return s.probe(m.vm)
+	case Probed:
+		return s.probed(now, m)
+	case Suspected:
+		s.suspect(m.Upstream)
+		return s.publish(now)
+	case publishTick:
+		return append(s.publish(now), timer(publishEvery, publishTick{}))
+	}
+	return nil
+}
+
+// inventory takes in the VM list. While the list can't be read, what was known
+// stays.
+func (s *Service) inventory(m InventoryDone) []kernel.Effect {
+	if m.Err != nil {
+		return nil
+	}
+	if len(m.Models.Models) > 0 {
+		s.models = m.Models
+	}
+	for _, st := range s.vms {
+		st.Listed = false
+	}
+	var out []kernel.Effect
+	for _, vm := range m.VMs {
+		st, ok := s.vms[vm.ID]
+		if !ok {
+			st = &vmState{}
+			s.vms[vm.ID] = st
+		}
+		st.VM = vm
+		st.Listed = true
+		if !st.probing && vm.Kind != platform.KindEntry {
+			st.probing = true
+			spread := time.Duration(s.rng.Int64N(int64(ProbeEvery)))
+			out = append(out, timer(spread, probeTick{vm.ID}))
+		}
+	}
+	return out
+}
+
+func (s *Service) probe(vm platform.VMID) []kernel.Effect {
+	st, ok := s.vms[vm]
+	if !ok {
+		return nil
+	}
+	if !st.Listed {
+		delete(s.vms, vm)
+		return nil
+	}
+	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address}}
+}
+
+func (s *Service) probed(now time.Time, m Probed) []kernel.Effect {
+	st, ok := s.vms[m.VM]
+	if !ok {
+		return nil
+	}
+	out := []kernel.Effect{timer(ProbeEvery, probeTick{m.VM})}
+	if m.Err != nil || m.Report.VM != m.VM {
+		return out
+	}
+	st.Report = m.Report
+	st.HeardAt = now
+	st.suspected = false
+	if u, ok := s.serving(m.VM); ok {
+		for _, name := range s.subscribers {
+			out = append(out, kernel.Send{To: name, Msg: LoadSeen{ID: u, Report: m.Report}})
+		}
+	}
+	return out
+}
+
+// serving returns the eligible upstream whose requests the VM takes.
+func (s *Service) serving(vm platform.VMID) (string, bool) {
+	st := s.vms[vm]
+	if st.VM.Kind == platform.KindPlain {
+		return string(vm), true
+	}
+	u, ok := s.eligible[st.Report.Replica]
+	return u.ID, ok && u.Address == st.VM.Address
+}
+
+// suspect takes an upstream out until its VMs have reported again.
+func (s *Service) suspect(upstream string) {
+	if st, ok := s.vms[platform.VMID(upstream)]; ok {
+		st.suspected = true
+		return
+	}
+	for _, r := range s.replicas.Replicas() {
+		if r.Name != upstream {
+			continue
+		}
+		if st, ok := s.vms[r.VMs[0]]; ok {
+			st.suspected = true
+		}
+	}
+}
+
+// publish tells subscribers the eligible upstreams if they changed.
+func (s *Service) publish(now time.Time) []kernel.Effect {
+	before := s.eligible
+	s.eligible = map[string]Upstream{}
+	var broken []string
+	for _, r := range s.replicas.Replicas() {
+		u, verdict := s.judge(now, r)
+		if verdict == complete {
+			s.eligible[r.Name] = u
+		}
+		if verdict == incomplete {
+			broken = append(broken, r.Name)
+		}
+	}
+	s.addPlain(now)
+	out := s.observed()
+	if same(before, s.eligible) {
+		return out
+	}
+	changed := Changed{Upstreams: s.Eligible(), Broken: lostSince(before, s.eligible, broken)}
+	for _, name := range s.subscribers {
+		out = append(out, kernel.Send{To: name, Msg: changed})
+	}
+	return out
+}
+
+// lostSince returns the replicas that were eligible before and are not now,
+// because they are broken or no longer live in the ledger.
+func lostSince(before, now map[string]Upstream, broken []string) []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		was := before[name]
+		is, still := now[name]
+		replaced := still && is.Generation != was.Generation
+		if replaced || (!still && slices.Contains(broken, name)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func same(a, b map[string]Upstream) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id, u := range a {
+		v, ok := b[id]
+		if !ok || u.Generation != v.Generation || u.Address != v.Address || u.Slots != v.Slots {
+			return false
+		}
+	}
+	return true
+}
+
+// standing is the judgement of a replica.
+type standing int
+
+const (
+	// complete replicas may take work.
+	complete standing = iota
+	// leaving replicas take no new work but finish what they have.
+	leaving
+	// incomplete replicas lack a VM.
+	incomplete
+)
+
+// judge decides whether a replica may take work.
+func (s *Service) judge(now time.Time, r ledger.Replica) (Upstream, standing) {
+	result := complete
+	for _, id := range r.VMs {
+		st, ok := s.vms[id]
+		if !ok || !s.member(now, st, r) {
+			return Upstream{}, incomplete
+		}
+		if st.VM.Leaving || st.Report.State == platform.EngineLeaving || st.suspected {
+			result = leaving
+		}
+	}
+	lead := s.vms[r.VMs[0]]
+	return Upstream{
+		ID:         r.Name,
+		Generation: int64(r.Generation),
+		Address:    lead.VM.Address,
+		Pool:       r.Model,
+		Zone:       lead.VM.Zone,
+		Slots:      lead.Report.Slots,
+		Report:     lead.Report,
+	}, result
+}
+
+// member reports whether a VM has lately reported itself a working member of
+// the replica.
+func (s *Service) member(now time.Time, st *vmState, r ledger.Replica) bool {
+	fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
+	working := st.Report.State == platform.EngineReady || st.Report.State == platform.EngineLeaving
+	obeys := st.Report.Replica == r.Name && st.Report.Generation == int64(r.Generation)
+	return fresh && working && obeys
+}
+
+// addPlain adds the VMs of plain services that may take work.
+func (s *Service) addPlain(now time.Time) {
+	for id, st := range s.vms {
+		fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
+		ready := st.Report.State == platform.EngineReady && !st.VM.Leaving && !st.suspected
+		if st.VM.Kind != platform.KindPlain || !fresh || !ready {
+			continue
+		}
+		s.eligible[string(id)] = Upstream{
+			ID:      string(id),
+			Address: st.VM.Address,
+			Pool:    st.VM.Service,
+			Plain:   true,
+			Zone:    st.VM.Zone,
+			Slots:   st.Report.Slots,
+			Report:  st.Report,
+		}
+	}
+}
+
+// observed tells the observers all VMs.
+func (s *Service) observed() []kernel.Effect {
+	if len(s.observers) == 0 {
+		return nil
+	}
+	msg := Observed{VMs: s.Observations(), Models: s.models}
+	var out []kernel.Effect
+	for _, name := range s.observers {
+		out = append(out, kernel.Send{To: name, Msg: msg})
+	}
+	return out
+}
+
+// Eligible returns the upstreams that may take work, by id.
+func (s *Service) Eligible() []Upstream {
+	out := make([]Upstream, 0, len(s.eligible))
+	for _, id := range slices.Sorted(maps.Keys(s.eligible)) {
+		out = append(out, s.eligible[id])
+	}
+	return out
+}
+
+// Observations returns what is known of all VMs, by id.
+func (s *Service) Observations() []Observation {
+	out := make([]Observation, 0, len(s.vms))
+	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
+		out = append(out, s.vms[id].Observation)
+	}
+	return out
+}
+
+// Models returns the weight store's models as last read.
+func (s *Service) Models() platform.ModelList { return s.models }
