--- /dev/null
+++ b/balance/prefix/prefix_test.go
@@ -0,0 +1,53 @@
+package prefix_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/balance/prefix"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+)
+
+var _ = Describe("Index", func() {
+	add := func(seq int64, hash uint64) platform.CacheEvent {
+		return platform.CacheEvent{Seq: seq, PrefixHash: hash}
+	}
+	var index *prefix.Index
+	BeforeEach(func() {
+		index = prefix.NewIndex()
+		index.Apply("b", "boot", []platform.CacheEvent{add(1, 10), add(2, 20)})
+		index.Apply("a", "boot", []platform.CacheEvent{add(1, 10)})
+	})
+
+	It("lists holders in order", func() {
+		Expect(index.Holders(10)).To(Equal([]string{"a", "b"}))
+	})
+
+	DescribeTable("takes events of b",
+		func(boot string, events []platform.CacheEvent, gap bool, of10, of20 []string) {
+			Expect(index.Apply("b", boot, events)).To(Equal(gap))
+			Expect(index.Holders(10)).To(BeEquivalentTo(of10))
+			Expect(index.Holders(20)).To(BeEquivalentTo(of20))
+		},
+		Entry("eviction", "boot", []platform.CacheEvent{{Seq: 3, PrefixHash: 10, Dropped: true}},
+			false, []string{"a"}, []string{"b"}),
+		Entry("repeated events", "boot", []platform.CacheEvent{{Seq: 2, PrefixHash: 10, Dropped: true}},
+			false, []string{"a", "b"}, []string{"b"}),
+		Entry("gap", "boot", []platform.CacheEvent{add(9, 20)}, true, []string{"a"}, []string{"b"}),
+		Entry("restart", "other", []platform.CacheEvent{add(1, 20)}, false, []string{"a"}, []string{"b"}),
+	)
+
+	It("bounds what it keeps of an upstream", func() {
+		for hash := range uint64(3 * prefix.MaxPerUpstream) {
+			index.Add("c", 1000+hash)
+		}
+		Expect(index.Holders(1000)).To(BeEmpty())
+		Expect(index.Holders(1000 + 3*prefix.MaxPerUpstream - 1)).To(Equal([]string{"c"}))
+	})
+
+	It("forgets an upstream", func() {
+		index.Forget("b")
+		Expect(index.Holders(10)).To(Equal([]string{"a"}))
+		Expect(index.Holders(20)).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/balance/suite_test.go
@@ -0,0 +1,13 @@
+package balance_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "balance")
+}
--- /dev/null
+++ b/outlier/outlier.go
@@ -0,0 +1,243 @@
+// Package outlier takes stragglers out of selection by comparing each
+// upstream's latency with the median of its peers. When all upstreams are slow
+// the median is slow too, so none is an outlier.
+package outlier
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Limits of a Detector.
+const (
+	// smoothing is the weight of a new sample in the moving average.
+	smoothing = 0.3
+	// minSamples is the number of samples an upstream is judged by at least.
+	minSamples = 5
+	// minPeers is the number of judged upstreams that a median needs.
+	minPeers = 3
+	// slowFactor is the multiple of the median that an outlier exceeds.
+	slowFactor = 2.0
+	// deviations is the number of median absolute deviations beyond the
+	// median that an outlier exceeds.
+	deviations = 6.0
+	// maxFailures is the number of failures in a row that ejects.
+	maxFailures = 5
+	// maxEjectedShare is the part of the pool that may be out at a time.
+	maxEjectedShare = 0.1
+	// baseEjection is the length of a first ejection; each further one
+	// doubles it up to maxEjection.
+	baseEjection = 30 * time.Second
+	maxEjection  = 10 * time.Minute
+	// forgiveAfter is the time in service that resets the doubling.
+	forgiveAfter = 10 * time.Minute
+)
+
+// State is an upstream's standing.
+type State int
+
+const (
+	// Healthy upstreams take requests.
+	Healthy State = iota
+	// Probation follows an ejection: few requests until there are samples.
+	Probation
+	// Ejected upstreams take no requests.
+	Ejected
+)
+
+// Sample is one observation of an upstream.
+type Sample struct {
+	// OK is false if the upstream failed the request.
+	OK bool
+	// FirstToken is the time to the first token or, of a plain service, to
+	// the answer; 0 if there was none.
+	FirstToken time.Duration
+	// PerToken is the time between tokens; 0 if unknown.
+	PerToken time.Duration
+}
+
+// Detector judges the upstreams of one pool.
+type Detector struct {
+	members map[string]*member
+	ejected int
+}
+
+// member is what is known of one upstream.
+type member struct {
+	samples    int
+	perToken   float64
+	firstToken float64
+	failures   int
+	ejections  int
+	until      time.Time
+	returned   time.Time
+	ejected    bool
+}
+
+// NewDetector returns a Detector without upstreams.
+func NewDetector() *Detector { return &Detector{members: map[string]*member{}} }
+
+// Add starts to judge an upstream.
+func (d *Detector) Add(id string) {
+	if _, ok := d.members[id]; !ok {
+		d.members[id] = &member{}
+	}
+}
+
+// Remove forgets an upstream.
+func (d *Detector) Remove(id string) {
+	if m, ok := d.members[id]; ok && m.ejected {
+		d.ejected--
+	}
+	delete(d.members, id)
+}
+
+// State returns an upstream's standing; unknown upstreams are Healthy.
+func (d *Detector) State(id string, now time.Time) State {
+	m, ok := d.members[id]
+	if !ok {
+		return Healthy
+	}
+	d.readmit(m, now)
+	switch {
+	case m.ejected:
+		return Ejected
+	case m.ejections > 0 && m.samples < minSamples:
+		return Probation
+	}
+	return Healthy
+}
+
+// Observe takes a sample and reports whether it ejected the upstream.
+func (d *Detector) Observe(id string, now time.Time, s Sample) bool {
+	m, ok := d.members[id]
+	if !ok {
+		return false
+	}
+	d.readmit(m, now)
+	if m.ejected {
+		return false
+	}
+	m.take(s)
+	if !d.isOutlier(m) || !d.mayEject() {
+		return false
+	}
+	d.eject(m, now)
+	return true
+}
+
+// take adds a sample to the averages.
+func (m *member) take(s Sample) {
+	if !s.OK {
+		m.failures++
+		return
+	}
+	m.failures = 0
+	m.perToken = average(m.perToken, s.PerToken)
+	m.firstToken = average(m.firstToken, s.FirstToken)
+	m.samples++
+}
+
+// average returns the moving average with a sample; a sample of 0 is none.
+func average(old float64, sample time.Duration) float64 {
+	switch {
+	case sample <= 0:
+		return old
+	case old == 0:
+		return float64(sample)
+	}
+	return old + smoothing*(float64(sample)-old)
+}
+
+// isOutlier compares m with its peers in service.
+func (d *Detector) isOutlier(m *member) bool {
+	if m.failures >= maxFailures {
+		return !d.allFailing()
+	}
+	if m.samples < minSamples {
+		return false
+	}
+	return d.far(m, func(p *member) float64 { return p.perToken }) ||
+		d.far(m, func(p *member) float64 { return p.firstToken })
+}
+
+// allFailing reports whether at least half of the upstreams in service fail
+// too, so that the cause is not this upstream.
+func (d *Detector) allFailing() bool {
+	failing, serving := 0, 0
+	for _, p := range d.members {
+		if p.ejected {
+			continue
+		}
+		serving++
+		if p.failures > 0 {
+			failing++
+		}
+	}
+	return 2*failing >= serving
+}
+
+// far reports whether m's latency is far above the median of the upstreams in
+// service.
+func (d *Detector) far(m *member, latency func(*member) float64) bool {
+	own := latency(m)
+	values := make([]float64, 0, len(d.members))
+	for _, p := range d.members {
+		if v := latency(p); !p.ejected && p.samples >= minSamples && v > 0 {
+			values = append(values, v)
+		}
+	}
+	if own == 0 || len(values) < minPeers {
+		return false
+	}
+	center := median(values)
+	if own <= slowFactor*center {
+		return false
+	}
+	for i, v := range values {
+		values[i] = math.Abs(v - center)
+	}
+	return own > center+deviations*median(values)
+}
+
+// median returns the median of values and sorts them.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	mid := len(values) / 2
+	if len(values)%2 == 1 {
+		return values[mid]
+	}
+	return (values[mid-1] + values[mid]) / 2
+}
+
+// mayEject reports whether one more upstream may be out of service. A pool of
+// minPeers or more may always miss one.
+func (d *Detector) mayEject() bool {
+	if len(d.members) < minPeers {
+		return false
+	}
+	limit := max(1, int(maxEjectedShare*float64(len(d.members))))
+	return d.ejected < limit
+}
+
+func (d *Detector) eject(m *member, now time.Time) {
+	if !m.returned.IsZero() && now.Sub(m.returned) > forgiveAfter {
+		m.ejections = 0
+	}
+	length := baseEjection
+	for range m.ejections {
+		length = min(2*length, maxEjection)
+	}
+	*m = member{ejections: m.ejections + 1, until: now.Add(length), ejected: true}
+	d.ejected++
+}
+
+// readmit ends an ejection whose time is over.
+func (d *Detector) readmit(m *member, now time.Time) {
+	if m.ejected && !now.Before(m.until) {
+		m.ejected = false
+		m.returned = now
+		d.ejected--
+	}
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,258 @@
+// Package router selects an upstream for each request. It is the kernel
+// service "router".
+package router
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/balance/prefix"
+	"github.com/tamarackcleat/tamarackcleat/balance/twochoice"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/outlier"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+// Name is the name of the service.
+const Name = "router"
+
+const (
+	// DefaultSubsetSize bounds the upstreams of a pool that a node uses.
+	DefaultSubsetSize = 96
+	// probationRequests bounds the requests in flight on an upstream that
+	// returns from ejection.
+	probationRequests = 1
+	// prefillDivisor gives the prompt's part of the expected work.
+	prefillDivisor = 4
+	// noReplicaRetry advises callers while a pool has no upstream.
+	noReplicaRetry = 2 * time.Second
+)
+
+// Config configures a Service.
+type Config struct {
+	// Node is the entry VM's id and Zone its availability zone.
+	Node, Zone string
+	// Rand is the seeded source of random choices.
+	Rand *rand.Rand
+	// Strategy selects upstreams; nil stands for two random choices.
+	Strategy balance.Strategy
+	// SubsetSize bounds the upstreams used per pool; 0 stands for
+	// DefaultSubsetSize.
+	SubsetSize int
+	// KeepStragglers turns the ejection of stragglers off.
+	KeepStragglers bool
+	// Metrics takes the counters; nil stands for a registry of its own.
+	Metrics metrics.Registry
+}
+
+// Service is the kernel service "router".
+type Service struct {
+	config    Config
+	pools     map[string]*pool
+	upstreams map[string]*upstream
+	prefixes  *prefix.Index
+}
+
+// pool is the upstreams of one model or service that this node uses.
+type pool struct {
+	members  []*upstream
+	outliers *outlier.Detector
+	// scratch is reused for the candidates of each Pick.
+	scratch []*balance.Candidate
+}
+
+// New returns a Service without upstreams.
+func New(c Config) *Service {
+	if c.Strategy == nil {
+		c.Strategy = twochoice.New(c.Rand)
+	}
+	if c.SubsetSize == 0 {
+		c.SubsetSize = DefaultSubsetSize
+	}
+	if c.Metrics == nil {
+		c.Metrics = metrics.NewRegistry()
+	}
+	return &Service{
+		config:    c,
+		pools:     map[string]*pool{},
+		upstreams: map[string]*upstream{},
+		prefixes:  prefix.NewIndex(),
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Handle implements kernel.Service.
+func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
+	switch m := msg.(type) {
+	case UpstreamsChanged:
+		s.replaceUpstreams(m.Upstreams)
+	case LoadReported:
+		if u, ok := s.upstreams[m.ID]; ok {
+			u.reported(m)
+		}
+	case Pick:
+		return []kernel.Effect{kernel.Reply{ID: m.Ask, Msg: s.pick(now, m)}}
+	case Progressed:
+		s.progressed(now, m)
+	case Finished:
+		s.finished(now, m)
+	case CacheEvents:
+		s.cacheEvents(m)
+	}
+	return nil
+}
+
+// Available reports whether a pool has an upstream.
+func (s *Service) Available(pool string) bool {
+	_, ok := s.pools[pool]
+	return ok
+}
+
+// FreeSlots estimates the slots of a pool that no request occupies, over the
+// upstreams that this node uses.
+func (s *Service) FreeSlots(pool string) int {
+	free := 0
+	if p, ok := s.pools[pool]; ok {
+		for _, u := range p.members {
+			free += max(0, u.candidate.Slots-u.candidate.Load)
+		}
+	}
+	return free
+}
+
+// Slots returns the slots of a pool over the upstreams that this node uses.
+func (s *Service) Slots(pool string) int {
+	slots := 0
+	if p, ok := s.pools[pool]; ok {
+		for _, u := range p.members {
+			slots += u.candidate.Slots
+		}
+	}
+	return slots
+}
+
+// count adds one to a counter of the service.
+func (s *Service) count(name string) {
+	metrics.GetOrRegisterCounter("router."+name, s.config.Metrics).Inc(1)
+}
+
+// pick answers a Pick with Picked or *verdict.Error.
+func (s *Service) pick(now time.Time, m Pick) kernel.Message {
+	candidates := s.candidates(now, m)
+	if len(candidates) == 0 {
+		s.count("refused." + string(verdict.ReasonNoReplica))
+		return verdict.Refuse(verdict.ReasonNoReplica, "no upstream of pool %q", m.Pool).
+			WithRetryAfter(noReplicaRetry)
+	}
+	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
+	if r.Prefill == 0 {
+		r.Prefill = r.Work / prefillDivisor
+	}
+	r.Holders = s.holders(m.PrefixHashes, candidates)
+	chosen := s.config.Strategy.Choose(r, candidates)
+	s.upstreams[chosen.ID].sent(now, m.RequestID)
+	for _, h := range m.PrefixHashes {
+		s.prefixes.Add(chosen.ID, h)
+	}
+	s.count("picked")
+	return Picked{Upstream: chosen.Upstream}
+}
+
+// candidates returns the upstreams that may be picked, in order of their ids.
+// If stragglers are all that is left, they are better than nothing.
+func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
+	p, ok := s.pools[m.Pool]
+	if !ok {
+		return nil
+	}
+	p.scratch = p.scratch[:0]
+	for _, u := range p.members {
+		if !slices.Contains(m.Exclude, u.candidate.ID) && s.inService(now, p, u) {
+			p.scratch = append(p.scratch, &u.candidate)
+		}
+	}
+	if len(p.scratch) > 0 {
+		return p.scratch
+	}
+	for _, u := range p.members {
+		if !slices.Contains(m.Exclude, u.candidate.ID) {
+			p.scratch = append(p.scratch, &u.candidate)
+		}
+	}
+	return p.scratch
+}
+
+// inService reports whether u is no ejected straggler.
+func (s *Service) inService(now time.Time, p *pool, u *upstream) bool {
+	if s.config.KeepStragglers {
+		return true
+	}
+	switch p.outliers.State(u.candidate.ID, now) {
+	case outlier.Ejected:
+		return false
+	case outlier.Probation:
+		return u.candidate.InFlight < probationRequests
+	}
+	return true
+}
+
+// holders returns the candidates that hold the longest known prefix.
+func (s *Service) holders(hashes []uint64, candidates []*balance.Candidate) []balance.Holder {
+	for i, h := range hashes {
+		var holders []balance.Holder
+		for _, id := range s.prefixes.Holders(h) {
+			if at, ok := find(candidates, id); ok {
+				share := float64(len(hashes)-i) / float64(len(hashes))
+				holders = append(holders, balance.Holder{Candidate: candidates[at], Share: share})
+			}
+		}
+		if len(holders) > 0 {
+			return holders
+		}
+	}
+	return nil
+}
+
+func find(candidates []*balance.Candidate, id string) (int, bool) {
+	return slices.BinarySearchFunc(candidates, id, func(c *balance.Candidate, id string) int {
+		return cmp.Compare(c.ID, id)
+	})
+}
+
+func (s *Service) progressed(now time.Time, m Progressed) {
+	u, ok := s.upstreams[m.Upstream]
+	if !ok || u.requests[m.RequestID] == 0 {
+		return
+	}
+	s.observe(now, u, outlier.Sample{OK: true, FirstToken: m.FirstToken, PerToken: m.PerToken})
+}
+
+func (s *Service) finished(now time.Time, m Finished) {
+	u, ok := s.upstreams[m.Upstream]
+	if !ok || !u.finished(now, m.RequestID) {
+		return
+	}
+	s.observe(now, u, outlier.Sample{OK: m.OK, FirstToken: m.FirstToken, PerToken: m.PerToken})
+}
+
+func (s *Service) observe(now time.Time, u *upstream, sample outlier.Sample) {
+	if s.pools[u.candidate.Pool].outliers.Observe(u.candidate.ID, now, sample) {
+		s.count("ejected")
+	}
+}
+
+func (s *Service) cacheEvents(m CacheEvents) {
+	if _, ok := s.upstreams[m.ID]; !ok {
+		return
+	}
+	if s.prefixes.Apply(m.ID, m.Boot, m.Events) {
+		s.count("cache_event_gap")
+	}
+}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,121 @@
+package router_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/router"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newRouter() *router.Service {
+	return router.New(router.Config{Node: "n1", Zone: "z1", Rand: rand.New(rand.NewPCG(1, 1))})
+}
+
+func upstreams(n int) []balance.Upstream {
+	all := make([]balance.Upstream, n)
+	for i := range all {
+		all[i] = balance.Upstream{ID: fmt.Sprintf("r%d", i), Generation: 1, Pool: "m", Zone: "z1", Slots: 4}
+	}
+	return all
+}
+
+func ask(s *router.Service, now time.Time, p router.Pick) kernel.Message {
+	p.Pool = "m"
+	effects := s.Handle(now, p)
+	Expect(effects).To(HaveLen(1))
+	return effects[0].(kernel.Reply).Msg
+}
+
+func pick(s *router.Service, now time.Time, p router.Pick) string {
+	m := ask(s, now, p)
+	Expect(m).To(BeAssignableToTypeOf(router.Picked{}))
+	return m.(router.Picked).Upstream.ID
+}
+
+var _ = Describe("Service", func() {
+	var s *router.Service
+	BeforeEach(func() {
+		s = newRouter()
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(2)})
+	})
+
+	It("corrects a lagging report by its own sends and finishes", func() {
+		s.Handle(start, router.LoadReported{ID: "r0", Running: 2, LoadAt: start})
+		s.Handle(start, router.LoadReported{ID: "r1", Running: 3, LoadAt: start})
+		Expect(s.FreeSlots("m")).To(Equal(3))
+		id := pick(s, start.Add(time.Second), router.Pick{RequestID: "q"})
+		Expect(id).To(Equal("r0"))
+		Expect(s.FreeSlots("m")).To(Equal(2))
+		s.Handle(start.Add(2*time.Second), router.LoadReported{ID: "r0", Running: 2, LoadAt: start.Add(500 * time.Millisecond)})
+		Expect(s.FreeSlots("m")).To(Equal(2), "the report is older than the send")
+		s.Handle(start.Add(3*time.Second), router.LoadReported{ID: "r0", Running: 3, LoadAt: start.Add(2 * time.Second)})
+		Expect(s.FreeSlots("m")).To(Equal(2), "the report includes the send")
+		done := router.Finished{RequestID: "q", Upstream: "r0", OK: true}
+		s.Handle(start.Add(4*time.Second), done)
+		s.Handle(start.Add(4*time.Second), done)
+		Expect(s.FreeSlots("m")).To(Equal(3), "a finish counts once")
+	})
+
+	It("never picks an excluded upstream", func() {
+		for range 20 {
+			Expect(pick(s, start, router.Pick{RequestID: "q", Exclude: []string{"r0"}})).To(Equal("r1"))
+		}
+		m := ask(s, start, router.Pick{Exclude: []string{"r0", "r1"}})
+		Expect(m.(*verdict.Error).Reason).To(Equal(verdict.ReasonNoReplica))
+	})
+
+	It("takes no upstream that is gone", func() {
+		s.Handle(start, router.UpstreamsChanged{})
+		Expect(s.Available("m")).To(BeFalse())
+		m := ask(s, start, router.Pick{})
+		Expect(m.(*verdict.Error).Verdict).To(Equal(verdict.NotRun))
+	})
+
+	It("forgets what it knew of an older generation", func() {
+		s.Handle(start, router.LoadReported{ID: "r0", Running: 4, LoadAt: start})
+		newer := upstreams(2)
+		newer[0].Generation = 2
+		s.Handle(start, router.UpstreamsChanged{Upstreams: newer})
+		Expect(s.FreeSlots("m")).To(Equal(8))
+	})
+
+	It("prefers the upstream that holds the prompt's prefix", func() {
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(50)})
+		s.Handle(start, router.CacheEvents{ID: "r7", Boot: "b",
+			Events: []platform.CacheEvent{{Seq: 1, PrefixHash: 99}}})
+		p := router.Pick{PrefixHashes: []uint64{1, 99}, ExpectedWork: time.Second, ExpectedPrefill: time.Second}
+		Expect(pick(s, start, p)).To(Equal("r7"))
+	})
+
+	It("uses a bounded subset of a large pool", func() {
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(1000)})
+		Expect(s.Slots("m")).To(Equal(4 * router.DefaultSubsetSize))
+	})
+
+	It("takes a straggler out", func() {
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(10)})
+		for i := range 200 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			request := fmt.Sprint(i)
+			id := pick(s, now, router.Pick{RequestID: request})
+			latency := 20 * time.Millisecond
+			if id == "r3" {
+				latency *= 10
+			}
+			s.Handle(now, router.Finished{RequestID: request, Upstream: id, OK: true, PerToken: latency})
+		}
+		for i := range 100 {
+			Expect(pick(s, start.Add(3*time.Second), router.Pick{RequestID: fmt.Sprint(i)})).NotTo(Equal("r3"))
+		}
+	})
+})
