Plan replicas inside fabric domains as a pure function

Cause: replicas have to be formed and repaired from VMs that fail, restart and leave, and the choice must be provable without a socket. Ruled out: one pass per broken replica, which leaves its survivors waiting for a replacement while the survivors of a second one could complete it. Change: planner with an index by fabric domain, policies by name, demands derived from the configuration. Measurement: none yet.

--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,200 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet returns idle VMs named by domain, such as a-1; domain a lies in zone
+// z0, b in z1, c in z2 and so on.
+func fleet(sizes ...int) []VM {
+	var vms []VM
+	for d, size := range sizes {
+		domain := string(rune('a' + d))
+		for i := range size {
+			id := platform.VMID(fmt.Sprintf("%s-%d", domain, i+1))
+			vms = append(vms, VM{
+				VM:       platform.VM{ID: id, Kind: platform.KindEngine, Domain: domain, Zone: fmt.Sprint("z", d%3)},
+				Liveness: Live,
+				Report:   platform.Report{VM: id, State: platform.EngineIdle},
+			})
+		}
+	}
+	return vms
+}
+
+var (
+	draft = platform.Model{Name: "draft", VMsPerReplica: 4, WeightBytes: 40 << 30}
+	desk  = platform.Model{Name: "desk", VMsPerReplica: 4, WeightBytes: 10 << 30}
+)
+
+func input(vms []VM, desired ...Demand) Input {
+	return Input{VMs: vms, Models: []platform.Model{draft, desk}, Desired: desired, Now: start}
+}
+
+// join makes VMs ready members of a new live replica of the input.
+func join(in *Input, name, model string, ids ...platform.VMID) {
+	g := record.Position(len(in.Replicas) + 1)
+	in.Replicas = append(in.Replicas, Replica{Name: name, Generation: g, Model: model, VMs: ids, FormedAt: start})
+	for _, id := range ids {
+		r := &find(in, id).Report
+		r.State, r.Replica, r.Generation, r.HeldWeights = platform.EngineReady, name, int64(g), []string{model}
+	}
+}
+
+func find(in *Input, id platform.VMID) *VM {
+	for i := range in.VMs {
+		if in.VMs[i].ID == id {
+			return &in.VMs[i]
+		}
+	}
+	panic("unknown VM " + id)
+}
+
+func forms(actions []Action) []Form {
+	var out []Form
+	for _, a := range actions {
+		if f, ok := a.(Form); ok {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+func dissolves(actions []Action) []Dissolve {
+	var out []Dissolve
+	for _, a := range actions {
+		if d, ok := a.(Dissolve); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func domainsOf(f Form) map[byte]int {
+	m := map[byte]int{}
+	for _, id := range f.VMs {
+		m[id[0]]++
+	}
+	return m
+}
+
+var _ = Describe("Plan", func() {
+	It("forms replicas inside domains, the first two of a model in different zones", func() {
+		in := input(fleet(9, 9, 9), Demand{Model: "desk", Min: 2, Want: 2, Max: 2}, Demand{Model: "draft", Min: 2, Want: 4, Max: 4})
+		got := forms(Plan(in, DefaultPolicy()))
+		Expect(got).To(HaveLen(6))
+		used := map[platform.VMID]bool{}
+		for _, f := range got {
+			Expect(domainsOf(f)).To(HaveLen(1))
+			for _, id := range f.VMs {
+				Expect(used).NotTo(HaveKey(id))
+				used[id] = true
+			}
+		}
+		Expect(got[0].Model).To(Equal("desk"))
+		Expect(got[0].VMs[0][0]).NotTo(Equal(got[1].VMs[0][0]))
+	})
+
+	It("gives the same plan for VMs in any order", func() {
+		vms := fleet(9, 5, 12)
+		a := Plan(input(vms, Demand{Model: "draft", Min: 2, Want: 6, Max: 6}), DefaultPolicy())
+		for i, j := 0, len(vms)-1; i < j; i, j = i+1, j-1 {
+			vms[i], vms[j] = vms[j], vms[i]
+		}
+		Expect(Plan(input(vms, Demand{Model: "draft", Min: 2, Want: 6, Max: 6}), DefaultPolicy())).To(Equal(a))
+	})
+
+	DescribeTable("dissolves a replica whose member", func(change func(*VM), cause Cause) {
+		in := input(fleet(5), Demand{Model: "draft", Min: 1, Want: 1, Max: 1})
+		join(&in, "draft-1", "draft", "a-1", "a-2", "a-3", "a-4")
+		Expect(Plan(in, DefaultPolicy())).To(BeEmpty())
+		change(find(&in, "a-2"))
+		Expect(dissolves(Plan(in, DefaultPolicy()))).To(Equal([]Dissolve{{Replica: "draft-1", Generation: 1, Cause: cause}}))
+	},
+		Entry("is lost", func(v *VM) { v.Liveness = Lost }, CauseMissing),
+		Entry("restarted", func(v *VM) { v.Restarted = true }, CauseRestarted),
+		Entry("is leaving by the list", func(v *VM) { v.Leaving = true }, CauseLeaving),
+		Entry("is leaving by its own report", func(v *VM) { v.Report.State = platform.EngineLeaving }, CauseLeaving),
+	)
+
+	It("leaves a replica with a suspected member alone and does not use the VM elsewhere", func() {
+		in := input(fleet(8), Demand{Model: "draft", Min: 2, Want: 2, Max: 2})
+		join(&in, "draft-1", "draft", "a-1", "a-2", "a-3", "a-4")
+		find(&in, "a-1").Liveness = Suspected
+		find(&in, "a-8").Liveness = Suspected
+		Expect(Plan(in, DefaultPolicy())).To(BeEmpty())
+	})
+
+	It("repairs with the survivors that hold the weights and one spare", func() {
+		in := input(fleet(8), Demand{Model: "draft", Min: 1, Want: 1, Max: 1})
+		for _, id := range []platform.VMID{"a-6", "a-7", "a-8"} {
+			find(&in, id).Report.HeldWeights = []string{"draft"}
+		}
+		Expect(forms(Plan(in, DefaultPolicy()))[0].VMs).To(ConsistOf(
+			platform.VMID("a-6"), platform.VMID("a-7"), platform.VMID("a-8"), platform.VMID("a-1")))
+	})
+
+	It("never reuses a VM that still finishes the streams of its former replica", func() {
+		in := input(fleet(4), Demand{Model: "draft", Min: 1, Want: 1, Max: 1})
+		find(&in, "a-1").Report.State = platform.EngineReady
+		Expect(Plan(in, DefaultPolicy())).To(BeEmpty())
+	})
+
+	It("staggers loads under the rate of the weight store", func() {
+		in := input(fleet(8, 8), Demand{Model: "draft", Min: 2, Want: 4, Max: 4})
+		in.StoreBytesPerSecond = 20 << 30
+		Expect(forms(Plan(in, DefaultPolicy()))).To(HaveLen(2), "2 x 160 GiB fit into 20 s at 20 GiB/s")
+	})
+
+	It("takes a replica from a model above its need for one below its minimum, one at a time", func() {
+		in := input(fleet(4, 4, 4), Demand{Model: "desk", Min: 1, Want: 1, Max: 1}, Demand{Model: "draft", Min: 1, Want: 2, Max: 3})
+		for i, d := range []string{"a", "b", "c"} {
+			id := func(n int) platform.VMID { return platform.VMID(fmt.Sprint(d, "-", n)) }
+			join(&in, fmt.Sprint("draft-", i+1), "draft", id(1), id(2), id(3), id(4))
+		}
+		got := dissolves(Plan(in, DefaultPolicy()))
+		Expect(got).To(HaveLen(1))
+		Expect(got[0].Cause).To(Equal(CausePreempted))
+		in.Replicas[0].Dissolving = true
+		Expect(Plan(in, DefaultPolicy())).To(BeEmpty(), "VMs are on their way")
+	})
+
+	It("keeps broken replicas apart when survivors are not merged", func() {
+		in := input(fleet(8), Demand{Model: "draft", Min: 2, Want: 2, Max: 2})
+		join(&in, "draft-1", "draft", "a-1", "a-2", "a-3", "a-4")
+		join(&in, "draft-2", "draft", "a-5", "a-6", "a-7", "a-8")
+		find(&in, "a-1").Liveness = Lost
+		find(&in, "a-5").Liveness = Lost
+		noMerge, _ := PolicyByName(PolicyNoMerge)
+		Expect(Plan(in, noMerge)).To(BeEmpty())
+		Expect(dissolves(Plan(in, DefaultPolicy()))).To(HaveLen(2))
+	})
+})
+
+var _ = Describe("Desired", func() {
+	doc := &dynamic.Document{Classes: []dynamic.Class{
+		{Name: "drafting", Kind: dynamic.KindGenerate, Model: "draft", Targets: dynamic.Targets{AnsweredWithin: dynamic.Duration(time.Minute)}},
+		{Name: "desk", Kind: dynamic.KindGenerate, Model: "desk", Targets: dynamic.Targets{AnsweredWithin: dynamic.Duration(5 * time.Second)}},
+		{Name: "booking", Kind: dynamic.KindCall, Service: "booking"},
+	}}
+	models := []platform.Model{draft, desk, {Name: "unused", VMsPerReplica: 4}}
+
+	DescribeTable("shares the VMs", func(vms int, load Load, want ...Demand) {
+		Expect(Desired(doc, models, load, vms)).To(Equal(want))
+	},
+		Entry("urgent classes first when VMs are few", 11, nil,
+			Demand{Model: "desk", Min: 2, Want: 2, Max: 2, Urgent: true}, Demand{Model: "draft"}),
+		Entry("by load", 300, Load{"desk": 2, "draft": 50},
+			Demand{Model: "desk", Min: 2, Want: 3, Max: 3, Urgent: true}, Demand{Model: "draft", Min: 2, Want: 65, Max: 72}),
+	)
+})
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,248 @@
+package placement
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+)
+
+// Planner keeps an index of VMs and replicas by fabric domain, so that a plan
+// after a few changes costs work in proportion to the changes and to the
+// domains with free VMs, not to the fleet.
+type Planner struct {
+	policy    Policy
+	models    map[string]platform.Model
+	storeRate int64
+	desired   []Demand
+
+	vms      map[platform.VMID]*vmNode
+	memberOf map[platform.VMID]string
+	domains  map[string]*domainNode
+	withFree map[string]*domainNode
+	replicas map[string]*replicaNode
+	tallies  map[string]*tally
+	// incomplete and broken are replicas that need a look in each plan.
+	incomplete map[string]*replicaNode
+	broken     map[string]*replicaNode
+}
+
+// replicaNode is a replica in the planner's index.
+type replicaNode struct {
+	Replica
+	// domains holds the domains of its members; one unless it crosses.
+	domains []*domainNode
+	// cause is why it must be dissolved; empty if it need not be.
+	cause Cause
+	// missing counts the members that need a replacement.
+	missing int
+	// loading is the number of bytes that its members still load.
+	loading int64
+	// complete says that every member reported its membership as ready.
+	complete bool
+}
+
+// tally counts the sound replicas of one model.
+type tally struct {
+	live    int
+	domains map[string]int
+	zones   map[string]int
+}
+
+// NewPlanner returns an empty planner.
+func NewPlanner(policy Policy) *Planner {
+	return &Planner{
+		policy:     policy,
+		models:     map[string]platform.Model{},
+		vms:        map[platform.VMID]*vmNode{},
+		memberOf:   map[platform.VMID]string{},
+		domains:    map[string]*domainNode{},
+		withFree:   map[string]*domainNode{},
+		replicas:   map[string]*replicaNode{},
+		tallies:    map[string]*tally{},
+		incomplete: map[string]*replicaNode{},
+		broken:     map[string]*replicaNode{},
+	}
+}
+
+// SetModels replaces what is known of the weight store.
+func (p *Planner) SetModels(models []platform.Model, storeBytesPerSecond int64) {
+	p.models = map[string]platform.Model{}
+	for _, m := range models {
+		p.models[m.Name] = m
+	}
+	p.storeRate = storeBytesPerSecond
+}
+
+// SetDesired replaces the demands.
+func (p *Planner) SetDesired(d []Demand) { p.desired = d }
+
+// SetReplica adds a replica or replaces what is known of it.
+func (p *Planner) SetReplica(r Replica) {
+	p.RemoveReplica(r.Name)
+	n := &replicaNode{Replica: r}
+	p.replicas[r.Name] = n
+	for _, id := range r.VMs {
+		p.memberOf[id] = r.Name
+		v, ok := p.vms[id]
+		if !ok {
+			continue
+		}
+		p.unlist(v)
+		v.replica = n
+	}
+	n.domains = p.domainsOf(n)
+	p.count(n, 1)
+	p.check(n)
+}
+
+// RemoveReplica forgets a replica that was dissolved.
+func (p *Planner) RemoveReplica(name string) {
+	n, ok := p.replicas[name]
+	if !ok {
+		return
+	}
+	if n.cause == "" {
+		p.count(n, -1)
+	}
+	delete(p.replicas, name)
+	delete(p.incomplete, name)
+	delete(p.broken, name)
+	for _, id := range n.VMs {
+		delete(p.memberOf, id)
+		if v, ok := p.vms[id]; ok {
+			v.replica = nil
+			p.list(v)
+		}
+	}
+}
+
+// domainsOf returns the domains of a replica's known members by name.
+func (p *Planner) domainsOf(n *replicaNode) []*domainNode {
+	found := map[string]*domainNode{}
+	for _, id := range n.VMs {
+		if v, ok := p.vms[id]; ok {
+			found[v.domain.name] = v.domain
+		}
+	}
+	var domains []*domainNode
+	for _, name := range slices.Sorted(maps.Keys(found)) {
+		domains = append(domains, found[name])
+	}
+	return domains
+}
+
+// tally returns the counts of a model, made on first use.
+func (p *Planner) tally(model string) *tally {
+	t, ok := p.tallies[model]
+	if !ok {
+		t = &tally{domains: map[string]int{}, zones: map[string]int{}}
+		p.tallies[model] = t
+	}
+	return t
+}
+
+// count adds a sound replica to the counts of its model, or takes it away.
+func (p *Planner) count(n *replicaNode, delta int) {
+	t := p.tally(n.Model)
+	t.live += delta
+	for _, d := range n.domains {
+		d.replicas[n.Model] += delta
+		t.domains[d.name] += delta
+		t.zones[d.zone] += delta
+		if t.domains[d.name] == 0 {
+			delete(t.domains, d.name)
+		}
+		if t.zones[d.zone] == 0 {
+			delete(t.zones, d.zone)
+		}
+	}
+}
+
+// check judges a replica again after one of its members changed.
+func (p *Planner) check(n *replicaNode) {
+	was := n.cause
+	p.judge(n)
+	if was == "" && n.cause != "" {
+		p.count(n, -1)
+	}
+	if was != "" && n.cause == "" {
+		p.count(n, 1)
+	}
+	setMember(p.broken, n, n.cause != "")
+	setMember(p.incomplete, n, !n.complete && n.cause == "")
+}
+
+func setMember(set map[string]*replicaNode, n *replicaNode, in bool) {
+	if in {
+		set[n.Name] = n
+	} else {
+		delete(set, n.Name)
+	}
+}
+
+// judge works out what a replica's members say about it.
+func (p *Planner) judge(n *replicaNode) {
+	n.cause, n.missing, n.loading, n.complete = "", 0, 0, true
+	if n.Dissolving {
+		n.cause = causeDissolving
+	}
+	for _, id := range n.VMs {
+		v, ok := p.vms[id]
+		cause := memberFault(v, ok)
+		if cause != "" {
+			n.missing++
+			if n.cause == "" {
+				n.cause = cause
+			}
+			continue
+		}
+		if v.memberReady(n) {
+			continue
+		}
+		n.complete = false
+		if !v.Holds(n.Model) {
+			n.loading += p.models[n.Model].WeightBytes
+		}
+	}
+}
+
+// memberFault returns why a member breaks its replica, empty if it does not.
+func memberFault(v *vmNode, listed bool) Cause {
+	switch {
+	case !listed || v.Liveness == Lost:
+		return CauseMissing
+	case v.Restarted:
+		return CauseRestarted
+	case v.Leaving || v.Report.State == platform.EngineLeaving && v.inCurrentReplica():
+		return CauseLeaving
+	}
+	return ""
+}
+
+// inCurrentReplica reports whether the last report names the replica that the
+// VM belongs to.
+func (v *vmNode) inCurrentReplica() bool {
+	r := v.replica
+	return r != nil && v.Report.Replica == r.Name && v.Report.Generation == int64(r.Generation)
+}
+
+// memberReady reports whether the VM is a working member of the replica.
+func (v *vmNode) memberReady(n *replicaNode) bool {
+	return v.Report.State == platform.EngineReady &&
+		v.Report.Replica == n.Name && v.Report.Generation == int64(n.Generation)
+}
+
+// Plan returns what to do next, dissolutions first. It leaves the index as it
+// was: actions show up in it once they are reported by SetReplica.
+func (p *Planner) Plan(now time.Time) []Action {
+	r := &run{Planner: p, now: now}
+	r.dissolveBroken()
+	r.dissolveOverdue()
+	r.dissolveUnwanted()
+	r.formWanted()
+	r.preempt()
+	r.undo()
+	return r.actions()
+}
