--- /dev/null
+++ b/controller/fleet.go
@@ -0,0 +1,187 @@
+package controller
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/ledger"
+	"github.com/tamarackcleat/tamarackcleat/placement"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+// avoidFor is how long a VM that failed to load while its peers did not is
+// left out of new replicas.
+const avoidFor = 10 * time.Minute
+
+// fleetState is what the service knows of the engine VMs.
+type fleetState struct {
+	// at is the time of the last observation.
+	at time.Time
+	// vms holds the engine VMs of the last observation by ID.
+	vms []VMObservation
+	// firstSeen is when a VM was first listed.
+	firstSeen map[platform.VMID]time.Time
+	// joined holds the membership and boot in which a VM was last seen to
+	// follow the ledger.
+	joined map[platform.VMID]membership
+	// restarted holds the generation whose membership a VM has lost.
+	restarted map[platform.VMID]record.Position
+	// avoidUntil holds VMs that failed to load.
+	avoidUntil map[platform.VMID]time.Time
+}
+
+// membership is a VM's place in a replica during one boot.
+type membership struct {
+	generation record.Position
+	boot       string
+}
+
+func newFleetState() fleetState {
+	return fleetState{
+		firstSeen:  map[platform.VMID]time.Time{},
+		joined:     map[platform.VMID]membership{},
+		restarted:  map[platform.VMID]record.Position{},
+		avoidUntil: map[platform.VMID]time.Time{},
+	}
+}
+
+// observe replaces the VMs and notes members that lost their membership.
+func (f *fleetState) observe(m Observed, control *ledger.Control) {
+	f.at = m.At
+	f.vms = f.vms[:0]
+	firstSeen := make(map[platform.VMID]time.Time, len(m.VMs))
+	for _, o := range m.VMs {
+		if o.VM.Kind != platform.KindEngine {
+			continue
+		}
+		f.vms = append(f.vms, o)
+		seen, ok := f.firstSeen[o.VM.ID]
+		if !ok {
+			seen = m.At
+		}
+		firstSeen[o.VM.ID] = seen
+		f.followMembership(o, control)
+	}
+	f.firstSeen = firstSeen
+	slices.SortFunc(f.vms, func(a, b VMObservation) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+}
+
+// followMembership notes that a VM joined its replica or has lost it since.
+func (f *fleetState) followMembership(o VMObservation, control *ledger.Control) {
+	id := o.VM.ID
+	name, owned := control.Owner(id)
+	if !owned {
+		delete(f.joined, id)
+		delete(f.restarted, id)
+		return
+	}
+	r, _ := control.Replica(name)
+	was, joined := f.joined[id]
+	joined = joined && was.generation == r.Generation
+	switch {
+	case joined && (!inReplica(o.Report, r) || o.Report.Boot != was.boot):
+		f.restarted[id] = r.Generation
+	case inReplica(o.Report, r):
+		f.joined[id] = membership{generation: r.Generation, boot: o.Report.Boot}
+	}
+}
+
+// inReplica reports whether a report names a replica and its generation.
+func inReplica(rep platform.Report, r ledger.Replica) bool {
+	return rep.Replica == r.Name && rep.Generation == int64(r.Generation) && rep.State != platform.EngineIdle
+}
+
+// liveness judges a VM by the age of its last report. A VM that never reported
+// is judged by the time since it was first listed.
+func (f *fleetState) liveness(o VMObservation, now time.Time) placement.Liveness {
+	heard := o.Heard
+	if heard.IsZero() {
+		if now.Sub(f.firstSeen[o.VM.ID]) < LostAfter {
+			return placement.Suspected
+		}
+		return placement.Lost
+	}
+	switch age := now.Sub(heard); {
+	case age >= LostAfter:
+		return placement.Lost
+	case age >= SuspectAfter:
+		return placement.Suspected
+	}
+	return placement.Live
+}
+
+// isolated reports whether most VMs that reported before are out of reach, so
+// that the fault may be this node's connection.
+func (f *fleetState) isolated(now time.Time) bool {
+	lost, known := 0, 0
+	for _, o := range f.vms {
+		if o.Heard.IsZero() {
+			continue
+		}
+		known++
+		if f.liveness(o, now) == placement.Lost {
+			lost++
+		}
+	}
+	return 2*lost > known
+}
+
+// plannerVMs returns the VMs as the planner sees them.
+func (f *fleetState) plannerVMs(now time.Time, control *ledger.Control) []placement.VM {
+	vms := make([]placement.VM, len(f.vms))
+	for i, o := range f.vms {
+		vms[i] = placement.VM{
+			VM:        o.VM,
+			Liveness:  f.liveness(o, now),
+			Restarted: f.hasRestarted(o.VM.ID, control),
+			Avoid:     now.Before(f.avoidUntil[o.VM.ID]),
+			Report:    o.Report,
+		}
+	}
+	return vms
+}
+
+// hasRestarted reports whether a VM has lost its membership of the replica
+// that it belongs to by the ledger.
+func (f *fleetState) hasRestarted(id platform.VMID, control *ledger.Control) bool {
+	name, owned := control.Owner(id)
+	if !owned {
+		return false
+	}
+	r, _ := control.Replica(name)
+	return f.restarted[id] == r.Generation
+}
+
+// find returns a VM of the last observation.
+func (f *fleetState) find(id platform.VMID) (VMObservation, bool) {
+	i, ok := slices.BinarySearchFunc(f.vms, id, func(o VMObservation, id platform.VMID) int {
+		return strings.Compare(string(o.VM.ID), string(id))
+	})
+	if !ok {
+		return VMObservation{}, false
+	}
+	return f.vms[i], true
+}
+
+// avoidSlow leaves members out of new replicas that are not ready although
+// another member of the replica is.
+func (f *fleetState) avoidSlow(r ledger.Replica, now time.Time) {
+	var slow []platform.VMID
+	for _, id := range r.VMs {
+		o, ok := f.find(id)
+		if ok && inReplica(o.Report, r) && o.Report.State == platform.EngineReady {
+			continue
+		}
+		slow = append(slow, id)
+	}
+	if len(slow) == len(r.VMs) {
+		return
+	}
+	for _, id := range slow {
+		f.avoidUntil[id] = now.Add(avoidFor)
+	}
+}
