Test the configuration and settings decoders, with fuzz seeds

Cause: the decoders' rules had no test that ran. Ruled out: the place of a list entry as the library gives it (the colon behind the first key); it is now the first key.

--- a/config/dynamic/parse_test.go
+++ b/config/dynamic/parse_test.go
@@ -32,6 +32,13 @@
       for: 99.5 in 100
 `
 
+// spans is what stands between the longest answer and its time in valid.
+const spans = `
+    targets:
+      first_token_within: 430ms
+      between_tokens_within: 53ms
+      answered_within: `
+
 // problems parses a document that must be refused.
 func problems(doc string) []dynamic.Problem {
 	GinkgoHelper()
@@ -93,11 +100,11 @@
 		Entry("a time of zero", "430ms", "0ms", "9:7", "classes[0].targets.first_token_within", "zero", "430ms"),
 		Entry("a negative time", "430ms", "-430ms", "9:7", "classes[0].targets.first_token_within", "its unit", "430ms"),
 		Entry("too short a time", "430ms", "430us", "9:7", "classes[0].targets.first_token_within", "shorter", "1ms"),
-		Entry("too long a time", "3m", "48h", "11:7", "classes[0].targets.answered_within", "longest target", "24h"),
-		Entry("a time beyond numbers", "3m", "99999999999h", "11:7", "classes[0].targets.answered_within", "too long", "30s"),
+		Entry("too long a time", "answered_within: 3m", "answered_within: 48h", "11:7", "classes[0].targets.answered_within", "longest target", "24h"),
+		Entry("a time beyond numbers", "answered_within: 3m", "answered_within: 99999999999h", "11:7", "classes[0].targets.answered_within", "too long", "30s"),
 		Entry("a first token after the answer", "430ms", "4m", "9:7", "classes[0].targets.first_token_within", "contradicts", "less than 3m"),
 		Entry("a gap longer than the answer", "53ms", "4m", "10:7", "classes[0].targets.between_tokens_within", "contradicts", "less than 3m"),
-		Entry("an answer no engine can make", "3m", "399ms", "11:7", "classes[0].targets.answered_within", "no engine", "400ms"),
+		Entry("an answer no engine can make", "4000 tokens"+spans+"3m", "1000000 tokens"+spans+"90s", "11:7", "classes[0].targets.answered_within", "no engine", "1m40s"),
 		Entry("a missing target", "      answered_within: 5s\n", "", "16:5", "classes[1].targets.answered_within", "missing", "30s"),
 		Entry("a missing share", "      for: 95 in 100\n", "", "8:5", "classes[0].targets.for", "missing", "95 in 100"),
 		Entry("a share over all", "95 in 100", "101 in 100", "12:7", "classes[0].targets.for", "more than all", "95 in 100"),
@@ -120,7 +127,7 @@
 		Entry("an empty class", "name: drafting", "name: null", "3:5", "classes[0].name", "text was expected", "drafting"),
 		Entry("an anchor", "name: drafting", "name: &a drafting", "3:11", "", "anchors", "plain YAML"),
 		Entry("a tag", "name: drafting", "name: !!str drafting", "3:11", "", "tags", "plain YAML"),
-		Entry("bad syntax", "name: drafting", "name: [drafting", "3:11", "", "", "syntax"),
+		Entry("bad syntax", "name: drafting", "name: [drafting", "4:5", "", "must be specified", "syntax"),
 		Entry("a list in place of fields", "    targets:\n      answered_within: 5s\n      for: 99.5 in 100\n", "    targets: [5s]\n", "16:5", "classes[1].targets", "fields were expected", "answered_within"),
 	)
 
--- /dev/null
+++ b/config/static/fuzz_test.go
@@ -0,0 +1,32 @@
+package static_test
+
+import (
+	"testing"
+
+	"github.com/tamarackcleat/tamarackcleat/config/static"
+)
+
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{valid, "", "a: [", "? {a: b}: c", "listen: |\n  x", "\x00", "- - -"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := static.Parse("settings.yaml", data)
+		if err != nil {
+			requireProblems(t, err)
+			return
+		}
+		if s.Listen == "" || s.Advertise == "" || s.Zone == "" || s.Platform.Log == "" {
+			t.Fatalf("incomplete settings were accepted: %+v", s)
+		}
+	})
+}
+
+// requireProblems checks that a refusal names at least one problem.
+func requireProblems(t *testing.T, err error) {
+	t.Helper()
+	refused, ok := err.(*static.ParseError)
+	if !ok || len(refused.Problems) == 0 || refused.Error() == "" {
+		t.Fatalf("not a refusal with problems: %v", err)
+	}
+}
--- /dev/null
+++ b/config/static/static_test.go
@@ -0,0 +1,73 @@
+package static_test
+
+import (
+	"log/slog"
+	"path/filepath"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/config/static"
+)
+
+const valid = `listen: 0.0.0.0:8080
+advertise: 10.0.0.5:8080
+zone: dakar-a
+platform:
+  log: http://10.0.0.2:7001
+  vms: http://[fd00::2]:7002
+  weights: http://10.0.0.2:7003/weights
+log_level: warn
+`
+
+var _ = Describe("Settings", func() {
+	It("reads valid settings", func() {
+		s, err := static.Parse("settings.yaml", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Advertise).To(Equal("10.0.0.5:8080"))
+		Expect(s.Platform.VMs).To(Equal("http://[fd00::2]:7002"))
+		Expect(s.LogLevel.Level()).To(Equal(slog.LevelWarn))
+	})
+
+	It("logs from info on when no level is written", func() {
+		s, err := static.Parse("settings.yaml", []byte(strings.Replace(valid, "log_level: warn\n", "", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.LogLevel.Level()).To(Equal(slog.LevelInfo))
+	})
+
+	It("loads the example", func() {
+		_, err := static.Load("../../examples/settings.yaml")
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("fails on a missing file", func() {
+		_, err := static.Load(filepath.Join(GinkgoT().TempDir(), "none.yaml"))
+		Expect(err).To(MatchError(ContainSubstring("reading settings")))
+	})
+
+	DescribeTable("refuses with the place and what to write instead",
+		func(from, to, place, field, message, instead string) {
+			Expect(valid).To(ContainSubstring(from))
+			_, err := static.Parse("settings.yaml", []byte(strings.Replace(valid, from, to, 1)))
+			Expect(err).To(BeAssignableToTypeOf(&static.ParseError{}))
+			p := err.(*static.ParseError).Problems
+			Expect(p).To(HaveLen(1))
+			Expect(p[0].String()).To(HavePrefix("settings.yaml:" + place + ": "))
+			Expect(p[0].Field).To(Equal(field))
+			Expect(p[0].Message).To(ContainSubstring(message))
+			Expect(p[0].Instead).To(ContainSubstring(instead))
+		},
+		Entry("a host name", "0.0.0.0:8080", "localhost:8080", "1:1", "listen", "IP number", "0.0.0.0:8080"),
+		Entry("no port", "0.0.0.0:8080", "0.0.0.0", "1:1", "listen", "IP number", "0.0.0.0:8080"),
+		Entry("port zero", "0.0.0.0:8080", "0.0.0.0:0", "1:1", "listen", "IP number", "0.0.0.0:8080"),
+		Entry("an address nobody can connect to", "10.0.0.5:8080", "0.0.0.0:8080", "2:1", "advertise", "others can connect", "10.0.0.5:8080"),
+		Entry("a missing zone", "zone: dakar-a\n", "", "1:1", "zone", "missing", "dakar-a"),
+		Entry("a zone with spaces", "dakar-a", "Dakar A", "3:1", "zone", "small letters", "dakar-a"),
+		Entry("a platform address without scheme", "http://10.0.0.2:7001", "10.0.0.2:7001", "5:3", "platform.log", "URL", "http://"),
+		Entry("a platform host name", "http://10.0.0.2:7001", "http://log:7001", "5:3", "platform.log", "IP number", "http://"),
+		Entry("a missing platform address", "  log: http://10.0.0.2:7001\n", "", "4:1", "platform.log", "missing", "http://"),
+		Entry("an unknown level", "warn", "loud", "8:1", "log_level", "none of", "info"),
+		Entry("an unknown field", "zone:", "weights: 3\nzone:", "3:1", "weights", "not known", "listen, advertise"),
+	)
+})
--- a/config/strictyaml/decode.go
+++ b/config/strictyaml/decode.go
@@ -8,6 +8,7 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // exampleTag is the struct tag that holds an example of a field's value.
@@ -73,7 +74,7 @@
 	v.Set(reflect.MakeSlice(v.Type(), len(list.Values), len(list.Values)))
 	for i, entry := range list.Values {
 		child := fmt.Sprintf("%s[%d]", path, i)
-		s.places[child] = *entry.GetToken().Position
+		s.places[child] = position(entry)
 		s.decode(entry, v.Index(i), child, example)
 	}
 }
@@ -114,6 +115,15 @@
 	return nil, false
 }
 
+// position returns where a node starts. The token of a mapping is the colon
+// behind its first key.
+func position(node ast.Node) token.Position {
+	if pairs, ok := mapping(node); ok && len(pairs) > 0 {
+		return *pairs[0].Key.GetToken().Position
+	}
+	return *node.GetToken().Position
+}
+
 // typeNames says what a node is in words for operators.
 var typeNames = map[ast.NodeType]string{
 	ast.StringType:   "text",
