Measure the request policy in simulated time

Cause: the decisions on upstreams, admission, retries and stragglers had no measurement against simpler rivals.

Change: package bench drives the daemons' services against fake engines (a queue before a continuous batch, serial prompt processing, a prompt cache, lagging reports and cache events with gaps) with both deployments' traffic; cmd/bench runs the suites with a seed.

--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,73 @@
+// Command bench measures the request policy against simpler ones.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/tamarackcleat/tamarackcleat/bench"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "bench",
+		Usage: "measure the request policy in simulated time",
+	}
+	for _, s := range bench.Suites() {
+		app.Commands = append(app.Commands, command(s))
+	}
+	if err := app.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// command returns the subcommand of a suite.
+func command(s bench.Suite) *cli.Command {
+	return &cli.Command{
+		Name:  s.Name,
+		Usage: s.Usage,
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all random choices"},
+			&cli.IntFlag{Name: "engines", Value: 70, Usage: "engines for long generations"},
+			&cli.IntFlag{Name: "nodes", Value: 7, Usage: "entry VMs"},
+			&cli.StringFlag{Name: "policy", Usage: "run only this policy"},
+			&cli.DurationFlag{Name: "length", Value: 5 * time.Minute, Usage: "simulated time of arrivals"},
+			&cli.FloatFlag{Name: "fill", Usage: "offered load as a part of all slots"},
+			&cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error { return run(s, c) },
+	}
+}
+
+// run performs the runs of a suite and prints their results.
+func run(s bench.Suite, c *cli.Command) error {
+	scenarios := s.Scenarios(bench.Options{
+		Seed: c.Uint64("seed"), Engines: c.Int("engines"), Nodes: c.Int("nodes"),
+		Policy: c.String("policy"), Length: c.Duration("length"), Fill: c.Float("fill"),
+	})
+	if len(scenarios) == 0 {
+		return errors.Newf("suite %q has no policy %q", s.Name, c.String("policy"))
+	}
+	var results []bench.Result
+	for _, scenario := range scenarios {
+		r, err := bench.Run(scenario)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	switch format := c.String("output"); format {
+	case "json":
+		return bench.WriteJSON(os.Stdout, results)
+	case "table":
+		return bench.WriteTable(os.Stdout, results)
+	default:
+		return errors.Newf("unknown output %q, want table or json", format)
+	}
+}
