--- a/router/router.go
+++ b/router/router.go
@@ -243,6 +243,9 @@
 }
 
 func (s *Service) observe(now time.Time, u *upstream, sample outlier.Sample) {
+	if s.config.KeepStragglers {
+		return
+	}
 	if s.pools[u.candidate.Pool].outliers.Observe(u.candidate.ID, now, sample) {
 		s.count("ejected")
 	}
