Add the operators' command line as a library

Cause: operators had no way to publish targets or to see what is measured. MaxTokens of a document falls to 8192.

--- a/config/strictyaml/source.go
+++ b/config/strictyaml/source.go
@@ -23,7 +23,7 @@
 	// nested blocks as well.
 	MaxLineBytes = 1 << 10
 	// MaxTokens is the number of YAML tokens in a document.
-	MaxTokens = 32 << 10
+	MaxTokens = 8 << 10
 	// MaxProblems is the number of problems that one refusal reports.
 	MaxProblems = 50
 	// maxFlowDepth is the depth of nested brackets.
--- /dev/null
+++ b/operator/commands.go
@@ -0,0 +1,233 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
+	"github.com/tamarackcleat/tamarackcleat/config/strictyaml"
+)
+
+// stdinName is the file name that stands for the standard input.
+const stdinName = "-"
+
+// document is a document that was read and found valid.
+type document struct {
+	text   string
+	parsed *dynamic.Document
+}
+
+// readDocument reads and validates the document of a file.
+func (p *Program) readDocument(name string) (document, error) {
+	data, err := p.readFile(name)
+	if err != nil {
+		return document{}, fail(ExitInvalid, "%v", err)
+	}
+	parsed, err := dynamic.Parse(name, data)
+	if err != nil {
+		return document{}, invalid(err)
+	}
+	return document{text: string(data), parsed: parsed}, nil
+}
+
+// readFile reads a little more than the largest document at most.
+func (p *Program) readFile(name string) ([]byte, error) {
+	in := p.Stdin
+	if name != stdinName {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	return io.ReadAll(io.LimitReader(in, strictyaml.MaxBytes+1))
+}
+
+// ValidateResult is the result of the validate command.
+type ValidateResult struct {
+	// Valid is true; an invalid document is a Failure.
+	Valid bool `json:"valid"`
+	// Classes counts the classes of the document.
+	Classes int `json:"classes"`
+}
+
+func (p *Program) validateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check a document without publishing it",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			name, err := onlyArg(cmd, "file")
+			if err != nil {
+				return err
+			}
+			doc, err := p.readDocument(name)
+			if err != nil {
+				return err
+			}
+			n := len(doc.parsed.Classes)
+			return p.printResult(cmd, ValidateResult{Valid: true, Classes: n},
+				fmt.Sprintf("%s is valid: %s\n", name, count(n, "class", "classes")))
+		},
+	}
+}
+
+// DiffResult is the result of the diff command.
+type DiffResult struct {
+	// Version is the version in force that the file is compared with.
+	Version int64 `json:"version"`
+	// Changes is what publishing the file would change.
+	Changes []dynamic.Change `json:"changes"`
+}
+
+func (p *Program) diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what publishing a document would change",
+		ArgsUsage: "FILE",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			name, err := onlyArg(cmd, "file")
+			if err != nil {
+				return err
+			}
+			doc, err := p.readDocument(name)
+			if err != nil {
+				return err
+			}
+			c := p.client(cmd)
+			view, err := c.config(ctx)
+			if err != nil {
+				return c.failed(err)
+			}
+			changes, err := changesFrom(view, doc.parsed)
+			if err != nil {
+				return err
+			}
+			text := fmt.Sprintf("against version %d:\n%s", view.Version, changeLines(changes))
+			return p.printResult(cmd, DiffResult{Version: view.Version, Changes: changes}, text)
+		},
+	}
+}
+
+// published parses the document of a view; nil if there is none.
+func published(view api.ConfigView) (*dynamic.Document, error) {
+	if view.Version == 0 {
+		return nil, nil
+	}
+	d, err := dynamic.Parse(fmt.Sprintf("version %d", view.Version), []byte(view.Document))
+	if err != nil {
+		return nil, fail(ExitFailure, "the published version %d is not understood: %v", view.Version, err).
+			advise("use the command line of the same release as the entry VMs")
+	}
+	return d, nil
+}
+
+// changesFrom lists what changes from the published document to d.
+func changesFrom(view api.ConfigView, d *dynamic.Document) ([]dynamic.Change, error) {
+	old, err := published(view)
+	if err != nil {
+		return nil, err
+	}
+	return append([]dynamic.Change{}, dynamic.Diff(old, d)...), nil
+}
+
+// changeLines writes changes one a line.
+func changeLines(changes []dynamic.Change) string {
+	if len(changes) == 0 {
+		return "  no class or target changes\n"
+	}
+	var b strings.Builder
+	for _, c := range changes {
+		fmt.Fprintf(&b, "  %s\n", c)
+	}
+	return b.String()
+}
+
+// TargetsResult is the result of the targets command.
+type TargetsResult struct {
+	// Version is the version in force and Author who published it.
+	Version int64  `json:"version"`
+	Author  string `json:"author"`
+	// Document is everything that governs the service.
+	Document *dynamic.Document `json:"document"`
+}
+
+func (p *Program) targetsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "targets",
+		Usage: "show everything that governs the service",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if err := noArgs(cmd); err != nil {
+				return err
+			}
+			c := p.client(cmd)
+			view, err := c.config(ctx)
+			if err != nil {
+				return c.failed(err)
+			}
+			d, err := published(view)
+			if err != nil {
+				return err
+			}
+			return p.printResult(cmd, TargetsResult{view.Version, view.Author, d}, targetsText(view, d))
+		},
+	}
+}
+
+// targetsText shows the published document as operators wrote it.
+func targetsText(view api.ConfigView, d *dynamic.Document) string {
+	if d == nil {
+		return "nothing is published yet; see examples/ for a first document\n"
+	}
+	return fmt.Sprintf("# version %d, published by %s\n%s\n", view.Version, authorOf(view), strings.TrimRight(view.Document, "\n"))
+}
+
+func authorOf(view api.ConfigView) string {
+	if view.Author == "" {
+		return "an unnamed operator"
+	}
+	return view.Author
+}
+
+func (p *Program) explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show what happened to one request",
+		ArgsUsage: "REQUEST-ID",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			id, err := onlyArg(cmd, "request id")
+			if err != nil {
+				return err
+			}
+			c := p.client(cmd)
+			e, err := c.explain(ctx, id)
+			if err != nil {
+				return c.failed(err)
+			}
+			return p.printResult(cmd, e, explanationText(e))
+		},
+	}
+}
+
+// explanationText shows the steps of a request with the time since the first.
+func explanationText(e api.Explanation) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "request %s: class %s, team %s, served by node %s\n", e.RequestID, e.Class, e.Team, e.Node)
+	for _, step := range e.Events {
+		fmt.Fprintf(&b, "  %10s  %s", "+"+step.At.Sub(e.Events[0].At).Round(timeGrain).String(), step.Step)
+		for _, part := range []string{step.Upstream, string(step.Verdict), string(step.Reason), step.Detail} {
+			if part != "" {
+				b.WriteString("  " + part)
+			}
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
