Wire the services into the entry daemon

Cause: callers, operators and peers need one process on every entry VM. Ruled out: reporting the verdict of the last attempt only, because an earlier attempt may have run; the worst verdict of all attempts is reported.

--- /dev/null
+++ b/entry/chat.go
@@ -0,0 +1,429 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/admission"
+	"github.com/tamarackcleat/tamarackcleat/answer"
+	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/quarantine"
+	"github.com/tamarackcleat/tamarackcleat/record"
+	"github.com/tamarackcleat/tamarackcleat/retry"
+	"github.com/tamarackcleat/tamarackcleat/router"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+const (
+	// lateFactor times the answer target is when a request is given up. Until
+	// then a late answer is better than none.
+	lateFactor = 10
+	// minStall is the shortest silence that counts as a stall.
+	minStall = 3 * time.Second
+	// stallFactor times a token target is the silence that counts as a stall.
+	stallFactor = 20
+	// defaultLongestAnswer bounds answers of classes without a bound.
+	defaultLongestAnswer = 4096
+)
+
+// generation is one chat completion on its way.
+type generation struct {
+	*request
+	prompt      string
+	maxTokens   int
+	seed        int64
+	fingerprint string
+	answer      *answer.Answer
+	writer      chatWriter
+	priority    int
+	firstToken  time.Duration
+	exclude     []string
+}
+
+// serveChat answers POST /v1/chat/completions.
+func (n *Node) serveChat(w http.ResponseWriter, r *http.Request) {
+	req := n.newRequest(w, r)
+	body, failure := n.readBody(w, r, maxBodyBytes)
+	if failure != nil {
+		n.refuse(w, req, failure)
+		return
+	}
+	chat, failure := decodeChat(body)
+	if failure != nil {
+		n.refuse(w, req, failure)
+		return
+	}
+	if failure := n.resolve(req, chat.Model, dynamic.KindGenerate, len(body)); failure != nil {
+		n.refuse(w, req, failure)
+		return
+	}
+	g := n.newGeneration(w, req, chat)
+	if failure := g.run(r.Context()); failure != nil {
+		n.failed(req, failure)
+		g.writer.fail(failure)
+	}
+}
+
+func (n *Node) newGeneration(w http.ResponseWriter, req *request, chat chatRequest) *generation {
+	longest := int(req.class.LongestAnswer)
+	if longest == 0 {
+		longest = defaultLongestAnswer
+	}
+	g := &generation{
+		request:   req,
+		prompt:    chat.prompt(),
+		maxTokens: chat.maxTokens(longest),
+		seed:      seedOf(req.id),
+		answer:    answer.New(req.id),
+	}
+	if chat.Seed != nil {
+		g.seed = *chat.Seed
+	}
+	g.fingerprint = digest(req.class.Name, g.prompt)
+	if chat.Stream {
+		g.writer = newStreamWriter(w, req.id, chat.Model, req.arrived)
+	} else {
+		g.writer = &bodyWriter{w: w, requestID: req.id, model: chat.Model, created: req.arrived.Unix()}
+	}
+	return g
+}
+
+// run admits the request and generates until the answer is whole.
+func (g *generation) run(ctx context.Context) *verdict.Error {
+	ctx, cancel := context.WithDeadline(ctx, g.deadline)
+	defer cancel()
+	priority, failure := g.admit(ctx)
+	if failure != nil {
+		return failure
+	}
+	g.priority = priority
+	failure = g.generate(ctx)
+	g.leave(failure == nil)
+	return failure
+}
+
+// generate tries upstreams until the answer is whole or a retry is refused.
+func (g *generation) generate(ctx context.Context) *verdict.Error {
+	worst := verdict.NotRun
+	for attempt := 1; ; attempt++ {
+		before := g.answer.Tokens()
+		failure := g.attempt(ctx)
+		if failure == nil {
+			return g.finish()
+		}
+		worst = worst.Worse(failure.Verdict)
+		failure = failure.WithVerdict(worst)
+		if ctx.Err() != nil {
+			return g.gone(failure)
+		}
+		if g.answer.Tokens() > before {
+			attempt = 1
+		}
+		if failure := g.retry(ctx, failure, attempt); failure != nil {
+			return failure
+		}
+	}
+}
+
+// finish hands the end of the answer to the caller.
+func (g *generation) finish() *verdict.Error {
+	whole := time.Since(g.arrived)
+	if err := g.writer.whole(g.answer.Text(), g.answer.Finish(), g.answer.Tokens()); err != nil {
+		return verdict.New(verdict.Ran, verdict.ReasonCanceled, "%v", err)
+	}
+	g.node.stats.answered(g.class, timing{
+		firstToken: g.firstToken,
+		perToken:   perToken(whole-g.firstToken, g.answer.Tokens()),
+		whole:      whole,
+	})
+	g.node.kernel.Post(retry.Name, retry.Succeeded{Class: g.class.Name})
+	g.trace.add(api.TraceEvent{Step: "answered"})
+	return nil
+}
+
+// perToken returns the mean time between tokens.
+func perToken(d time.Duration, tokens int) time.Duration {
+	return d / time.Duration(max(1, tokens-1))
+}
+
+// attempt runs the request once on an upstream, from the position reached.
+func (g *generation) attempt(ctx context.Context) *verdict.Error {
+	attemptID := newID()
+	trial, failure := g.checkSuspect(ctx, attemptID)
+	if failure != nil {
+		return failure
+	}
+	u, failure := g.pick(ctx, g.class.Model, g.exclude, platform.PrefixHashes(g.prompt))
+	if failure != nil {
+		return failure
+	}
+	started := time.Now()
+	failure = g.stream(ctx, u)
+	g.settle(u, failure, time.Since(started))
+	if failure != nil {
+		g.afterFailure(ctx, u, failure, trial, attemptID)
+		return failure
+	}
+	if trial {
+		g.survived(attemptID)
+	}
+	return nil
+}
+
+// settle tells the router how the attempt ended.
+func (g *generation) settle(u balance.Upstream, failure *verdict.Error, took time.Duration) {
+	g.node.kernel.Post(router.Name, router.Finished{
+		RequestID:  g.id,
+		Upstream:   u.ID,
+		OK:         failure == nil || failure.Reason == verdict.ReasonCanceled,
+		FirstToken: g.firstToken,
+		PerToken:   perToken(took, g.answer.Tokens()),
+	})
+}
+
+// checkSuspect asks quarantine whether the request may run.
+func (g *generation) checkSuspect(ctx context.Context, attemptID string) (trial bool, failure *verdict.Error) {
+	msg, failure := g.node.ask(ctx, quarantine.Name, func(id kernel.AskID) kernel.Message {
+		return quarantine.Check{Ask: id, Fingerprint: g.fingerprint, Attempt: attemptID}
+	})
+	if failure != nil {
+		return false, failure
+	}
+	switch m := msg.(type) {
+	case quarantine.TrialRun:
+		g.trace.add(api.TraceEvent{Step: "trial"})
+		return true, nil
+	case *verdict.Error:
+		return false, m
+	default:
+		return false, nil
+	}
+}
+
+func (g *generation) survived(attemptID string) {
+	g.node.kernel.Post(quarantine.Name, quarantine.Survived{Fingerprint: g.fingerprint, Attempt: attemptID})
+}
+
+// afterFailure learns from a failed attempt: the upstream is left out of the
+// next one, and a crash makes the request a suspect.
+func (g *generation) afterFailure(ctx context.Context, u balance.Upstream, failure *verdict.Error, trial bool, attemptID string) {
+	g.exclude = append(g.exclude, u.ID)
+	g.trace.add(api.TraceEvent{Step: "failed", Upstream: u.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail})
+	if failure.Verdict == verdict.NotRun {
+		g.node.suspectUpstream(u.ID, failure)
+		if trial {
+			g.survived(attemptID)
+		}
+		return
+	}
+	crashed := ctx.Err() == nil && g.node.hasCrashed(u)
+	if !crashed {
+		if trial {
+			g.survived(attemptID)
+		}
+		return
+	}
+	g.node.suspectUpstream(u.ID, failure)
+	report := quarantine.Crashed{Fingerprint: g.fingerprint, Replica: u.ID, Generation: record.Position(u.Generation)}
+	if trial {
+		report.Attempt = attemptID
+	}
+	g.node.stats.count("suspect.crash")
+	g.node.kernel.Post(quarantine.Name, report)
+}
+
+// stream reads one upstream's stream into the answer.
+func (g *generation) stream(ctx context.Context, u balance.Upstream) *verdict.Error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	release := g.node.flights.add(u.ID, cancel)
+	defer release()
+	g.answer.Restart()
+	s, err := g.node.upstream.Generate(ctx, u.Address, platform.GenerateRequest{
+		RequestID:  g.id,
+		Replica:    u.ID,
+		Generation: u.Generation,
+		Prompt:     g.prompt,
+		MaxTokens:  g.maxTokens,
+		Priority:   g.priority,
+		ResumeFrom: g.answer.Tokens(),
+		Prefix:     g.answer.Text(),
+		Seed:       g.seed,
+	})
+	if err != nil {
+		return because(ctx, verdict.From(err))
+	}
+	defer s.Close()
+	stall := time.AfterFunc(g.stallAfter(), func() { cancel(errStalled) })
+	defer stall.Stop()
+	return g.read(ctx, s, stall)
+}
+
+// errStalled ends a stream that made no progress.
+var errStalled = verdict.New(verdict.MayHaveRun, verdict.ReasonStalled, "the upstream sent nothing for too long")
+
+// because replaces a failure by the cause that ended the stream, if any.
+func because(ctx context.Context, failure *verdict.Error) *verdict.Error {
+	var cause *verdict.Error
+	if ctx.Err() != nil && failure.Verdict != verdict.NotRun && errors.As(context.Cause(ctx), &cause) {
+		return cause
+	}
+	return failure
+}
+
+// chunkReader gives chunks.
+type chunkReader interface {
+	Next() (platform.Chunk, error)
+}
+
+// read takes chunks until the answer is whole.
+func (g *generation) read(ctx context.Context, s chunkReader, stall *time.Timer) *verdict.Error {
+	for {
+		chunk, err := s.Next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return because(ctx, verdict.From(err))
+		}
+		if err != nil {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the stream ended with chunks missing")
+		}
+		stall.Reset(g.stallAfter())
+		if failure := g.take(chunk); failure != nil {
+			return failure
+		}
+		if g.answer.Whole() {
+			return nil
+		}
+		if g.answer.Gap() {
+			g.node.stats.count("chunk_gap")
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "chunks are missing")
+		}
+	}
+}
+
+// take adds a chunk to the answer and passes on what became deliverable.
+func (g *generation) take(chunk platform.Chunk) *verdict.Error {
+	texts, drop := g.answer.Add(chunk)
+	if drop != answer.DropNone {
+		g.node.stats.count(string(drop))
+		return nil
+	}
+	if len(texts) == 0 {
+		return nil
+	}
+	if g.firstToken == 0 {
+		g.firstToken = time.Since(g.arrived)
+	}
+	if err := g.writer.text(texts); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonCanceled, "%v", err)
+	}
+	return nil
+}
+
+// stallAfter returns the silence that counts as a stall.
+func (g *generation) stallAfter() time.Duration {
+	t := g.class.Targets
+	target := time.Duration(t.BetweenTokensWithin)
+	if g.answer.Tokens() == 0 {
+		target = time.Duration(t.FirstTokenWithin)
+	}
+	return max(minStall, stallFactor*target)
+}
+
+// admit waits for admission.
+func (q *request) admit(ctx context.Context) (priority int, failure *verdict.Error) {
+	msg, failure := q.node.ask(ctx, admission.Name, func(id kernel.AskID) kernel.Message {
+		return admission.Arrive{Ask: id, RequestID: q.id, Class: q.class.Name, Team: q.team, Deadline: q.deadline}
+	})
+	if failure != nil {
+		q.node.kernel.Post(admission.Name, admission.Cancel{RequestID: q.id})
+		return 0, failure
+	}
+	switch m := msg.(type) {
+	case admission.Admitted:
+		q.trace.add(api.TraceEvent{Step: "admitted"})
+		return m.Priority, nil
+	case *verdict.Error:
+		return 0, m
+	default:
+		return 0, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of admission: %T", msg)
+	}
+}
+
+// leave ends an admitted request.
+func (q *request) leave(ran bool) {
+	var service time.Duration
+	if ran {
+		service = time.Since(q.arrived)
+	}
+	q.node.kernel.Post(admission.Name, admission.Done{RequestID: q.id, Service: service})
+}
+
+// pick selects an upstream.
+func (q *request) pick(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
+	msg, failure := q.node.ask(ctx, router.Name, func(id kernel.AskID) kernel.Message {
+		return router.Pick{
+			Ask:          id,
+			RequestID:    q.id,
+			Pool:         pool,
+			PrefixHashes: prefixes,
+			Exclude:      exclude,
+			ExpectedWork: time.Duration(q.class.Targets.AnsweredWithin) / 2,
+		}
+	})
+	if failure != nil {
+		return balance.Upstream{}, failure
+	}
+	switch m := msg.(type) {
+	case router.Picked:
+		q.trace.add(api.TraceEvent{Step: "routed", Upstream: m.Upstream.ID})
+		return m.Upstream, nil
+	case *verdict.Error:
+		return balance.Upstream{}, m
+	default:
+		return balance.Upstream{}, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of the router: %T", msg)
+	}
+}
+
+// retry waits until the next attempt is due; it returns the failure if there
+// is none.
+func (q *request) retry(ctx context.Context, failure *verdict.Error, attempt int) *verdict.Error {
+	msg, refused := q.node.ask(ctx, retry.Name, func(id kernel.AskID) kernel.Message {
+		return retry.Failed{Ask: id, Failure: retry.Failure{
+			Class:      q.class.Name,
+			Repeatable: q.repeatable(),
+			Err:        failure,
+			Attempt:    attempt,
+			Remaining:  time.Until(q.deadline),
+		}}
+	})
+	if refused != nil {
+		return failure
+	}
+	decision, ok := msg.(retry.Decision)
+	if !ok || !decision.Retry {
+		return failure
+	}
+	q.trace.add(api.TraceEvent{Step: "retried", Reason: decision.Reason})
+	select {
+	case <-time.After(decision.Wait):
+		return nil
+	case <-ctx.Done():
+		return q.gone(failure)
+	}
+}
+
+// gone returns the failure of a request whose caller left or whose time is up.
+func (q *request) gone(failure *verdict.Error) *verdict.Error {
+	if time.Now().Before(q.deadline) {
+		return verdict.New(failure.Verdict, verdict.ReasonCanceled, "the caller went away")
+	}
+	return verdict.New(failure.Verdict, verdict.ReasonDeadline, "not answered in time: %s", failure.Detail)
+}
--- /dev/null
+++ b/entry/command.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/tamarackcleat/tamarackcleat/config/static"
+)
+
+// Command returns the daemon's command line.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "tamarackcleatd",
+		Usage: "serve callers, operators and peers on an entry VM",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "YAML `FILE` with the process settings", Required: true},
+			&cli.BoolFlag{Name: "check-settings", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+}
+
+// run loads the settings and serves until the context ends.
+func run(ctx context.Context, c *cli.Command) error {
+	settings, err := static.Load(c.String("settings"))
+	if err != nil {
+		return err
+	}
+	if c.Bool("check-settings") {
+		_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
+		return err
+	}
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel.Level()}))
+	node, err := New(settings, logger)
+	if err != nil {
+		return err
+	}
+	return node.Run(ctx)
+}
--- /dev/null
+++ b/entry/drivers.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/controller"
+	"github.com/tamarackcleat/tamarackcleat/health"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/logfollow"
+	"github.com/tamarackcleat/tamarackcleat/peers"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+)
+
+const (
+	// appendTimeout ends the wait for the answer of an append.
+	appendTimeout = 2 * time.Second
+	// readMargin is added to the long poll of the log.
+	readMargin = 2 * time.Second
+	// inventoryTimeout ends a read of the VM list and the models.
+	inventoryTimeout = 2 * time.Second
+	// probeTimeout ends a probe.
+	probeTimeout = time.Second
+	// heartbeatTimeout ends an exchange of heartbeats.
+	heartbeatTimeout = time.Second
+	// snapshotTimeout ends a read of a peer's snapshots.
+	snapshotTimeout = 5 * time.Second
+)
+
+// Post delivers a message to a service.
+type post func(to string, msg kernel.Message)
+
+// logDriver performs the effects of the log service.
+type logDriver struct {
+	ctx  context.Context
+	log  platform.Log
+	post post
+}
+
+// Perform implements kernel.Driver.
+func (d *logDriver) Perform(effect kernel.Effect) bool {
+	switch e := effect.(type) {
+	case logfollow.Read:
+		go d.read(e)
+	case logfollow.AppendEntry:
+		go d.append(e)
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *logDriver) read(e logfollow.Read) {
+	ctx, cancel := context.WithTimeout(d.ctx, logfollow.LongPoll+readMargin)
+	defer cancel()
+	res, err := d.log.Read(ctx, e.Stream, e.From)
+	d.post(logfollow.Name, logfollow.ReadDone{Stream: e.Stream, From: e.From, Result: res, Err: err})
+}
+
+func (d *logDriver) append(e logfollow.AppendEntry) {
+	ctx, cancel := context.WithTimeout(d.ctx, appendTimeout)
+	defer cancel()
+	res, err := d.log.Append(ctx, e.Stream, e.Data)
+	d.post(logfollow.Name, logfollow.AppendDone{Stream: e.Stream, Result: res, Err: err})
+}
+
+// healthDriver performs the effects of health checking.
+type healthDriver struct {
+	ctx       context.Context
+	inventory *platformhttp.Inventory
+	upstream  *platformhttp.Upstream
+	post      post
+}
+
+// Perform implements kernel.Driver.
+func (d *healthDriver) Perform(effect kernel.Effect) bool {
+	switch e := effect.(type) {
+	case health.FetchInventory:
+		go d.fetch()
+	case health.Probe:
+		go d.probe(e)
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *healthDriver) fetch() {
+	ctx, cancel := context.WithTimeout(d.ctx, inventoryTimeout)
+	defer cancel()
+	vms, err := d.inventory.VMs(ctx)
+	models, modelsErr := d.inventory.Models(ctx)
+	if modelsErr != nil {
+		models = platform.ModelList{}
+	}
+	d.post(health.Name, health.InventoryDone{VMs: vms, Models: models, Err: err})
+}
+
+func (d *healthDriver) probe(e health.Probe) {
+	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
+	defer cancel()
+	report, err := d.upstream.Report(ctx, e.Address)
+	d.post(health.Name, health.Probed{VM: e.VM, Report: report, Err: err})
+}
+
+// orderDriver performs the orders of the controller.
+type orderDriver struct {
+	ctx      context.Context
+	upstream *platformhttp.Upstream
+	post     post
+}
+
+// errLeaseOver marks an order that was not sent because the lease had ended.
+var errLeaseOver = errors.New("the lease ended before the order was sent")
+
+// Perform implements kernel.Driver.
+func (d *orderDriver) Perform(effect kernel.Effect) bool {
+	e, ok := effect.(controller.SendOrder)
+	if ok {
+		go d.send(e)
+	}
+	return ok
+}
+
+func (d *orderDriver) send(e controller.SendOrder) {
+	d.post(controller.Name, controller.OrderDone{VM: e.VM, Err: d.order(e)})
+}
+
+func (d *orderDriver) order(e controller.SendOrder) error {
+	ctx, cancel := context.WithTimeout(d.ctx, controller.LongestOrder)
+	defer cancel()
+	if time.Now().After(e.NotAfter) {
+		return errLeaseOver
+	}
+	err := d.upstream.Order(ctx, e.Address, e.Order)
+	if errors.Is(err, platformhttp.ErrStaleFencing) {
+		return controller.ErrStaleFencing
+	}
+	return err
+}
+
+// peerDriver performs the effects of the peers service.
+type peerDriver struct {
+	ctx    context.Context
+	client *peerClient
+	post   post
+}
+
+// Perform implements kernel.Driver.
+func (d *peerDriver) Perform(effect kernel.Effect) bool {
+	switch e := effect.(type) {
+	case peers.Send:
+		go d.beat(e)
+	case peers.FetchSnapshots:
+		go d.fetch(e)
+	default:
+		return false
+	}
+	return true
+}
+
+func (d *peerDriver) beat(e peers.Send) {
+	ctx, cancel := context.WithTimeout(d.ctx, heartbeatTimeout)
+	defer cancel()
+	answer, err := d.client.heartbeat(ctx, e.Address, e.Heartbeat)
+	if err == nil {
+		d.post(peers.Name, peers.Received{Heartbeat: answer})
+	}
+}
+
+func (d *peerDriver) fetch(e peers.FetchSnapshots) {
+	ctx, cancel := context.WithTimeout(d.ctx, snapshotTimeout)
+	defer cancel()
+	snapshots, err := d.client.snapshots(ctx, e.Address)
+	if err != nil {
+		return
+	}
+	for _, s := range snapshots {
+		d.post(logfollow.Name, logfollow.Seed(s))
+	}
+}
--- /dev/null
+++ b/entry/refusal.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+// statusOf maps reasons to HTTP statuses; other reasons are 503.
+var statusOf = map[verdict.Reason]int{
+	verdict.ReasonBadRequest:       http.StatusBadRequest,
+	verdict.ReasonTooLarge:         http.StatusRequestEntityTooLarge,
+	verdict.ReasonUnknownClass:     http.StatusNotFound,
+	verdict.ReasonUnknownRequest:   http.StatusNotFound,
+	verdict.ReasonDeadline:         http.StatusTooManyRequests,
+	verdict.ReasonQueueFull:        http.StatusTooManyRequests,
+	verdict.ReasonTeamLimit:        http.StatusTooManyRequests,
+	verdict.ReasonQuarantined:      http.StatusUnprocessableEntity,
+	verdict.ReasonKeyMissing:       http.StatusBadRequest,
+	verdict.ReasonKeyInvalid:       http.StatusBadRequest,
+	verdict.ReasonKeyOutsideWindow: http.StatusUnprocessableEntity,
+	verdict.ReasonKeyReused:        http.StatusUnprocessableEntity,
+	verdict.ReasonInDoubt:          http.StatusConflict,
+	verdict.ReasonInProgress:       http.StatusConflict,
+	verdict.ReasonConflict:         http.StatusConflict,
+	verdict.ReasonInvalidConfig:    http.StatusUnprocessableEntity,
+	verdict.ReasonInternal:         http.StatusInternalServerError,
+	verdict.ReasonUpstreamLost:     http.StatusBadGateway,
+	verdict.ReasonStalled:          http.StatusGatewayTimeout,
+}
+
+// status returns the HTTP status of a failure.
+func status(e *verdict.Error) int {
+	if code, ok := statusOf[e.Reason]; ok {
+		return code
+	}
+	return http.StatusServiceUnavailable
+}
+
+// errorBody returns the JSON of a failure.
+func errorBody(requestID string, e *verdict.Error) api.ErrorBody {
+	return api.ErrorBody{Error: api.ErrorDetail{
+		Message:   e.Detail,
+		Type:      string(e.Reason),
+		Code:      status(e),
+		RequestID: requestID,
+		Verdict:   e.Verdict,
+		Reason:    e.Reason,
+	}}
+}
+
+// writeRefusal answers a request with a failure.
+func writeRefusal(w http.ResponseWriter, requestID string, e *verdict.Error) {
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeJSON(w, status(e), errorBody(requestID, e))
+}
+
+// writeJSON answers with a JSON body.
+func writeJSON(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -36,6 +36,8 @@
 	ReasonTooLarge Reason = "too_large"
 	// ReasonUnknownClass marks a class that the configuration does not declare.
 	ReasonUnknownClass Reason = "unknown_class"
+	// ReasonUnknownRequest marks a request id that the node does not know.
+	ReasonUnknownRequest Reason = "unknown_request"
 	// ReasonNoConfig marks a node that has no configuration yet.
 	ReasonNoConfig Reason = "no_configuration"
 	// ReasonNoReplica marks a class without a complete replica or service.
@@ -54,6 +56,8 @@
 	ReasonSuspectBusy Reason = "suspect_trial_in_progress"
 	// ReasonUpstreamRefused marks an upstream that said it did not run the request.
 	ReasonUpstreamRefused Reason = "upstream_refused"
+	// ReasonUpstreamBusy marks an upstream that refused for its load.
+	ReasonUpstreamBusy Reason = "upstream_busy"
 	// ReasonConnect marks a connection that was never established.
 	ReasonConnect Reason = "connect_failed"
 	// ReasonUpstreamLost marks a connection lost after bytes were sent.
@@ -122,6 +126,13 @@
 	return &c
 }
 
+// WithVerdict returns a copy of e with another verdict.
+func (e *Error) WithVerdict(v Verdict) *Error {
+	c := *e
+	c.Verdict = v
+	return &c
+}
+
 // From returns the verdict error inside err. An error without a verdict is
 // MayHaveRun, because nothing proves that the request did not run.
 func From(err error) *Error {
@@ -132,6 +143,15 @@
 	return New(MayHaveRun, ReasonInternal, "%v", err)
 }
 
+// Worse returns the verdict on a request whose attempts had the verdicts v and
+// w: it may have run if any attempt may have.
+func (v Verdict) Worse(w Verdict) Verdict {
+	if v == NotRun {
+		return w
+	}
+	return v
+}
+
 // Repeatable reports whether a request with this verdict may be sent again.
 // idempotent says that running the request twice does no harm.
 func (v Verdict) Repeatable(idempotent bool) bool {
