Never call a publication refused that may have been accepted

Cause: an entry VM knows only the latest accepted id again. A publication whose answer was lost, and that another one replaced since, is answered with a conflict, though it took effect. Ruled out: trusting the conflict after an unknown outcome. Change: publish compares the version in force with its base: one above the base is another operator's, further above leaves the outcome unknown.

--- a/operator/commands.go
+++ b/operator/commands.go
@@ -184,7 +184,7 @@
 // targetsText shows the published document as operators wrote it.
 func targetsText(view api.ConfigView, d *dynamic.Document) string {
 	if d == nil {
-		return "nothing is published yet; see examples/ for a first document\n"
+		return "this entry VM knows no published document; if status shows it as ready, none is published yet\n"
 	}
 	return fmt.Sprintf("# version %d, published by %s\n%s\n", view.Version, authorOf(view), strings.TrimRight(view.Document, "\n"))
 }
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -224,9 +224,20 @@
 	if current.Document == r.doc.text {
 		return r.finish(ctx, current, true)
 	}
+	if r.maybeSuperseded(current) {
+		return fail(ExitUnknown, "version %d by %s is in force; it is not known whether your publication was version %d and was replaced since", current.Version, authorOf(current), r.request.Base+1).
+			advise("see what is in force with: tamarackcleat targets\nIf your changes are missing, publish again without --id and --base.")
+	}
 	return r.conflict(current)
 }
 
+// maybeSuperseded reports whether an earlier try may have been accepted as the
+// version after its base and replaced by a later one. An entry VM remembers
+// the id of the latest version only, so it reports a conflict then.
+func (r *publication) maybeSuperseded(current api.ConfigView) bool {
+	return (r.mayHaveRun || r.resumed()) && current.Version > r.request.Base+1
+}
+
 // conflict names who published what in between and how to proceed.
 func (r *publication) conflict(current api.ConfigView) error {
 	ours, err := changesFrom(current, r.doc.parsed)
