Take a publication's base from the file that targets printed

Cause: publish took the current version as its base, so a file made from an older version would have reverted what others published since. Ruled out: asking on the terminal (scripts have none); refusing files without a base (a first document has none). Change: targets prints the version as the first line; publish takes it as the base and leaves it out of the document.

--- a/operator/commands.go
+++ b/operator/commands.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/urfave/cli/v3"
@@ -19,8 +21,12 @@
 
 // document is a document that was read and found valid.
 type document struct {
+	// text is what is published: the file without the line of its base.
 	text   string
 	parsed *dynamic.Document
+	// base is the version that the file was made from; unsetBase if the file
+	// doesn't say.
+	base int64
 }
 
 // readDocument reads and validates the document of a file.
@@ -33,7 +39,25 @@
 	if err != nil {
 		return document{}, invalid(err)
 	}
-	return document{text: string(data), parsed: parsed}, nil
+	base, text := splitBase(string(data))
+	return document{text: text, parsed: parsed, base: base}, nil
+}
+
+// baseLine is the first line of what the targets command prints. A file that
+// keeps it says which version it was made from.
+var baseLine = regexp.MustCompile(`^# version ([0-9]{1,18}), published by .*\n`)
+
+// splitBase takes the line of its base from a document.
+func splitBase(text string) (base int64, rest string) {
+	m := baseLine.FindStringSubmatch(text)
+	if m == nil {
+		return unsetBase, text
+	}
+	base, err := strconv.ParseInt(m[1], 10, 64)
+	if err != nil {
+		return unsetBase, text
+	}
+	return base, text[len(m[0]):]
 }
 
 // readFile reads a little more than the largest document at most.
@@ -184,7 +208,7 @@
 // targetsText shows the published document as operators wrote it.
 func targetsText(view api.ConfigView, d *dynamic.Document) string {
 	if d == nil {
-		return "this entry VM knows no published document; if status shows it as ready, none is published yet\n"
+		return "# this entry VM knows no published document; if status shows it as ready, none is published yet\n"
 	}
 	return fmt.Sprintf("# version %d, published by %s\n%s\n", view.Version, authorOf(view), strings.TrimRight(view.Document, "\n"))
 }
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -40,9 +40,10 @@
 		Usage:     "publish a document and wait until it is in force everywhere",
 		ArgsUsage: "FILE",
 		Description: "The document replaces the version that it is based on, and no other:\n" +
-			"if somebody published in between, nothing is changed and the command says what they changed.",
+			"if somebody published in between, nothing is changed and the command says what they changed.\n" +
+			"The base is --base, or else the version in the file's first line as \"targets\" prints it, or else the current version.",
 		Flags: []cli.Flag{
-			&cli.Int64Flag{Name: flagBase, Value: unsetBase, Usage: "version the document was made from (default: the current one)", HideDefault: true},
+			&cli.Int64Flag{Name: flagBase, Value: unsetBase, Usage: "version the document was made from", HideDefault: true},
 			&cli.StringFlag{Name: flagID, Usage: "id of an earlier publication whose outcome is unknown", Validator: validID},
 			&cli.StringFlag{Name: flagAuthor, Sources: cli.EnvVars("TAMARACKCLEAT_AUTHOR", "USER"), Usage: "your name, shown to other operators"},
 			&cli.DurationFlag{Name: flagWait, Value: defaultWait, Usage: "how long to wait until it is in force everywhere", Validator: validSpan},
@@ -124,6 +125,9 @@
 		Document: r.doc.text,
 		Author:   r.cmd.String(flagAuthor),
 	}
+	if r.request.Base == unsetBase {
+		r.request.Base = r.doc.base
+	}
 	if r.resumed() && r.request.Base == unsetBase {
 		return fail(ExitInvalid, "--id needs --base").advise("repeat the command as the first run printed it")
 	}
@@ -282,6 +286,9 @@
 	if unchanged {
 		text = fmt.Sprintf("the same document is published already, as version %d by %s\n", accepted.Version, authorOf(accepted)) + text
 	}
+	if r.doc.base != unsetBase && r.doc.base != accepted.Version {
+		text += fmt.Sprintf("%s still says version %d; fetch it again with \"tamarackcleat targets\" before the next change\n", r.file, r.doc.base)
+	}
 	return r.program.printResult(r.cmd, result, text)
 }
 
--- a/operator/publish_test.go
+++ b/operator/publish_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -137,6 +139,21 @@
 		Expect(e.publications()).To(BeEmpty())
 	})
 
+	It("takes the base from the line that targets prints, and doesn't publish the line", func() {
+		rival(&e.view)
+		e.view.Author = "awa"
+		shown := run(e.URL, "targets").stdout
+		path := filepath.Join(GinkgoT().TempDir(), "doc.yaml")
+		Expect(os.WriteFile(path, []byte(strings.Replace(shown, "9s", "7s", 1)), 0o600)).To(Succeed())
+		Expect(run(e.URL, "publish", path).code).To(Equal(operator.ExitOK))
+		Expect(e.publications()[0].Base).To(BeEquivalentTo(5))
+		Expect(e.current().Document).To(Equal(strings.Replace(document, "5s", "7s", 1)))
+		Expect(run(e.URL, "publish", path).code).To(Equal(operator.ExitOK))
+		e.set(func() { e.view.Version, e.view.Document = 7, other })
+		Expect(run(e.URL, "publish", path).code).To(Equal(operator.ExitConflict))
+		Expect(e.publications()).To(HaveLen(1))
+	})
+
 	It("waits for entry VMs that lag", func() {
 		e.inForceAfter = 4
 		Expect(publish().code).To(Equal(operator.ExitOK))
