Judge only the node's own share of replicas

Cause: publication walked all replicas and VMs five times a second. Ruled out: a slower publication, which delays the news of a broken replica. Change: only the share and what was eligible is judged; VMs are told to the controller only by the lease holder, once a second. Tests of answer assembly.

--- /dev/null
+++ b/answer/answer_test.go
@@ -0,0 +1,97 @@
+package answer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/answer"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+)
+
+const id = "request-1"
+
+func TestAnswer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "answer")
+}
+
+func chunk(index int) platform.Chunk {
+	return platform.Chunk{RequestID: id, Index: index, Text: fmt.Sprintf("t%d ", index)}
+}
+
+func final(tokens int) platform.Chunk {
+	return platform.Chunk{RequestID: id, Index: tokens, Final: true, Finish: "stop"}
+}
+
+// whole is the text of an answer of some tokens.
+func whole(tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(chunk(i).Text)
+	}
+	return b.String()
+}
+
+var _ = Describe("Answer", func() {
+	DescribeTable("delivers in order and once",
+		func(chunks []platform.Chunk, text string, isWhole, gap bool) {
+			a := answer.New(id)
+			var delivered strings.Builder
+			for _, c := range chunks {
+				texts, _ := a.Add(c)
+				delivered.WriteString(strings.Join(texts, ""))
+			}
+			Expect(delivered.String()).To(Equal(text))
+			Expect(a.Text()).To(Equal(text))
+			Expect(a.Whole()).To(Equal(isWhole))
+			Expect(a.Gap()).To(Equal(gap))
+		},
+		Entry("in order", []platform.Chunk{chunk(0), chunk(1), final(2)}, whole(2), true, false),
+		Entry("swapped", []platform.Chunk{chunk(1), chunk(0), final(2)}, whole(2), true, false),
+		Entry("duplicated", []platform.Chunk{chunk(0), chunk(0), chunk(1), final(2)}, whole(2), true, false),
+		Entry("final before the last token", []platform.Chunk{chunk(0), final(2), chunk(1)}, whole(2), true, false),
+		Entry("missing", []platform.Chunk{chunk(0), chunk(2), final(3)}, whole(1), false, true),
+		Entry("cut", []platform.Chunk{chunk(0), chunk(1)}, whole(2), false, false),
+		Entry("foreign", []platform.Chunk{chunk(0), {RequestID: "other", Index: 1, Text: "x"}, chunk(1), final(2)}, whole(2), true, false),
+		Entry("a foreign end", []platform.Chunk{chunk(0), {RequestID: "other", Index: 1, Final: true}}, whole(1), false, false),
+		Entry("empty", []platform.Chunk{final(0)}, "", true, false),
+	)
+
+	It("is whole after any mangled streams, each resumed where the last one broke", func() {
+		for seed := range uint64(50) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			const tokens = 60
+			a := answer.New(id)
+			for attempts := 0; !a.Whole(); attempts++ {
+				Expect(attempts).To(BeNumerically("<", 200))
+				a.Restart()
+				for i := a.Tokens(); i <= tokens && !a.Whole() && !a.Gap(); i++ {
+					mangle(rng, a, i, tokens)
+				}
+			}
+			Expect(a.Text()).To(Equal(whole(tokens)))
+		}
+	})
+})
+
+// mangle passes on chunk i, or drops, doubles or swaps it.
+func mangle(rng *rand.Rand, a *answer.Answer, i, tokens int) {
+	c := chunk(i)
+	if i == tokens {
+		c = final(tokens)
+	}
+	switch rng.IntN(12) {
+	case 0:
+		return
+	case 1:
+		a.Add(c)
+	case 2:
+		a.Add(platform.Chunk{RequestID: "other", Index: i, Text: "foreign"})
+	}
+	a.Add(c)
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -101,8 +101,9 @@
 func (n *Node) assemble(rng *rand.Rand) error {
 	ledgers := logfollow.NewLedgers(configuration.Validate)
 	n.log = logfollow.New(ledgers, rng, newID)
-	n.health = health.New(n.id, n.nodeNames, ledgers.Control, rng)
 	holder := func() record.NodeID { return ledgers.Control.Lease().Holder }
+	leads := func() bool { return holder() == n.id }
+	n.health = health.New(n.id, n.nodeNames, leads, ledgers.Control, rng)
 	n.peers = peers.New(n.settings.Advertise, n, n.log, n.health, holder, rng)
 	n.configuration = configuration.New(n.log)
 	n.quarantine = quarantine.New(n.id, n.log, newID)
--- a/health/health.go
+++ b/health/health.go
@@ -16,6 +16,8 @@
 type Replicas interface {
 	// Replicas returns all live replicas.
 	Replicas() []ledger.Replica
+	// Replica returns a live replica by name.
+	Replica(name string) (ledger.Replica, bool)
 	// Owner returns the live replica that a VM belongs to.
 	Owner(vm platform.VMID) (string, bool)
 }
@@ -44,7 +46,11 @@
 	eligible map[string]Upstream
 	self     record.NodeID
 	nodes    Nodes
+	// leads says that this node holds the control lease.
+	leads    func() bool
 	assigned map[string]bool
+	// probing holds the VMs of this node's share and those just left.
+	probing map[platform.VMID]*vmState
 	// seq counts the changes of the VMs in this node's share.
 	seq    int64
 	remote map[record.NodeID]*remoteShare
@@ -53,11 +59,14 @@
 // Nodes lists the live entry nodes.
 type Nodes func(now time.Time) []string
 
-// New returns the service of a node. rng spreads probes over time.
-func New(self record.NodeID, nodes Nodes, replicas Replicas, rng *rand.Rand) *Service {
+// New returns the service of a node. leads says that the node holds the
+// control lease; rng spreads probes over time.
+func New(self record.NodeID, nodes Nodes, leads func() bool, replicas Replicas, rng *rand.Rand) *Service {
 	return &Service{
 		self:     self,
 		nodes:    nodes,
+		leads:    leads,
+		probing:  map[platform.VMID]*vmState{},
 		assigned: map[string]bool{},
 		remote:   map[record.NodeID]*remoteShare{},
 		replicas: replicas,
@@ -98,7 +107,8 @@
 		s.inventory(m)
 		return append(s.assign(now), timer(inventoryEvery, inventoryTick{}))
 	case assignTick:
-		return append(s.assign(now), timer(assignEvery, assignTick{}))
+		out := append(s.assign(now), s.observed(now)...)
+		return append(out, timer(assignEvery, assignTick{}))
 	case probeTick:
 		return s.probe(m.vm)
 	case Probed:
@@ -188,13 +198,12 @@
 		st.suspected = true
 		return
 	}
-	for _, r := range s.replicas.Replicas() {
-		if r.Name != upstream {
-			continue
-		}
-		if st, ok := s.vms[r.VMs[0]]; ok {
-			st.suspected = true
-		}
+	r, ok := s.replicas.Replica(upstream)
+	if !ok {
+		return
+	}
+	if st, ok := s.vms[r.VMs[0]]; ok {
+		st.suspected = true
 	}
 }
 
@@ -203,21 +212,26 @@
 	before := s.eligible
 	s.eligible = map[string]Upstream{}
 	var broken []string
-	for _, r := range s.replicas.Replicas() {
-		u, verdict := s.judge(now, r)
-		if verdict == complete {
-			s.eligible[r.Name] = u
+	for _, name := range s.candidates(before) {
+		r, ok := s.replicas.Replica(name)
+		if !ok {
+			broken = append(broken, name)
+			continue
 		}
-		if verdict == incomplete {
-			broken = append(broken, r.Name)
+		u, result := s.judge(now, r)
+		if result == complete {
+			s.eligible[name] = u
+		}
+		if result == incomplete {
+			broken = append(broken, name)
 		}
 	}
 	s.addPlain(now)
 	s.noteChanges(now)
-	out := s.observed(now)
 	if same(before, s.eligible) {
-		return out
+		return nil
 	}
+	var out []kernel.Effect
 	changed := Changed{Upstreams: s.Eligible(), Broken: lostSince(before, s.eligible, broken)}
 	for _, name := range s.subscribers {
 		out = append(out, kernel.Send{To: name, Msg: changed})
@@ -225,6 +239,18 @@
 	return out
 }
 
+// candidates returns the replicas in this node's share and those that were
+// eligible before, by name.
+func (s *Service) candidates(before map[string]Upstream) []string {
+	names := maps.Clone(s.assigned)
+	for id, u := range before {
+		if !u.Plain {
+			names[id] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // lostSince returns the replicas that were eligible before and are not now,
 // because they are broken or no longer live in the ledger.
 func lostSince(before, now map[string]Upstream, broken []string) []string {
@@ -300,7 +326,7 @@
 
 // addPlain adds the VMs of plain services that may take work.
 func (s *Service) addPlain(now time.Time) {
-	for id, st := range s.vms {
+	for id, st := range s.probing {
 		fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
 		ready := st.Report.State == platform.EngineReady && !st.VM.Leaving && !st.suspected
 		if st.VM.Kind != platform.KindPlain || !fresh || !ready {
@@ -318,9 +344,9 @@
 	}
 }
 
-// observed tells the observers all VMs.
+// observed tells the observers all VMs while this node holds the lease.
 func (s *Service) observed(now time.Time) []kernel.Effect {
-	if len(s.observers) == 0 {
+	if !s.leads() {
 		return nil
 	}
 	msg := Observed{VMs: s.Observations(), Models: s.models}
--- a/health/share.go
+++ b/health/share.go
@@ -65,6 +65,7 @@
 			continue
 		}
 		st.probing = true
+		s.probing[id] = st
 		spread := time.Duration(s.rng.Int64N(int64(ProbeEvery)))
 		out = append(out, timer(spread, probeTick{id}))
 	}
@@ -107,8 +108,11 @@
 
 // noteChanges counts the VMs of the share whose status changed.
 func (s *Service) noteChanges(now time.Time) {
-	for id, st := range s.vms {
+	for id, st := range s.probing {
 		status := statusOf(now, id, st)
+		if !st.probing {
+			delete(s.probing, id)
+		}
 		if status.equal(st.status) || (status.Gone && st.statusSeq == 0) {
 			continue
 		}
