--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -5,22 +5,32 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/placement"
 	"github.com/tamarackcleat/tamarackcleat/platform"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
-// avoidFor is how long a VM that failed to load while its peers did not is
-// left out of new replicas.
-const avoidFor = 10 * time.Minute
+const (
+	// avoidFor is how long a VM that failed to load while its peers did not
+	// is left out of new replicas.
+	avoidFor = 10 * time.Minute
+	// believeShrunkAfter is how long a list that lost most of its VMs must
+	// last before it is believed.
+	believeShrunkAfter = 5 * time.Minute
+)
 
 // fleetState is what the service knows of the engine VMs.
 type fleetState struct {
 	// at is the time of the last observation.
 	at time.Time
 	// vms holds the engine VMs of the last observation by ID.
-	vms []VMObservation
+	vms []health.Observation
+	// shrunk says that the present list lost most of its VMs at once, at
+	// shrunkSince, and is not believed yet.
+	shrunk      bool
+	shrunkSince time.Time
 	// firstSeen is when a VM was first listed.
 	firstSeen map[platform.VMID]time.Time
 	// joined holds the membership and boot in which a VM was last seen to
@@ -47,31 +57,57 @@
 	}
 }
 
-// observe replaces the VMs and notes members that lost their membership.
-func (f *fleetState) observe(m Observed, control *ledger.Control) {
-	f.at = m.At
-	f.vms = f.vms[:0]
-	firstSeen := make(map[platform.VMID]time.Time, len(m.VMs))
-	for _, o := range m.VMs {
-		if o.VM.Kind != platform.KindEngine {
-			continue
+// observe replaces the VMs and notes members that lost their membership. A
+// list that lost most of its VMs is left aside until it has lasted.
+func (f *fleetState) observe(now time.Time, all []health.Observation, control *ledger.Control) {
+	f.at = now
+	engines := listedEngines(all)
+	f.shrunk = 2*len(engines) < len(f.vms)
+	if !f.shrunk {
+		f.shrunkSince = time.Time{}
+	} else if f.shrunkSince.IsZero() {
+		f.shrunkSince = now
+	}
+	if f.shrunk && now.Sub(f.shrunkSince) < believeShrunkAfter {
+		return
+	}
+	f.shrunk = false
+	f.vms = engines
+	f.noteFirstSeen(now)
+	for _, o := range engines {
+		f.followMembership(o, control)
+	}
+}
+
+// listedEngines returns the listed engine VMs by ID.
+func listedEngines(all []health.Observation) []health.Observation {
+	var engines []health.Observation
+	for _, o := range all {
+		if o.Listed && o.VM.Kind == platform.KindEngine {
+			engines = append(engines, o)
 		}
-		f.vms = append(f.vms, o)
+	}
+	slices.SortFunc(engines, func(a, b health.Observation) int {
+		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
+	})
+	return engines
+}
+
+// noteFirstSeen keeps the time at which each listed VM was first listed.
+func (f *fleetState) noteFirstSeen(now time.Time) {
+	firstSeen := make(map[platform.VMID]time.Time, len(f.vms))
+	for _, o := range f.vms {
 		seen, ok := f.firstSeen[o.VM.ID]
 		if !ok {
-			seen = m.At
+			seen = now
 		}
 		firstSeen[o.VM.ID] = seen
-		f.followMembership(o, control)
 	}
 	f.firstSeen = firstSeen
-	slices.SortFunc(f.vms, func(a, b VMObservation) int {
-		return strings.Compare(string(a.VM.ID), string(b.VM.ID))
-	})
 }
 
 // followMembership notes that a VM joined its replica or has lost it since.
-func (f *fleetState) followMembership(o VMObservation, control *ledger.Control) {
+func (f *fleetState) followMembership(o health.Observation, control *ledger.Control) {
 	id := o.VM.ID
 	name, owned := control.Owner(id)
 	if !owned {
@@ -97,8 +133,8 @@
 
 // liveness judges a VM by the age of its last report. A VM that never reported
 // is judged by the time since it was first listed.
-func (f *fleetState) liveness(o VMObservation, now time.Time) placement.Liveness {
-	heard := o.Heard
+func (f *fleetState) liveness(o health.Observation, now time.Time) placement.Liveness {
+	heard := o.HeardAt
 	if heard.IsZero() {
 		if now.Sub(f.firstSeen[o.VM.ID]) < LostAfter {
 			return placement.Suspected
@@ -119,7 +155,7 @@
 func (f *fleetState) isolated(now time.Time) bool {
 	lost, known := 0, 0
 	for _, o := range f.vms {
-		if o.Heard.IsZero() {
+		if o.HeardAt.IsZero() {
 			continue
 		}
 		known++
@@ -157,12 +193,12 @@
 }
 
 // find returns a VM of the last observation.
-func (f *fleetState) find(id platform.VMID) (VMObservation, bool) {
-	i, ok := slices.BinarySearchFunc(f.vms, id, func(o VMObservation, id platform.VMID) int {
+func (f *fleetState) find(id platform.VMID) (health.Observation, bool) {
+	i, ok := slices.BinarySearchFunc(f.vms, id, func(o health.Observation, id platform.VMID) int {
 		return strings.Compare(string(o.VM.ID), string(id))
 	})
 	if !ok {
-		return VMObservation{}, false
+		return health.Observation{}, false
 	}
 	return f.vms[i], true
 }
--- a/controller/messages.go
+++ b/controller/messages.go
@@ -12,6 +12,8 @@
 //     until the former lease and its longest order have ended.
 //   - Orders follow the ledger only: a VM whose report disagrees with it is
 //     ordered again until the report agrees.
+//   - A VM list that lost most VMs at once, or most VMs out of reach at once,
+//     is taken as this node's own fault first.
 //   - A VM leaves a dissolved replica only after rank 0, which carries the
 //     streams, has finished them.
 package controller
@@ -21,7 +23,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
 	"github.com/tamarackcleat/tamarackcleat/platform"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
@@ -29,33 +30,6 @@
 // Name is the service's registered name.
 const Name = "controller"
 
-// VMObservation is what health checking knows of one listed VM.
-type VMObservation struct {
-	// VM is its line in the VM list.
-	VM platform.VM
-	// Report is the last report.
-	Report platform.Report
-	// Heard is when the last report arrived; zero if none ever did.
-	Heard time.Time
-}
-
-// Observed replaces what is known of the VMs. During an outage of the VM list
-// it repeats the last list; it never holds an empty list in place of an
-// unknown one.
-type Observed struct {
-	VMs []VMObservation
-	// At is the time of the observation.
-	At time.Time
-}
-
-// Configured replaces the configuration and what is known of the weight store.
-type Configured struct {
-	// Document is the configuration in force; nil if there is none.
-	Document *dynamic.Document
-	// Models describes the models of the weight store.
-	Models platform.ModelList
-}
-
 // SendOrder is the effect that sends an order to a VM and answers OrderDone.
 // The driver must check NotAfter right before it writes the request and must
 // end the request LongestOrder later at the latest.
@@ -121,6 +95,9 @@
 	IdleNoConfig IdleReason = "no_configuration"
 	// IdleNoObservation marks a node that was told of no VMs lately.
 	IdleNoObservation IdleReason = "no_observation"
+	// IdleListShrunk marks a VM list that lost most of its VMs at once, which
+	// is not believed before it has lasted.
+	IdleListShrunk IdleReason = "vm_list_shrunk"
 	// IdleIsolated marks a holder that lost most VMs at once, which may be
 	// its own connection.
 	IdleIsolated IdleReason = "isolated"
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/placement"
@@ -51,7 +52,7 @@
 
 // order sends orders to the VMs whose reports disagree with the ledger.
 func (s *Service) order(now time.Time) []kernel.Effect {
-	serving := s.servingFormer()
+	serving := s.servingFormer(now)
 	var out []kernel.Effect
 	for _, o := range s.fleet.vms {
 		if s.fleet.liveness(o, now) != placement.Live {
@@ -72,13 +73,14 @@
 	generation int64
 }
 
-// servingFormer returns the replicas whose rank 0 still follows them although
-// the ledger has them no more: it may have streams to finish.
-func (s *Service) servingFormer() map[place]bool {
+// servingFormer returns the replicas that a rank 0 within reach still follows:
+// if the ledger has them no more, it may have streams to finish.
+func (s *Service) servingFormer(now time.Time) map[place]bool {
 	serving := map[place]bool{}
 	for _, o := range s.fleet.vms {
 		r := o.Report
-		if r.Replica != "" && r.Rank == 0 && r.State != platform.EngineIdle {
+		lost := s.fleet.liveness(o, now) == placement.Lost
+		if r.Replica != "" && r.Rank == 0 && r.State != platform.EngineIdle && !lost {
 			serving[place{r.Replica, r.Generation}] = true
 		}
 	}
@@ -87,7 +89,7 @@
 
 // dueOrder returns the order that would make a VM follow the ledger, false if
 // it follows already.
-func (s *Service) dueOrder(o VMObservation, serving map[place]bool) (platform.Order, bool) {
+func (s *Service) dueOrder(o health.Observation, serving map[place]bool) (platform.Order, bool) {
 	if name, owned := s.Control.Owner(o.VM.ID); owned {
 		r, _ := s.Control.Replica(name)
 		return s.joinOrder(o, r)
@@ -97,7 +99,7 @@
 
 // joinOrder returns the order to join a replica. A member that lost its
 // membership is not asked again: the replica is to be dissolved.
-func (s *Service) joinOrder(o VMObservation, r ledger.Replica) (platform.Order, bool) {
+func (s *Service) joinOrder(o health.Observation, r ledger.Replica) (platform.Order, bool) {
 	if inReplica(o.Report, r) || s.fleet.restarted[o.VM.ID] == r.Generation {
 		return platform.Order{}, false
 	}
@@ -140,7 +142,7 @@
 }
 
 // mayOrder reports whether an order may be sent now.
-func (s *Service) mayOrder(now time.Time, o VMObservation, order platform.Order) bool {
+func (s *Service) mayOrder(now time.Time, o health.Observation, order platform.Order) bool {
 	if !o.VM.ChecksFencing && now.Before(s.lease.carelessFrom) {
 		s.count("order.held.former_lease")
 		return false
@@ -160,7 +162,7 @@
 	return !same || now.Sub(last.at) >= reorderAfter
 }
 
-func (s *Service) send(now time.Time, o VMObservation, order platform.Order) kernel.Effect {
+func (s *Service) send(now time.Time, o health.Observation, order platform.Order) kernel.Effect {
 	s.count("order." + string(order.Verb))
 	s.orders.sent[o.VM.ID] = &sentOrder{
 		verb: order.Verb, generation: order.Generation, at: now, inFlight: true,
@@ -188,8 +190,12 @@
 
 // forgetDissolved drops what is kept for generations and VMs that are gone.
 func (s *Service) forgetDissolved() {
+	live := map[record.Position]bool{}
+	for _, r := range s.Control.Replicas() {
+		live[r.Generation] = true
+	}
 	for g := range s.orders.formed {
-		if !s.liveGeneration(g) {
+		if !live[g] {
 			delete(s.orders.formed, g)
 		}
 	}
@@ -199,13 +205,3 @@
 		}
 	}
 }
-
-// liveGeneration reports whether a live replica has the generation.
-func (s *Service) liveGeneration(g record.Position) bool {
-	for _, r := range s.Control.Replicas() {
-		if r.Generation == g {
-			return true
-		}
-	}
-	return false
-}
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -50,13 +50,13 @@
 	vms := s.fleet.plannerVMs(now, s.Control)
 	replicas := s.plannerReplicas(now)
 	s.load.add(now, s.measuredLoad())
-	models := s.config.Models
+	models := s.models
 	in := placement.Input{
 		VMs:                 vms,
 		Replicas:            replicas,
 		Models:              models.Models,
 		StoreBytesPerSecond: models.BytesPerSecond,
-		Desired:             placement.Desired(s.config.Document, models.Models, s.load.value, usableVMs(vms)),
+		Desired:             placement.Desired(s.document, models.Models, s.load.value, usableVMs(vms)),
 		Now:                 now,
 	}
 	var out []kernel.Effect
--- a/controller/service.go
+++ b/controller/service.go
@@ -6,6 +6,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
+	"github.com/tamarackcleat/tamarackcleat/configuration"
+	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
@@ -56,16 +59,19 @@
 	lease  leaseState
 	fleet  fleetState
 	orders orderState
-	// config and planner inputs
-	config  Configured
-	load    loadAverage
-	pending pendingRecords
-	drain   *Drain
-	drained bool
-	idle    IdleReason
+	// document is the configuration in force, models what the weight store
+	// serves.
+	document *dynamic.Document
+	models   platform.ModelList
+	load     loadAverage
+	pending  pendingRecords
+	drain    *Drain
+	drained  bool
+	idle     IdleReason
 }
 
-// New returns the service. The daemon subscribes it to the control stream.
+// New returns the service. The daemon subscribes it to the control stream, to
+// health checking's observations and to changes of the configuration.
 func New(s Settings) *Service {
 	if s.Metrics == nil {
 		s.Metrics = metrics.NewRegistry()
@@ -109,10 +115,11 @@
 	case logfollow.Abandoned:
 		s.pending.settle(m.Record.ID)
 		s.lease.settle(m.Record.ID)
-	case Observed:
-		s.fleet.observe(m, s.Control)
-	case Configured:
-		s.config = m
+	case health.Observed:
+		s.models = m.Models
+		s.fleet.observe(now, m.VMs, s.Control)
+	case configuration.Changed:
+		s.document = m.Document
 	case OrderDone:
 		s.orderDone(now, m)
 	case Drain:
@@ -153,10 +160,12 @@
 		return IdleLogUnavailable
 	case !s.lease.valid(now):
 		return IdleLeaseLapsed
-	case s.config.Document == nil || len(s.config.Models.Models) == 0:
+	case s.document == nil || len(s.models.Models) == 0:
 		return IdleNoConfig
 	case now.Sub(s.fleet.at) > ObservationBound:
 		return IdleNoObservation
+	case s.fleet.shrunk:
+		return IdleListShrunk
 	}
 	return ""
 }
