Remember recent publications and say who may still run a call

Cause: a publication that was accepted, whose answer was lost and which was followed by another, was told 'version conflict, not run' when sent again. Ruled out: keeping every identifier; a change made from version n can only have become n+1, so identifiers of the latest 256 versions decide, and an older resend is told 'may have run'. Change: the ledger keeps those identifiers; a resent call learns whether the earlier attempt's node still lives; operators' reads are refused before the log was read instead of showing version 0; an unused reason is gone. Before: the new test of a resend after a later change gets a conflict. After: go test ./failuretest passes.

--- a/api/api.go
+++ b/api/api.go
@@ -122,6 +122,8 @@
 	// Answered and Refused count requests since the node started.
 	Answered int64 `json:"answered"`
 	Refused  int64 `json:"refused"`
+	// TargetPercent is the share of requests that the target holds for.
+	TargetPercent float64 `json:"target_percent"`
 	// WithinTarget is the share of answered requests within the target in
 	// percent; -1 if none was answered.
 	WithinTarget float64 `json:"within_target_percent"`
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -59,13 +59,17 @@
 type Service struct {
 	node     record.NodeID
 	log      Log
+	live     Live
 	attempts map[string]*attempt
 	newID    func() string
 }
 
+// Live reports whether a node was heard of lately.
+type Live func(now time.Time, node record.NodeID) bool
+
 // New returns the service of a node.
-func New(node record.NodeID, log Log, newID func() string) *Service {
-	return &Service{node: node, log: log, attempts: map[string]*attempt{}, newID: newID}
+func New(node record.NodeID, log Log, live Live, newID func() string) *Service {
+	return &Service{node: node, log: log, live: live, attempts: map[string]*attempt{}, newID: newID}
 }
 
 // Name implements kernel.Service.
@@ -98,7 +102,7 @@
 	case logfollow.Rebuilt:
 		return s.rebuilt(m.Stream)
 	case waitOver:
-		return s.waitOver(m.attempt)
+		return s.waitOver(now, m.attempt)
 	case forget:
 		s.forget(m.attempt)
 	}
@@ -360,7 +364,7 @@
 
 // waitOver ends a wait. An attempt whose claim may still appear is kept, so
 // that the claim is released then.
-func (s *Service) waitOver(id string) []kernel.Effect {
+func (s *Service) waitOver(now time.Time, id string) []kernel.Effect {
 	a, ok := s.attempts[id]
 	if !ok {
 		return nil
@@ -370,7 +374,7 @@
 		a.phase = abandoned
 		return reply(a.Ask, logUnavailable())
 	case waitingForOutcome:
-		return s.end(a, refuse(verdict.ReasonInDoubt, "an earlier attempt with this key has no known outcome").WithRetryAfter(retryAfter))
+		return s.end(a, s.unresolved(now, a.Key))
 	case finishing:
 		delete(s.attempts, id)
 		return reply(a.finishAsk, Finished{})
@@ -379,6 +383,15 @@
 	}
 }
 
+// unresolved is the answer to a resend whose earlier attempt has no outcome.
+func (s *Service) unresolved(now time.Time, key string) *verdict.Error {
+	call, ok := s.known(key)
+	if ok && (call.Node == s.node || s.live(now, call.Node)) {
+		return refuse(verdict.ReasonInProgress, "an earlier attempt with this key may still be running").WithRetryAfter(retryAfter)
+	}
+	return refuse(verdict.ReasonInDoubt, "an earlier attempt with this key has no known outcome, and its node is gone")
+}
+
 // rebuilt gives up the attempts of a stream whose history has a gap: what is
 // older than the gap can no longer be judged.
 func (s *Service) rebuilt(stream string) []kernel.Effect {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -83,7 +83,7 @@
 	case Publish:
 		return s.publish(now, m)
 	case logfollow.Applied:
-		return append(s.refresh(), s.answer(m.Record.ID, m.Result)...)
+		return append(s.refresh(), s.answer(m.Record, m.Result)...)
 	case logfollow.Rebuilt:
 		return s.refresh()
 	case logfollow.Abandoned:
@@ -97,7 +97,7 @@
 func (s *Service) publish(now time.Time, m Publish) []kernel.Effect {
 	req := m.Request
 	state := s.log.Ledgers().Config.State()
-	if state.RecordID == req.ID {
+	if accepted, _ := state.Accepted(req.ID, req.Base); accepted {
 		return reply(m.Ask, Published{State: state})
 	}
 	if err := Validate(req.Document); err != nil {
@@ -125,22 +125,28 @@
 }
 
 // answer replies to the publishers of a record that was read back.
-func (s *Service) answer(id string, res ledger.Result) []kernel.Effect {
-	state := s.log.Ledgers().Config.State()
-	if res.Cause == ledger.CauseDuplicate || (res.Cause == ledger.CauseStaleBase && state.RecordID == id) {
-		res = ledger.Result{Accepted: true}
+func (s *Service) answer(r record.Record, res ledger.Result) []kernel.Effect {
+	if r.Config == nil {
+		return nil
 	}
+	state := s.log.Ledgers().Config.State()
+	accepted, known := state.Accepted(r.ID, r.Config.Base)
 	var answer kernel.Message = Published{State: state}
-	if !res.Accepted {
-		answer = rejection(res.Cause, state)
+	if !accepted {
+		answer = rejection(res.Cause, state, known)
 	}
-	return s.end(id, answer)
+	return s.end(r.ID, answer)
 }
 
-// rejection is the answer to a change that the ledger rejected.
-func rejection(c ledger.Cause, state ledger.ConfigState) *verdict.Error {
+// rejection is the answer to a change that the ledger rejected. known says that
+// no earlier copy of the change can have been accepted.
+func rejection(c ledger.Cause, state ledger.ConfigState, known bool) *verdict.Error {
 	if c == ledger.CauseStaleBase {
-		return verdict.Refuse(verdict.ReasonConflict, "version %d by %q is in force; make the change from it", state.Version, state.Author)
+		conflict := verdict.Refuse(verdict.ReasonConflict, "version %d by %q is in force; make the change from it", state.Version, state.Author)
+		if !known {
+			return conflict.WithVerdict(verdict.MayHaveRun)
+		}
+		return conflict
 	}
 	return verdict.Refuse(verdict.ReasonInvalidConfig, "the document does not validate")
 }
--- a/entry/drivers.go
+++ b/entry/drivers.go
@@ -56,7 +56,7 @@
 func (d *logDriver) read(e logfollow.Read) {
 	ctx, cancel := context.WithTimeout(d.ctx, logfollow.LongPoll+readMargin)
 	defer cancel()
-	res, err := d.log.Read(ctx, e.Stream, e.From)
+	res, err := d.log.Read(ctx, e.Stream, e.From, e.Wait)
 	d.post(logfollow.Name, logfollow.ReadDone{Stream: e.Stream, From: e.From, Result: res, Err: err})
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -124,7 +124,7 @@
 		n.configuration,
 		n.quarantine,
 		control,
-		calls.New(n.id, n.log, newID),
+		calls.New(n.id, n.log, n.isLive, newID),
 		router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry}),
 		admission.New(n.registry),
 		retry.NewService(retry.NewPolicy(rng, retry.DefaultBudget(), n.registry)),
@@ -158,6 +158,11 @@
 // liveNodes counts this node and its live peers.
 func (n *Node) liveNodes(now time.Time) int { return 1 + len(n.peers.Live(now)) }
 
+// isLive reports whether a peer was heard of lately.
+func (n *Node) isLive(now time.Time, id record.NodeID) bool {
+	return slices.ContainsFunc(n.peers.Live(now), func(p peers.Peer) bool { return p.Node == id })
+}
+
 // nodeNames lists this node and its live peers.
 func (n *Node) nodeNames(now time.Time) []string {
 	names := []string{string(n.id)}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -15,6 +15,7 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -30,10 +31,24 @@
 // serveConfig answers GET /v1/config.
 func (n *Node) serveConfig(w http.ResponseWriter, r *http.Request) {
 	var view api.ConfigView
-	n.read(r.Context(), func(now time.Time) { view = n.configView(now) })
+	based := false
+	read := n.read(r.Context(), func(now time.Time) {
+		view = n.configView(now)
+		based = n.log.Based(record.StreamConfig)
+	})
+	if !read || !based {
+		n.refuseRead(w)
+		return
+	}
 	writeJSON(w, http.StatusOK, view)
 }
 
+// refuseRead answers an operator whose question can't be answered now.
+func (n *Node) refuseRead(w http.ResponseWriter) {
+	writeRefusal(w, newRequestID(n.id), verdict.Refuse(verdict.ReasonNotCaughtUp,
+		"this node has not read the log yet; ask again").WithRetryAfter(time.Second))
+}
+
 // servePublish answers POST /v1/config.
 func (n *Node) servePublish(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID(n.id)
@@ -93,17 +108,20 @@
 	return out
 }
 
-// read runs fn between messages of the kernel.
-func (n *Node) read(ctx context.Context, fn func(now time.Time)) {
+// read runs fn between messages of the kernel and reports whether it ran.
+func (n *Node) read(ctx context.Context, fn func(now time.Time)) bool {
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
-	_ = n.kernel.Do(ctx, fn)
+	return n.kernel.Do(ctx, fn) == nil
 }
 
 // serveStatus answers GET /v1/status.
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) {
 	var s api.Status
-	n.read(r.Context(), func(now time.Time) { s = n.status(now) })
+	if !n.read(r.Context(), func(now time.Time) { s = n.status(now) }) {
+		n.refuseRead(w)
+		return
+	}
 	writeJSON(w, http.StatusOK, s)
 }
 
--- a/entry/stats.go
+++ b/entry/stats.go
@@ -98,7 +98,7 @@
 
 // status describes what was measured of a class.
 func (s *stats) status(c dynamic.Class) api.ClassStatus {
-	out := api.ClassStatus{Class: c.Name, Target: dynamic.Describe(c), WithinTarget: -1, Obstacles: []string{}}
+	out := api.ClassStatus{Class: c.Name, Target: dynamic.Describe(c), TargetPercent: float64(c.Targets.For), WithinTarget: -1, Obstacles: []string{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.classes[c.Name]
--- a/failuretest/config_test.go
+++ b/failuretest/config_test.go
@@ -146,6 +146,24 @@
 		Entry("seed 4", uint64(4)), Entry("seed 5", uint64(5)), Entry("seed 6", uint64(6)),
 	)
 
+	It("tells a resend that it was accepted, also after later changes", func() {
+		w := newWorld(1, 2)
+		o := newOperators(w)
+		o.run(time.Second)
+		first := api.PublishRequest{ID: "first", Document: documentText("first")}
+		send := func(n *node) (answer kernel.Message) {
+			n.ask(configuration.Name, func(id kernel.AskID) kernel.Message {
+				return configuration.Publish{Ask: id, Request: first}
+			}, func(m kernel.Message) { answer = m })
+			o.run(time.Second)
+			return answer
+		}
+		send(w.nodes[0])
+		o.publish(w.nodes[1], "second")
+		o.run(time.Second)
+		Expect(send(w.nodes[1])).To(BeAssignableToTypeOf(configuration.Published{}))
+	})
+
 	It("is not read as empty from a truncated log without a checkpoint", func() {
 		w := newWorld(1, 1)
 		o := newOperators(w)
--- a/failuretest/world_test.go
+++ b/failuretest/world_test.go
@@ -138,7 +138,7 @@
 	n := &node{world: w, id: record.NodeID(w.newID()), services: map[string]kernel.Service{}}
 	n.log = logfollow.New(logfollow.NewLedgers(configuration.Validate), w.rng, w.newID)
 	n.config = configuration.New(n.log)
-	callService := calls.New(n.id, n.log, w.newID)
+	callService := calls.New(n.id, n.log, w.live, w.newID)
 	suspects := quarantine.New(n.id, n.log, w.newID)
 	for _, s := range []kernel.Service{n.log, n.config, callService, suspects} {
 		n.services[s.Name()] = s
@@ -152,6 +152,16 @@
 	return n
 }
 
+// live reports whether a node runs.
+func (w *world) live(_ time.Time, id record.NodeID) bool {
+	for _, n := range w.nodes {
+		if n.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // crash replaces a node by a new process.
 func (w *world) crash(i int) {
 	w.nodes[i].dead = true
@@ -267,7 +277,7 @@
 		} else {
 			done.Result = w.log.read(e.Stream, e.From)
 			waiting := done.Result.Next == e.From && done.Result.First <= e.From
-			if waiting && w.now.Sub(started) < time.Second && e.From > 0 {
+			if waiting && w.now.Sub(started) < min(e.Wait, time.Second) {
 				w.after(poll, try)
 				return
 			}
--- a/ledger/config.go
+++ b/ledger/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,8 +21,23 @@
 	Document string `json:"document"`
 	// Author published it.
 	Author string `json:"author,omitempty"`
-	// RecordID is that of the accepted change.
-	RecordID string `json:"record_id,omitempty"`
+	// Recent holds the record identifiers of the latest accepted changes, the
+	// newest last.
+	Recent []string `json:"recent,omitempty"`
+}
+
+// RecentChanges is the number of accepted changes whose identifiers are kept.
+const RecentChanges = 256
+
+// Accepted reports whether the change with a record identifier was accepted
+// and whether that is known for sure: a change made from base can only have
+// become version base+1, whose identifier may no longer be kept.
+func (s ConfigState) Accepted(id string, base int64) (accepted, known bool) {
+	if slices.Contains(s.Recent, id) {
+		return true, true
+	}
+	oldestKept := s.Version - int64(len(s.Recent)) + 1
+	return false, base >= s.Version || base+1 >= oldestKept
 }
 
 // Config is the ledger of the configuration stream.
@@ -44,7 +60,7 @@
 	if change == nil {
 		return rejected(CauseWrongStream)
 	}
-	if r.ID == c.state.RecordID {
+	if slices.Contains(c.state.Recent, r.ID) {
 		return rejected(CauseDuplicate)
 	}
 	if change.Base != c.state.Version {
@@ -53,11 +69,12 @@
 	if err := c.validate(change.Document); err != nil {
 		return rejected(CauseInvalid)
 	}
+	recent := append(slices.Clone(c.state.Recent), r.ID)
 	c.state = ConfigState{
 		Version:  c.state.Version + 1,
 		Document: change.Document,
 		Author:   change.Author,
-		RecordID: r.ID,
+		Recent:   recent[max(0, len(recent)-RecentChanges):],
 	}
 	return accepted()
 }
--- a/logfollow/messages.go
+++ b/logfollow/messages.go
@@ -26,6 +26,9 @@
 type Read struct {
 	Stream string
 	From   int64
+	// Wait is how long the log may hold its answer if there is nothing to
+	// read; 0 until the stream was read to its end once.
+	Wait time.Duration
 }
 
 // ReadDone is the result of a Read.
--- a/logfollow/service.go
+++ b/logfollow/service.go
@@ -153,7 +153,12 @@
 }
 
 func (s *Service) read(stream string) []kernel.Effect {
-	return []kernel.Effect{Read{Stream: stream, From: s.followers[stream].next}}
+	f := s.followers[stream]
+	r := Read{Stream: stream, From: f.next}
+	if f.atHead {
+		r.Wait = LongPoll
+	}
+	return []kernel.Effect{r}
 }
 
 func (s *Service) readDone(now time.Time, m ReadDone) []kernel.Effect {
--- a/operator/client.go
+++ b/operator/client.go
@@ -150,7 +150,7 @@
 	switch reason {
 	case verdict.ReasonLogUnavailable:
 		return "wait until the platform's log is back and repeat the command; what is in force stays in force"
-	case verdict.ReasonNotCaughtUp, verdict.ReasonNoConfig, verdict.ReasonDraining:
+	case verdict.ReasonNotCaughtUp, verdict.ReasonNoConfig:
 		return "repeat the command in a few seconds, or name another entry VM with --server"
 	case verdict.ReasonInvalidConfig:
 		return "correct the document; nothing was published"
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -80,8 +80,6 @@
 	ReasonInProgress Reason = "in_progress"
 	// ReasonNotCaughtUp marks a node that has not read the log far enough.
 	ReasonNotCaughtUp Reason = "log_not_caught_up"
-	// ReasonDraining marks a node that is shutting down.
-	ReasonDraining Reason = "node_draining"
 	// ReasonConflict marks a configuration based on a superseded version.
 	ReasonConflict Reason = "version_conflict"
 	// ReasonInvalidConfig marks a configuration that does not validate.
