End trials that did not run, and replace those of nodes that are gone

Cause: a trial whose upstream could not be chosen, or whose node died, kept its request refused as 'trial in progress'. Ruled out: clearing the request, which would let it crash further replicas. Change: a trial ends as survived, crashed or not run; a trial of a node that is gone can be replaced; no two trials of a node share a replica. Times told to the router are of the attempt, not of the request. Measurement: go test ./failuretest passes; no process test yet.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/admission"
 	"github.com/tamarackcleat/tamarackcleat/answer"
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
@@ -161,32 +160,64 @@
 	if failure != nil {
 		return failure
 	}
-	u, failure := g.pick(ctx, g.class.Model, g.exclude, platform.PrefixHashes(g.prompt))
+	u, failure := g.choose(ctx, trial)
 	if failure != nil {
+		g.endTrial(trial, attemptID, record.TrialNotRun)
 		return failure
 	}
-	started := time.Now()
-	failure = g.stream(ctx, u)
-	g.settle(u, failure, time.Since(started))
+	if trial {
+		defer g.node.trials.begin(u.ID)()
+	}
+	timing := newAttemptTiming(g.answer.Tokens())
+	failure = g.stream(ctx, u, timing)
+	g.settle(u, failure, timing)
 	if failure != nil {
 		g.afterFailure(ctx, u, failure, trial, attemptID)
 		return failure
 	}
+	g.endTrial(trial, attemptID, record.TrialSurvived)
+	return nil
+}
+
+// attemptTiming measures one attempt.
+type attemptTiming struct {
+	started     time.Time
+	firstTokens int
+	firstToken  time.Duration
+}
+
+func newAttemptTiming(tokens int) *attemptTiming {
+	return &attemptTiming{started: time.Now(), firstTokens: tokens}
+}
+
+// progress notes that tokens arrived.
+func (r *attemptTiming) progress() {
+	if r.firstToken == 0 {
+		r.firstToken = time.Since(r.started)
+	}
+}
+
+// choose selects an upstream; a trial gets one without another trial.
+func (g *generation) choose(ctx context.Context, trial bool) (balance.Upstream, *verdict.Error) {
+	exclude := g.exclude
 	if trial {
-		g.survived(attemptID)
+		exclude = append(g.node.trials.upstreams(), exclude...)
 	}
-	return nil
+	return g.pick(ctx, g.class.Model, exclude, platform.PrefixHashes(g.prompt))
 }
 
 // settle tells the router how the attempt ended.
-func (g *generation) settle(u balance.Upstream, failure *verdict.Error, took time.Duration) {
-	g.node.kernel.Post(router.Name, router.Finished{
+func (g *generation) settle(u balance.Upstream, failure *verdict.Error, r *attemptTiming) {
+	finished := router.Finished{
 		RequestID:  g.id,
 		Upstream:   u.ID,
 		OK:         failure == nil || failure.Reason == verdict.ReasonCanceled,
-		FirstToken: g.firstToken,
-		PerToken:   perToken(took, g.answer.Tokens()),
-	})
+		FirstToken: r.firstToken,
+	}
+	if tokens := g.answer.Tokens() - r.firstTokens; tokens > 1 {
+		finished.PerToken = perToken(time.Since(r.started)-r.firstToken, tokens)
+	}
+	g.node.kernel.Post(router.Name, finished)
 }
 
 // checkSuspect asks quarantine whether the request may run.
@@ -208,8 +239,11 @@
 	}
 }
 
-func (g *generation) survived(attemptID string) {
-	g.node.kernel.Post(quarantine.Name, quarantine.Survived{Fingerprint: g.fingerprint, Attempt: attemptID})
+// endTrial tells quarantine how a trial ended without a crash.
+func (g *generation) endTrial(trial bool, attemptID string, outcome record.TrialOutcome) {
+	if trial {
+		g.node.kernel.Post(quarantine.Name, quarantine.Ended{Fingerprint: g.fingerprint, Attempt: attemptID, Outcome: outcome})
+	}
 }
 
 // afterFailure learns from a failed attempt: the upstream is left out of the
@@ -217,21 +251,14 @@
 func (g *generation) afterFailure(ctx context.Context, u balance.Upstream, failure *verdict.Error, trial bool, attemptID string) {
 	g.exclude = append(g.exclude, u.ID)
 	g.trace.add(api.TraceEvent{Step: "failed", Upstream: u.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail})
-	if failure.Verdict == verdict.NotRun {
+	crashed := failure.Verdict != verdict.NotRun && ctx.Err() == nil && g.node.hasCrashed(u)
+	if crashed || failure.Verdict == verdict.NotRun {
 		g.node.suspectUpstream(u.ID, failure)
-		if trial {
-			g.survived(attemptID)
-		}
-		return
 	}
-	crashed := ctx.Err() == nil && g.node.hasCrashed(u)
 	if !crashed {
-		if trial {
-			g.survived(attemptID)
-		}
+		g.endTrial(trial, attemptID, record.TrialNotRun)
 		return
 	}
-	g.node.suspectUpstream(u.ID, failure)
 	report := quarantine.Crashed{Fingerprint: g.fingerprint, Replica: u.ID, Generation: record.Position(u.Generation)}
 	if trial {
 		report.Attempt = attemptID
@@ -241,7 +268,7 @@
 }
 
 // stream reads one upstream's stream into the answer.
-func (g *generation) stream(ctx context.Context, u balance.Upstream) *verdict.Error {
+func (g *generation) stream(ctx context.Context, u balance.Upstream, r *attemptTiming) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	release := g.node.flights.add(u.ID, cancel)
@@ -264,7 +291,7 @@
 	defer s.Close()
 	stall := time.AfterFunc(g.stallAfter(), func() { cancel(errStalled) })
 	defer stall.Stop()
-	return g.read(ctx, s, stall)
+	return g.read(ctx, s, stall, r)
 }
 
 // errStalled ends a stream that made no progress.
@@ -285,7 +312,7 @@
 }
 
 // read takes chunks until the answer is whole.
-func (g *generation) read(ctx context.Context, s chunkReader, stall *time.Timer) *verdict.Error {
+func (g *generation) read(ctx context.Context, s chunkReader, stall *time.Timer, r *attemptTiming) *verdict.Error {
 	for {
 		chunk, err := s.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -295,6 +322,7 @@
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the stream ended with chunks missing")
 		}
 		stall.Reset(g.stallAfter())
+		r.progress()
 		if failure := g.take(chunk); failure != nil {
 			return failure
 		}
@@ -336,94 +364,3 @@
 	}
 	return max(minStall, stallFactor*target)
 }
-
-// admit waits for admission.
-func (q *request) admit(ctx context.Context) (priority int, failure *verdict.Error) {
-	msg, failure := q.node.ask(ctx, admission.Name, func(id kernel.AskID) kernel.Message {
-		return admission.Arrive{Ask: id, RequestID: q.id, Class: q.class.Name, Team: q.team, Deadline: q.deadline}
-	})
-	if failure != nil {
-		q.node.kernel.Post(admission.Name, admission.Cancel{RequestID: q.id})
-		return 0, failure
-	}
-	switch m := msg.(type) {
-	case admission.Admitted:
-		q.trace.add(api.TraceEvent{Step: "admitted"})
-		return m.Priority, nil
-	case *verdict.Error:
-		return 0, m
-	default:
-		return 0, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of admission: %T", msg)
-	}
-}
-
-// leave ends an admitted request.
-func (q *request) leave(ran bool) {
-	var service time.Duration
-	if ran {
-		service = time.Since(q.arrived)
-	}
-	q.node.kernel.Post(admission.Name, admission.Done{RequestID: q.id, Service: service})
-}
-
-// pick selects an upstream.
-func (q *request) pick(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
-	msg, failure := q.node.ask(ctx, router.Name, func(id kernel.AskID) kernel.Message {
-		return router.Pick{
-			Ask:          id,
-			RequestID:    q.id,
-			Pool:         pool,
-			PrefixHashes: prefixes,
-			Exclude:      exclude,
-			ExpectedWork: time.Duration(q.class.Targets.AnsweredWithin) / 2,
-		}
-	})
-	if failure != nil {
-		return balance.Upstream{}, failure
-	}
-	switch m := msg.(type) {
-	case router.Picked:
-		q.trace.add(api.TraceEvent{Step: "routed", Upstream: m.Upstream.ID})
-		return m.Upstream, nil
-	case *verdict.Error:
-		return balance.Upstream{}, m
-	default:
-		return balance.Upstream{}, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of the router: %T", msg)
-	}
-}
-
-// retry waits until the next attempt is due; it returns the failure if there
-// is none.
-func (q *request) retry(ctx context.Context, failure *verdict.Error, attempt int) *verdict.Error {
-	msg, refused := q.node.ask(ctx, retry.Name, func(id kernel.AskID) kernel.Message {
-		return retry.Failed{Ask: id, Failure: retry.Failure{
-			Class:      q.class.Name,
-			Repeatable: q.repeatable(),
-			Err:        failure,
-			Attempt:    attempt,
-			Remaining:  time.Until(q.deadline),
-		}}
-	})
-	if refused != nil {
-		return failure
-	}
-	decision, ok := msg.(retry.Decision)
-	if !ok || !decision.Retry {
-		return failure
-	}
-	q.trace.add(api.TraceEvent{Step: "retried", Reason: decision.Reason})
-	select {
-	case <-time.After(decision.Wait):
-		return nil
-	case <-ctx.Done():
-		return q.gone(failure)
-	}
-}
-
-// gone returns the failure of a request whose caller left or whose time is up.
-func (q *request) gone(failure *verdict.Error) *verdict.Error {
-	if time.Now().Before(q.deadline) {
-		return verdict.New(failure.Verdict, verdict.ReasonCanceled, "the caller went away")
-	}
-	return verdict.New(failure.Verdict, verdict.ReasonDeadline, "not answered in time: %s", failure.Detail)
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -70,6 +70,7 @@
 	upstream   *platformhttp.Upstream
 	peerClient *peerClient
 	flights    *flights
+	trials     *trials
 	traces     *traces
 	stats      *stats
 	inForce    atomic.Pointer[configuration.Changed]
@@ -89,6 +90,7 @@
 		upstream:   platformhttp.NewUpstream(nil),
 		peerClient: &peerClient{client: platformhttp.NewHTTPClient()},
 		flights:    newFlights(),
+		trials:     newTrials(),
 		traces:     newTraces(id),
 		drained:    make(chan struct{}),
 	}
@@ -106,7 +108,7 @@
 	n.health = health.New(n.id, n.nodeNames, leads, ledgers.Control, rng)
 	n.peers = peers.New(n.settings.Advertise, n, n.log, n.health, holder, rng)
 	n.configuration = configuration.New(n.log)
-	n.quarantine = quarantine.New(n.id, n.log, newID)
+	n.quarantine = quarantine.New(n.id, n.log, n.isLive, newID)
 	control := controller.New(controller.Settings{
 		Node:    n.id,
 		Control: ledgers.Control,
--- /dev/null
+++ b/entry/steps.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/admission"
+	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/retry"
+	"github.com/tamarackcleat/tamarackcleat/router"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+// admit waits for admission.
+func (q *request) admit(ctx context.Context) (priority int, failure *verdict.Error) {
+	msg, failure := q.node.ask(ctx, admission.Name, func(id kernel.AskID) kernel.Message {
+		return admission.Arrive{Ask: id, RequestID: q.id, Class: q.class.Name, Team: q.team, Deadline: q.deadline}
+	})
+	if failure != nil {
+		q.node.kernel.Post(admission.Name, admission.Cancel{RequestID: q.id})
+		return 0, failure
+	}
+	switch m := msg.(type) {
+	case admission.Admitted:
+		q.trace.add(api.TraceEvent{Step: "admitted"})
+		return m.Priority, nil
+	case *verdict.Error:
+		return 0, m
+	default:
+		return 0, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of admission: %T", msg)
+	}
+}
+
+// leave ends an admitted request.
+func (q *request) leave(ran bool) {
+	var service time.Duration
+	if ran {
+		service = time.Since(q.arrived)
+	}
+	q.node.kernel.Post(admission.Name, admission.Done{RequestID: q.id, Service: service})
+}
+
+// pick selects an upstream.
+func (q *request) pick(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
+	msg, failure := q.node.ask(ctx, router.Name, func(id kernel.AskID) kernel.Message {
+		return router.Pick{
+			Ask:          id,
+			RequestID:    q.id,
+			Pool:         pool,
+			PrefixHashes: prefixes,
+			Exclude:      exclude,
+			ExpectedWork: time.Duration(q.class.Targets.AnsweredWithin) / 2,
+		}
+	})
+	if failure != nil {
+		return balance.Upstream{}, failure
+	}
+	switch m := msg.(type) {
+	case router.Picked:
+		q.trace.add(api.TraceEvent{Step: "routed", Upstream: m.Upstream.ID})
+		return m.Upstream, nil
+	case *verdict.Error:
+		return balance.Upstream{}, m
+	default:
+		return balance.Upstream{}, verdict.Refuse(verdict.ReasonInternal, "unexpected answer of the router: %T", msg)
+	}
+}
+
+// retry waits until the next attempt is due; it returns the failure if there
+// is none.
+func (q *request) retry(ctx context.Context, failure *verdict.Error, attempt int) *verdict.Error {
+	msg, refused := q.node.ask(ctx, retry.Name, func(id kernel.AskID) kernel.Message {
+		return retry.Failed{Ask: id, Failure: retry.Failure{
+			Class:      q.class.Name,
+			Repeatable: q.repeatable(),
+			Err:        failure,
+			Attempt:    attempt,
+			Remaining:  time.Until(q.deadline),
+		}}
+	})
+	if refused != nil {
+		return failure
+	}
+	decision, ok := msg.(retry.Decision)
+	if !ok || !decision.Retry {
+		return failure
+	}
+	q.trace.add(api.TraceEvent{Step: "retried", Reason: decision.Reason})
+	select {
+	case <-time.After(decision.Wait):
+		return nil
+	case <-ctx.Done():
+		return q.gone(failure)
+	}
+}
+
+// gone returns the failure of a request whose caller left or whose time is up.
+func (q *request) gone(failure *verdict.Error) *verdict.Error {
+	if time.Now().Before(q.deadline) {
+		return verdict.New(failure.Verdict, verdict.ReasonCanceled, "the caller went away")
+	}
+	return verdict.New(failure.Verdict, verdict.ReasonDeadline, "not answered in time: %s", failure.Detail)
+}
--- a/failuretest/quarantine_test.go
+++ b/failuretest/quarantine_test.go
@@ -59,7 +59,7 @@
 	if !poison {
 		r.ran[fingerprint]++
 		if trial != "" {
-			r.push(event{at: r.now, node: n, to: quarantine.Name, msg: quarantine.Survived{Fingerprint: fingerprint, Attempt: trial}})
+			r.push(event{at: r.now, node: n, to: quarantine.Name, msg: quarantine.Ended{Fingerprint: fingerprint, Attempt: trial, Outcome: record.TrialSurvived}})
 		}
 		return
 	}
--- a/failuretest/world_test.go
+++ b/failuretest/world_test.go
@@ -139,7 +139,7 @@
 	n.log = logfollow.New(logfollow.NewLedgers(configuration.Validate), w.rng, w.newID)
 	n.config = configuration.New(n.log)
 	callService := calls.New(n.id, n.log, w.live, w.newID)
-	suspects := quarantine.New(n.id, n.log, w.newID)
+	suspects := quarantine.New(n.id, n.log, w.live, w.newID)
 	for _, s := range []kernel.Service{n.log, n.config, callService, suspects} {
 		n.services[s.Name()] = s
 	}
--- a/ledger/suspects.go
+++ b/ledger/suspects.go
@@ -124,7 +124,8 @@
 	if !ok || s.ended[r.Attempt] {
 		return rejected(CauseNotClaimant)
 	}
-	if e.Phase != SuspectOpen {
+	replaced := e.Phase == SuspectOnTrial && r.Replaces == e.Attempt
+	if e.Phase != SuspectOpen && !replaced {
 		return rejected(CauseTrialTaken)
 	}
 	e.Phase = SuspectOnTrial
@@ -142,11 +143,14 @@
 		s.ended = map[string]bool{}
 	}
 	s.ended[r.Attempt] = true
-	if !r.Crashed {
+	switch r.Outcome {
+	case record.TrialCrashed:
+		e.Phase = SuspectQuarantined
+	case record.TrialNotRun:
+		e.Phase = SuspectOpen
+	default:
 		s.remove(r.Fingerprint)
-		return accepted()
 	}
-	e.Phase = SuspectQuarantined
 	return accepted()
 }
 
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -78,6 +78,13 @@
 	return first
 }
 
+// endTrial allows another trial of this node.
+func (t *localTable) endTrial(fingerprint string) {
+	if e, ok := t.byPrint[fingerprint]; ok {
+		e.trialStarted = false
+	}
+}
+
 func (t *localTable) clear(fingerprint string) {
 	if _, ok := t.byPrint[fingerprint]; !ok {
 		return
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -56,10 +56,12 @@
 	Attempt string
 }
 
-// Survived reports that a trial ended without a crash.
-type Survived struct {
+// Ended reports that a trial ended without a crash.
+type Ended struct {
 	Fingerprint string
 	Attempt     string
+	// Outcome is TrialSurvived or TrialNotRun.
+	Outcome record.TrialOutcome
 }
 
 // PeerSuspects tells what a peer knows, for the time when the log is out.
@@ -87,15 +89,19 @@
 type Service struct {
 	node  record.NodeID
 	log   Log
+	live  Live
 	newID func() string
 	// waiting holds trials whose record was not read back yet.
 	waiting map[string]Check
 	local   localTable
 }
 
+// Live reports whether a node was heard of lately.
+type Live func(now time.Time, node record.NodeID) bool
+
 // New returns the service of a node.
-func New(node record.NodeID, log Log, newID func() string) *Service {
-	return &Service{node: node, log: log, newID: newID, waiting: map[string]Check{}, local: newLocalTable()}
+func New(node record.NodeID, log Log, live Live, newID func() string) *Service {
+	return &Service{node: node, log: log, live: live, newID: newID, waiting: map[string]Check{}, local: newLocalTable()}
 }
 
 // Name implements kernel.Service.
@@ -114,12 +120,8 @@
 		return s.check(now, m)
 	case Crashed:
 		return s.crashed(now, m)
-	case Survived:
-		s.local.clear(m.Fingerprint)
-		return []kernel.Effect{s.append(now, record.Record{TrialEnd: &record.TrialEnd{
-			Fingerprint: m.Fingerprint,
-			Attempt:     m.Attempt,
-		}}, now.Add(settleFor))}
+	case Ended:
+		return s.ended(now, m)
 	case PeerSuspects:
 		for _, p := range m.Suspects {
 			s.local.learn(p)
@@ -142,7 +144,7 @@
 	switch {
 	case ok && known.Phase == ledger.SuspectQuarantined, seen && local.Crashes > 1:
 		return reply(m.Ask, verdict.Refuse(verdict.ReasonQuarantined, "this request crashed two upstreams"))
-	case ok && known.Phase == ledger.SuspectOnTrial:
+	case ok && known.Phase == ledger.SuspectOnTrial && (known.Node == s.node || s.live(now, known.Node)):
 		return reply(m.Ask, busy())
 	case !ok && !seen:
 		return reply(m.Ask, Clear{})
@@ -155,6 +157,7 @@
 			Fingerprint: m.Fingerprint,
 			Attempt:     m.Attempt,
 			Node:        s.node,
+			Replaces:    known.Attempt,
 		}}, now.Add(trialWait)),
 		kernel.SetTimer{To: Name, After: trialWait, Msg: trialOver{m.Attempt}},
 	}
@@ -176,6 +179,20 @@
 	return reply(m.Ask, TrialRun{})
 }
 
+// ended ends a trial that did not crash its replica.
+func (s *Service) ended(now time.Time, m Ended) []kernel.Effect {
+	if m.Outcome == record.TrialSurvived {
+		s.local.clear(m.Fingerprint)
+	} else {
+		s.local.endTrial(m.Fingerprint)
+	}
+	return []kernel.Effect{s.append(now, record.Record{TrialEnd: &record.TrialEnd{
+		Fingerprint: m.Fingerprint,
+		Attempt:     m.Attempt,
+		Outcome:     m.Outcome,
+	}}, now.Add(settleFor))}
+}
+
 // crashed notes a crash and tells the log.
 func (s *Service) crashed(now time.Time, m Crashed) []kernel.Effect {
 	s.local.crash(m.Fingerprint, m.Generation)
@@ -184,7 +201,7 @@
 		out = append(out, s.append(now, record.Record{TrialEnd: &record.TrialEnd{
 			Fingerprint: m.Fingerprint,
 			Attempt:     m.Attempt,
-			Crashed:     true,
+			Outcome:     record.TrialCrashed,
 		}}, now.Add(settleFor)))
 	}
 	return append(out, s.append(now, record.Record{Suspect: &record.Suspect{
@@ -207,7 +224,7 @@
 
 // applied answers a Check whose trial record was read back.
 func (s *Service) applied(m logfollow.Applied) []kernel.Effect {
-	if end := m.Record.TrialEnd; end != nil && !end.Crashed {
+	if end := m.Record.TrialEnd; end != nil && end.Outcome == record.TrialSurvived {
 		s.local.clear(end.Fingerprint)
 	}
 	if m.Record.Trial == nil {
--- a/record/record.go
+++ b/record/record.go
@@ -179,7 +179,8 @@
 	Generation Position `json:"generation"`
 }
 
-// Trial claims the single trial run of a suspect. The first trial wins.
+// Trial claims the single trial run of a suspect. The first trial wins, unless
+// it is replaced because its node is gone.
 type Trial struct {
 	// Fingerprint identifies the content of the request.
 	Fingerprint string `json:"fingerprint"`
@@ -187,6 +188,8 @@
 	Attempt string `json:"attempt"`
 	// Node is the claimer.
 	Node NodeID `json:"node"`
+	// Replaces names the attempt of a node that is gone; usually empty.
+	Replaces string `json:"replaces,omitempty"`
 }
 
 // TrialEnd records how a trial ended.
@@ -194,11 +197,22 @@
 	// Fingerprint and Attempt name the trial.
 	Fingerprint string `json:"fingerprint"`
 	Attempt     string `json:"attempt"`
-	// Crashed says that the replica crashed again; the request is then
-	// quarantined. Otherwise the request is cleared.
-	Crashed bool `json:"crashed"`
+	// Outcome is how the trial ended.
+	Outcome TrialOutcome `json:"outcome"`
 }
 
+// TrialOutcome is how a trial ended.
+type TrialOutcome string
+
+const (
+	// TrialSurvived clears the request.
+	TrialSurvived TrialOutcome = "survived"
+	// TrialCrashed quarantines the request.
+	TrialCrashed TrialOutcome = "crashed"
+	// TrialNotRun says nothing about the request; it may be tried again.
+	TrialNotRun TrialOutcome = "not_run"
+)
+
 // Checkpoint is the state of a stream's ledger as of the entry before Through.
 // It is a fact about a fixed prefix, so a late or repeated checkpoint does no
 // harm: a reader without the prefix starts from the checkpoint and then
