Resume answers without spending the retry budget

Cause: with every chunk stream losing one chunk in 23, requests ran out of upstreams (all four excluded after one gap each), and resumes spent the budget that is meant for repeated work. Ruled out: the assembler; the delivered text was right up to the refusal. Change: excluded upstreams get another chance when none is left; a resume after progress spends no budget.

--- a/entry/call.go
+++ b/entry/call.go
@@ -208,7 +208,7 @@
 			return nil, c.gone(failure)
 		}
 		exclude = append(exclude, upstream)
-		if failure := c.retry(ctx, failure, attempt); failure != nil {
+		if failure := c.retry(ctx, failure, attempt, false); failure != nil {
 			return nil, failure
 		}
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -123,10 +123,11 @@
 		if ctx.Err() != nil {
 			return g.gone(failure)
 		}
-		if g.answer.Tokens() > before {
+		progressed := g.answer.Tokens() > before
+		if progressed {
 			attempt = 1
 		}
-		if failure := g.retry(ctx, failure, attempt); failure != nil {
+		if failure := g.retry(ctx, failure, attempt, progressed); failure != nil {
 			return failure
 		}
 	}
--- a/entry/steps.go
+++ b/entry/steps.go
@@ -42,8 +42,19 @@
 	q.node.kernel.Post(admission.Name, admission.Done{RequestID: q.id, Service: service})
 }
 
-// pick selects an upstream.
+// pick selects an upstream. If every upstream is excluded, those that failed
+// this request get another chance; the unreachable ones are known to health
+// checking by then.
 func (q *request) pick(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
+	u, failure := q.pickFrom(ctx, pool, exclude, prefixes)
+	if failure != nil && failure.Reason == verdict.ReasonNoReplica && len(exclude) > 0 {
+		return q.pickFrom(ctx, pool, nil, prefixes)
+	}
+	return u, failure
+}
+
+// pickFrom selects an upstream that is not excluded.
+func (q *request) pickFrom(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
 	msg, failure := q.node.ask(ctx, router.Name, func(id kernel.AskID) kernel.Message {
 		return router.Pick{
 			Ask:          id,
@@ -69,8 +80,8 @@
 }
 
 // retry waits until the next attempt is due; it returns the failure if there
-// is none.
-func (q *request) retry(ctx context.Context, failure *verdict.Error, attempt int) *verdict.Error {
+// is none. progressed says that the failed attempt brought the answer forward.
+func (q *request) retry(ctx context.Context, failure *verdict.Error, attempt int, progressed bool) *verdict.Error {
 	msg, refused := q.node.ask(ctx, retry.Name, func(id kernel.AskID) kernel.Message {
 		return retry.Failed{Ask: id, Failure: retry.Failure{
 			Class:      q.class.Name,
@@ -78,6 +89,7 @@
 			Err:        failure,
 			Attempt:    attempt,
 			Remaining:  time.Until(q.deadline),
+			Progressed: progressed,
 		}}
 	})
 	if refused != nil {
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -32,6 +32,10 @@
 	Attempt int
 	// Remaining is the time left until the request's deadline.
 	Remaining time.Duration
+	// Progressed says that the attempt brought the answer forward and the
+	// next one goes on from there. Such a retry repeats no work of an engine
+	// but the prompt's, and spends no budget.
+	Progressed bool
 	// Work is the least time that another attempt needs to be of use; an
 	// answer that is resumed needs only its rest.
 	Work time.Duration
@@ -77,7 +81,7 @@
 	if wait+f.Work > f.Remaining {
 		return p.refuse(verdict.ReasonDeadline)
 	}
-	if !p.budget(f.Class).Spend(now) {
+	if !f.Progressed && !p.budget(f.Class).Spend(now) {
 		return p.refuse(verdict.ReasonRetryBudget)
 	}
 	p.count("allowed", f.Err.Reason)
