--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,167 @@
+package health_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/health"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/ledger"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+func TestHealth(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "health")
+}
+
+// fleet is a control ledger with replicas and the VMs' own reports.
+type fleet struct {
+	control *ledger.Control
+	vms     []platform.VM
+	reports map[platform.VMID]platform.Report
+}
+
+func newFleet(replicas, vmsPerReplica int) *fleet {
+	f := &fleet{control: ledger.NewControl(), reports: map[platform.VMID]platform.Report{}}
+	term := record.At(0, 0)
+	f.control.Apply(term, record.Record{ID: "lease", Lease: &record.LeaseClaim{Holder: "n", TTLMillis: 6000}})
+	for r := range replicas {
+		var members []platform.VMID
+		for v := range vmsPerReplica {
+			id := platform.VMID(fmt.Sprintf("vm-%d-%d", r, v))
+			members = append(members, id)
+			f.vms = append(f.vms, platform.VM{ID: id, Kind: platform.KindEngine, Address: string(id) + ":1"})
+		}
+		name := fmt.Sprintf("replica-%d", r)
+		pos := record.At(int64(r+1), 0)
+		f.control.Apply(pos, record.Record{ID: name, Form: &record.Formation{Term: term, Replica: name, Model: "m", VMs: members}})
+		for rank, id := range members {
+			f.reports[id] = platform.Report{VM: id, State: platform.EngineReady, Replica: name, Generation: int64(pos), Rank: rank, Model: "m", Slots: 8}
+		}
+	}
+	return f
+}
+
+// service returns the service of a node among others, told of all VMs.
+func (f *fleet) service(self string, nodes []string, now time.Time) *health.Service {
+	s := health.New(record.NodeID(self), func(time.Time) []string { return nodes }, func() bool { return true }, f.control, rand.New(rand.NewPCG(1, 1)))
+	s.Handle(now, health.InventoryDone{VMs: f.vms, Models: platform.ModelList{Models: []platform.Model{{Name: "m"}}}})
+	return s
+}
+
+// probe lets every VM answer a probe except those named.
+func (f *fleet) probe(s *health.Service, now time.Time, silent ...platform.VMID) {
+	for _, vm := range f.vms {
+		skip := false
+		for _, id := range silent {
+			skip = skip || id == vm.ID
+		}
+		if !skip {
+			s.Handle(now, health.Probed{VM: vm.ID, Report: f.reports[vm.ID]})
+		}
+	}
+}
+
+// publish makes the service judge and returns the eligible replicas.
+func publish(s *health.Service, now time.Time) []string {
+	s.Handle(now, health.Suspected{Upstream: "nobody"})
+	var out []string
+	for _, u := range s.Eligible() {
+		out = append(out, u.ID)
+	}
+	return out
+}
+
+var _ = Describe("eligibility", func() {
+	start := time.Unix(1000, 0)
+
+	DescribeTable("needs every VM's fresh report of the ledger's replica and generation",
+		func(change func(r *platform.Report, vm *platform.VM), want int) {
+			f := newFleet(1, 2)
+			r := f.reports[f.vms[1].ID]
+			change(&r, &f.vms[1])
+			f.reports[f.vms[1].ID] = r
+			s := f.service("n", nil, start)
+			f.probe(s, start)
+			Expect(publish(s, start)).To(HaveLen(want))
+		},
+		Entry("all well", func(*platform.Report, *platform.VM) {}, 1),
+		Entry("a stale generation", func(r *platform.Report, _ *platform.VM) { r.Generation-- }, 0),
+		Entry("another replica", func(r *platform.Report, _ *platform.VM) { r.Replica = "other" }, 0),
+		Entry("still loading", func(r *platform.Report, _ *platform.VM) { r.State = platform.EngineLoading }, 0),
+		Entry("leaving by its report", func(r *platform.Report, _ *platform.VM) { r.State = platform.EngineLeaving }, 0),
+		Entry("leaving by the list", func(_ *platform.Report, vm *platform.VM) { vm.Leaving = true }, 0),
+		Entry("a report of another VM", func(r *platform.Report, _ *platform.VM) { r.VM = "other" }, 0),
+	)
+
+	It("ends when a VM falls silent, and tells that the replica broke", func() {
+		f := newFleet(2, 2)
+		s := f.service("n", nil, start)
+		s.Subscribe("router")
+		f.probe(s, start)
+		Expect(publish(s, start)).To(HaveLen(2))
+		later := start.Add(health.FreshFor + time.Second)
+		f.probe(s, later, f.vms[1].ID)
+		effects := s.Handle(later, health.Suspected{Upstream: "nobody"})
+		Expect(effects).To(ContainElement(WithTransform(broken, ConsistOf("replica-0"))))
+		Expect(publish(s, later)).To(ConsistOf("replica-1"))
+	})
+
+	It("ends for an upstream that a request found unreachable, until its next report", func() {
+		f := newFleet(1, 2)
+		s := f.service("n", nil, start)
+		f.probe(s, start)
+		Expect(publish(s, start)).To(HaveLen(1))
+		s.Handle(start, health.Suspected{Upstream: "replica-0"})
+		Expect(s.Eligible()).To(BeEmpty())
+		f.probe(s, start)
+		Expect(publish(s, start)).To(HaveLen(1))
+	})
+
+	It("is told to the lease holder by changes, and again whole when one is missed", func() {
+		f := newFleet(1, 2)
+		watcher := f.service("n1", []string{"n1", "n2"}, start)
+		holder := f.service("n2", []string{"n1", "n2"}, start)
+		f.probe(watcher, start)
+		publish(watcher, start)
+		acked := holder.Merge(start, "n1", watcher.Share(0))
+		Expect(acked).To(BeNumerically(">", 0))
+		Expect(holder.Observations()[0].Report.Replica).To(Equal("replica-0"))
+		Expect(watcher.Share(acked).VMs).To(BeEmpty())
+		Expect(holder.Merge(start, "n1", health.ShareReport{Base: acked + 5, Seq: acked + 6})).To(BeZero())
+		Expect(holder.Merge(start, "n1", watcher.Share(0))).To(Equal(acked))
+	})
+})
+
+// broken returns the replicas that a message to a subscriber calls broken.
+func broken(e kernel.Effect) []string {
+	send, _ := e.(kernel.Send)
+	changed, _ := send.Msg.(health.Changed)
+	return changed.Broken
+}
+
+// BenchmarkPublish judges the share of a node in fleets of different size.
+func BenchmarkPublish(b *testing.B) {
+	nodes := make([]string, 390)
+	for i := range nodes {
+		nodes[i] = fmt.Sprintf("n%d", i)
+	}
+	now := time.Unix(1000, 0)
+	for _, replicas := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			f := newFleet(replicas, 8)
+			s := f.service("n7", nodes, now)
+			f.probe(s, now)
+			for b.Loop() {
+				s.Handle(now, health.Suspected{Upstream: "nobody"})
+			}
+		})
+	}
+}
