Run the whole path as separate processes: stand-ins, callers and the demo

Cause: the daemon had been tried with stand-ins in one process only. Change: stand-ins of log, VM list, weight store, engine and plain service with fault switches; a program that plays the callers and checks that each answer is whole; scripts/demo.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,21 @@
+// Command standin runs the stand-ins of the platform and the upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/tamarackcleat/tamarackcleat/standin"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := standin.Command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/standin/callers/command.go
@@ -0,0 +1,98 @@
+package callers
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+// Command returns the command line of the callers.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "callers",
+		Usage: "send requests to entry nodes and check the answers",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of an entry node", Required: true},
+			&cli.StringSliceFlag{Name: "kind", Usage: "`CLASS=TOKENS:SHARE`; 0 tokens for a call", Required: true},
+			&cli.IntFlag{Name: "requests", Usage: "number of requests", Value: 100},
+			&cli.FloatFlag{Name: "per-second", Usage: "requests a second", Value: 20},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the sequence of kinds", Value: 1},
+		},
+		Action: run,
+	}
+}
+
+// errNotWhole ends a run in which an answer was wrong or refused.
+var errNotWhole = errors.New("not every request got its whole answer")
+
+func run(ctx context.Context, c *cli.Command) error {
+	s := Settings{
+		Entries:   c.StringSlice("entry"),
+		Requests:  c.Int("requests"),
+		PerSecond: c.Float("per-second"),
+		Seed:      c.Uint64("seed"),
+	}
+	for _, text := range c.StringSlice("kind") {
+		k, err := parseKind(text)
+		if err != nil {
+			return err
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	return report(c, Run(ctx, s))
+}
+
+// parseKind reads CLASS=TOKENS:SHARE.
+func parseKind(text string) (Kind, error) {
+	class, rest, _ := strings.Cut(text, "=")
+	tokens, share, ok := strings.Cut(rest, ":")
+	n, tokensErr := strconv.Atoi(tokens)
+	part, shareErr := strconv.Atoi(share)
+	if !ok || tokensErr != nil || shareErr != nil || part < 1 {
+		return Kind{}, errors.Newf("kind %q is not CLASS=TOKENS:SHARE", text)
+	}
+	return Kind{Class: class, Tokens: n, Share: part}, nil
+}
+
+// report prints a table and fails if an answer was not whole.
+func report(c *cli.Command, results []*Result) error {
+	w := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "class\tsent\twhole\twrong\trefused\tfirst token p50\tp95\tanswer p50\tp95")
+	good := true
+	for _, r := range results {
+		refused := 0
+		for _, n := range r.Refused {
+			refused += n
+		}
+		good = good && r.Whole == r.Sent
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", r.Class, r.Sent, r.Whole, r.Wrong, refused,
+			millis(r.FirstToken, 50), millis(r.FirstToken, 95), millis(r.Total, 50), millis(r.Total, 95))
+	}
+	_ = w.Flush()
+	for _, r := range results {
+		for reason, n := range r.Refused {
+			_, _ = fmt.Fprintf(c.Root().Writer, "%s: %d refused with %s\n", r.Class, n, reason)
+		}
+		for _, p := range r.Problems {
+			_, _ = fmt.Fprintf(c.Root().Writer, "%s: %s\n", r.Class, p)
+		}
+	}
+	if !good {
+		return errNotWhole
+	}
+	return nil
+}
+
+// millis prints a quantile.
+func millis(h *hdrhistogram.Histogram, quantile float64) string {
+	if h.TotalCount() == 0 || h.Max() == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f ms", float64(h.ValueAtQuantile(quantile))/1000)
+}
--- /dev/null
+++ b/standin/command.go
@@ -0,0 +1,216 @@
+// Package standin runs the stand-ins of the platform and the upstreams as
+// small processes, for tests and the demo only. Each has fault switches at
+// POST /fault.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dustin/go-humanize"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/standin/callers"
+	"github.com/tamarackcleat/tamarackcleat/standin/engine"
+	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
+	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
+	"github.com/tamarackcleat/tamarackcleat/standin/weightstore"
+)
+
+// Command returns the command line of all stand-ins.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "stand in for the platform and the upstreams, in tests and the demo",
+		Commands: []*cli.Command{
+			logCommand(), vmsCommand(), weightsCommand(), engineCommand(), plainCommand(), callers.Command(),
+		},
+	}
+}
+
+// Flags that several stand-ins share.
+var (
+	listenFlag = &cli.StringFlag{Name: "listen", Usage: "`ADDRESS` to listen on", Value: "127.0.0.1:0"}
+	idFlag     = &cli.StringFlag{Name: "id", Usage: "`ID` of the VM", Required: true}
+	zoneFlag   = &cli.StringFlag{Name: "zone", Usage: "availability `ZONE`", Value: "a"}
+	listFlag   = &cli.StringFlag{Name: "list", Usage: "`URL` of the VM list to register with"}
+)
+
+func logCommand() *cli.Command {
+	defaults := logservice.DefaultSettings()
+	return &cli.Command{
+		Name:  "log",
+		Usage: "append-only log service",
+		Flags: []cli.Flag{
+			listenFlag,
+			&cli.DurationFlag{Name: "retention", Usage: "how long an entry is kept", Value: defaults.Retention},
+			&cli.FloatFlag{Name: "appends-per-second", Usage: "rate limit of appends", Value: defaults.AppendsPerSecond},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := defaults
+			s.Retention = c.Duration("retention")
+			s.AppendsPerSecond = c.Float("appends-per-second")
+			return serve(ctx, c.String("listen"), logservice.New(s))
+		},
+	}
+}
+
+func vmsCommand() *cli.Command {
+	defaults := vmlist.DefaultSettings()
+	return &cli.Command{
+		Name:  "vms",
+		Usage: "lagging VM list",
+		Flags: []cli.Flag{
+			listenFlag,
+			&cli.DurationFlag{Name: "lag", Usage: "time until a change is visible", Value: defaults.Lag},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s := defaults
+			s.Lag = c.Duration("lag")
+			return serve(ctx, c.String("listen"), vmlist.New(s))
+		},
+	}
+}
+
+func weightsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "weights",
+		Usage: "rate-limited weight store",
+		Flags: []cli.Flag{
+			listenFlag,
+			&cli.StringSliceFlag{Name: "model", Usage: "`NAME=VMS:SIZE` of a model, such as draft-70b=2:140GB", Required: true},
+			&cli.StringFlag{Name: "rate", Usage: "bytes a second over all readers", Value: "100GB"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			list, err := modelList(c.StringSlice("model"), c.String("rate"))
+			if err != nil {
+				return err
+			}
+			s := weightstore.Settings{List: list, Clock: time.Now}
+			return serve(ctx, c.String("listen"), weightstore.New(s))
+		},
+	}
+}
+
+// modelList parses the models and the rate of the weight store.
+func modelList(models []string, rate string) (platform.ModelList, error) {
+	perSecond, err := humanize.ParseBytes(rate)
+	if err != nil {
+		return platform.ModelList{}, errors.Wrapf(err, "rate %q", rate)
+	}
+	list := platform.ModelList{BytesPerSecond: int64(perSecond)}
+	for _, text := range models {
+		name, rest, _ := strings.Cut(text, "=")
+		vms, size, ok := strings.Cut(rest, ":")
+		count, countErr := strconv.Atoi(vms)
+		bytes, sizeErr := humanize.ParseBytes(size)
+		if !ok || countErr != nil || sizeErr != nil {
+			return list, errors.Newf("model %q is not NAME=VMS:SIZE", text)
+		}
+		list.Models = append(list.Models, platform.Model{Name: name, VMsPerReplica: count, WeightBytes: int64(bytes)})
+	}
+	return list, nil
+}
+
+func engineCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "engine",
+		Usage: "model engine VM; with --count, many of them in one process",
+		Flags: []cli.Flag{
+			listenFlag, idFlag, zoneFlag, listFlag,
+			&cli.StringFlag{Name: "domain", Usage: "fabric `DOMAIN`", Value: "d1"},
+			&cli.StringFlag{Name: "weights", Usage: "`URL` of the weight store"},
+			&cli.IntFlag{Name: "count", Usage: "number of VMs, on consecutive ports", Value: 1},
+			&cli.IntFlag{Name: "domain-size", Usage: "VMs of one fabric domain, with --count", Value: 32},
+			&cli.BoolFlag{Name: "ignore-fencing", Usage: "obey orders with an old fencing number"},
+			&cli.DurationFlag{Name: "first-token", Usage: "time to the first token", Value: 30 * time.Millisecond},
+			&cli.DurationFlag{Name: "between-tokens", Usage: "time between tokens", Value: 10 * time.Millisecond},
+			&cli.IntFlag{Name: "slots", Usage: "size of the continuous batch", Value: 8},
+		},
+		Action: runEngines,
+	}
+}
+
+// runEngines runs one engine VM or many.
+func runEngines(ctx context.Context, c *cli.Command) error {
+	host, port, err := net.SplitHostPort(c.String("listen"))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	first, err := strconv.Atoi(port)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	count := c.Int("count")
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range count {
+		vm := platform.VM{
+			ID:            platform.VMID(c.String("id")),
+			Kind:          platform.KindEngine,
+			Address:       net.JoinHostPort(host, strconv.Itoa(first+i)),
+			Zone:          c.String("zone"),
+			Domain:        c.String("domain"),
+			Accelerators:  8,
+			ChecksFencing: !c.Bool("ignore-fencing"),
+		}
+		if count > 1 {
+			vm.ID = platform.VMID(fmt.Sprintf("%s-%d", vm.ID, i))
+			vm.Domain = fmt.Sprintf("%s-%d", vm.Domain, i/c.Int("domain-size"))
+		}
+		group.Go(func() error { return runEngine(ctx, c, vm, count == 1) })
+	}
+	return group.Wait()
+}
+
+// runEngine registers an engine VM and serves it. An engine that is alone in
+// its process crashes with it.
+func runEngine(ctx context.Context, c *cli.Command, vm platform.VM, alone bool) error {
+	s := engine.DefaultSettings(vm.ID)
+	s.ChecksFencing = vm.ChecksFencing
+	s.WeightStore = c.String("weights")
+	s.FirstToken = c.Duration("first-token")
+	s.BetweenTokens = c.Duration("between-tokens")
+	s.Slots = c.Int("slots")
+	if alone {
+		s.OnCrash = func() { os.Exit(1) }
+	}
+	if err := register(ctx, c.String("list"), vm); err != nil {
+		return err
+	}
+	return serveVM(ctx, vm, engine.New(s))
+}
+
+func plainCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "plain",
+		Usage: "VM of a plain service whose calls may not be repeated",
+		Flags: []cli.Flag{
+			listenFlag, idFlag, zoneFlag, listFlag,
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			vm := platform.VM{
+				ID:      platform.VMID(c.String("id")),
+				Kind:    platform.KindPlain,
+				Address: c.String("listen"),
+				Zone:    c.String("zone"),
+				Service: c.String("service"),
+			}
+			s := plainservice.DefaultSettings(vm.ID)
+			s.OnCrash = func() { os.Exit(1) }
+			if err := register(ctx, c.String("list"), vm); err != nil {
+				return err
+			}
+			return serveVM(ctx, vm, plainservice.New(s))
+		},
+	}
+}
--- /dev/null
+++ b/standin/engine/group.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/standin/fault"
+	"github.com/tamarackcleat/tamarackcleat/standin/web"
+)
+
+// Paths on which the VMs of one replica talk to each other.
+const (
+	groupLeavingPath = "/group/leaving"
+	groupRunningPath = "/group/running"
+)
+
+const (
+	// groupTimeout bounds one request to another member.
+	groupTimeout = time.Second
+	// groupPoll is the time between two questions of a leaving member.
+	groupPoll = 100 * time.Millisecond
+	// memberFailures is the number of failed checks in a row after which a
+	// member counts as missing.
+	memberFailures = 2
+)
+
+// groupMember names a replica in a message between its members.
+type groupMember struct {
+	Replica    string `json:"replica"`
+	Generation int64  `json:"generation"`
+}
+
+// groupLoad answers a leaving member.
+type groupLoad struct {
+	groupMember
+	// Running counts the requests that need the member.
+	Running int `json:"running"`
+}
+
+// groupLeaving takes the news on rank 0 that a member is going away.
+func (s *Service) groupLeaving(w http.ResponseWriter, r *http.Request) {
+	var m groupMember
+	if !web.ReadJSON(w, r, &m) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.member.is(m.Replica, m.Generation) {
+		s.member.draining = true
+	}
+	web.WriteJSON(w, http.StatusOK, m)
+}
+
+func (s *Service) groupRunning(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	load := groupLoad{groupMember{s.member.replica, s.member.generation}, s.running.count()}
+	s.mu.Unlock()
+	web.WriteJSON(w, http.StatusOK, load)
+}
+
+// Leave makes the VM refuse new work and returns once no request in flight
+// needs it: its own ones, or those of its replica's rank 0.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.member.leaving = true
+	rank, members := s.member.rank, s.member.members
+	self := groupMember{s.member.replica, s.member.generation}
+	s.mu.Unlock()
+	if rank != 0 && len(members) > 0 {
+		s.leaveGroup(ctx, members[0], self)
+	}
+	select {
+	case <-s.running.empty():
+	case <-ctx.Done():
+	}
+}
+
+// leaveGroup tells rank 0 and waits until it needs the member no more.
+func (s *Service) leaveGroup(ctx context.Context, rank0 string, self groupMember) {
+	for {
+		if err := tellLeaving(ctx, rank0, self); err != nil {
+			return
+		}
+		load, err := askRunning(ctx, rank0)
+		if err != nil || load.groupMember != self || load.Running == 0 {
+			return
+		}
+		if !fault.Sleep(ctx, groupPoll) {
+			return
+		}
+	}
+}
+
+// checkMembers frees rank 0 and cuts its streams when a member that was there
+// is missing.
+func (s *Service) checkMembers(ctx context.Context, o platform.Order) {
+	seen := map[string]string{}
+	failures := map[string]int{}
+	for fault.Sleep(ctx, s.settings.MemberCheck) {
+		for _, address := range o.Members[min(1, len(o.Members)):] {
+			boot, err := s.memberBoot(ctx, address, o)
+			switch {
+			case err == nil && (seen[address] == "" || seen[address] == boot):
+				seen[address] = boot
+				failures[address] = 0
+				continue
+			case seen[address] == "":
+				continue
+			}
+			failures[address]++
+			if failures[address] >= memberFailures {
+				s.memberLost(o)
+				return
+			}
+		}
+	}
+}
+
+// memberLost frees the VM from the order's replica and cuts its streams.
+func (s *Service) memberLost(o platform.Order) {
+	if s.freeFrom(o.Replica, o.Generation) {
+		s.running.cutAll(errMemberLost)
+	}
+}
+
+// memberBoot returns the boot of a member that obeys the same order.
+func (s *Service) memberBoot(ctx context.Context, address string, o platform.Order) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
+	report, err := s.upstream.Report(ctx, address)
+	if err != nil {
+		return "", err
+	}
+	if report.Replica != o.Replica || report.Generation != o.Generation {
+		return "", errors.New("member of another replica")
+	}
+	return report.Boot, nil
+}
+
+func tellLeaving(ctx context.Context, address string, self groupMember) error {
+	body, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "encoding the news")
+	}
+	return groupRequest(ctx, http.MethodPost, address, groupLeavingPath, body, &groupMember{})
+}
+
+func askRunning(ctx context.Context, address string) (groupLoad, error) {
+	var load groupLoad
+	err := groupRequest(ctx, http.MethodGet, address, groupRunningPath, nil, &load)
+	return load, err
+}
+
+// groupRequest sends a message to another member and decodes its answer.
+func groupRequest(ctx context.Context, method, address, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "building the request")
+	}
+	resp, err := groupClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "asking rank 0")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("rank 0 answers %d", resp.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "decoding the answer")
+}
--- /dev/null
+++ b/standin/web/web.go
@@ -0,0 +1,44 @@
+// Package web holds what the stand-ins' HTTP handlers have in common.
+package web
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+)
+
+// MaxBodyBytes bounds the body of a request to a stand-in.
+const MaxBodyBytes = 4 << 20
+
+// WriteJSON answers with a status and a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// Decode decodes JSON and refuses unknown fields.
+func Decode(body io.Reader, into any) error {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	return errors.Wrap(decoder.Decode(into), "decoding the body")
+}
+
+// ReadJSON decodes the body of a request and refuses unknown fields. It answers
+// and returns false if the body is not what into expects.
+func ReadJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := Decode(http.MaxBytesReader(w, r.Body, MaxBodyBytes), into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// Refuse answers that an upstream did not run a request.
+func Refuse(w http.ResponseWriter, status int, reason string) {
+	WriteJSON(w, status, platform.Refusal{NotRun: true, Reason: reason})
+}
