--- /dev/null
+++ b/ledger/config.go
@@ -0,0 +1,96 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+// ValidateDocument checks a configuration document. It must be a pure function
+// of the text, so that all nodes accept the same documents.
+type ValidateDocument func(text string) error
+
+// ConfigState is the accepted configuration.
+type ConfigState struct {
+	// Version counts accepted changes; 0 is before the first.
+	Version int64 `json:"version"`
+	// Document is the YAML text in force.
+	Document string `json:"document"`
+	// Author published it.
+	Author string `json:"author,omitempty"`
+	// Recent holds the record identifiers of the latest accepted changes, the
+	// newest last.
+	Recent []string `json:"recent,omitempty"`
+}
+
+// RecentChanges is the number of accepted changes whose identifiers are kept.
+const RecentChanges = 256
+
+// Accepted reports whether the change with a record identifier was accepted
+// and whether that is known for sure: a change made from base can only have
+// become version base+1, whose identifier may no longer be kept.
+func (s ConfigState) Accepted(id string, base int64) (accepted, known bool) {
+	if slices.Contains(s.Recent, id) {
+		return true, true
+	}
+	oldestKept := s.Version - int64(len(s.Recent)) + 1
+	return false, base >= s.Version || base+1 >= oldestKept
+}
+
+// Config is the ledger of the configuration stream.
+type Config struct {
+	validate ValidateDocument
+	state    ConfigState
+}
+
+// NewConfig returns the ledger before the first change.
+func NewConfig(validate ValidateDocument) *Config {
+	return &Config{validate: validate}
+}
+
+// State returns the accepted configuration.
+func (c *Config) State() ConfigState { return c.state }
+
+// Apply implements Ledger.
+func (c *Config) Apply(_ record.Position, r record.Record) Result {
+	change := r.Config
+	if change == nil {
+		return rejected(CauseWrongStream)
+	}
+	if slices.Contains(c.state.Recent, r.ID) {
+		return rejected(CauseDuplicate)
+	}
+	if change.Base != c.state.Version {
+		return rejected(CauseStaleBase)
+	}
+	if err := c.validate(change.Document); err != nil {
+		return rejected(CauseInvalid)
+	}
+	recent := append(slices.Clone(c.state.Recent), r.ID)
+	c.state = ConfigState{
+		Version:  c.state.Version + 1,
+		Document: change.Document,
+		Author:   change.Author,
+		Recent:   recent[max(0, len(recent)-RecentChanges):],
+	}
+	return accepted()
+}
+
+// Snapshot implements Ledger.
+func (c *Config) Snapshot() (json.RawMessage, error) { return json.Marshal(c.state) }
+
+// Restore implements Ledger.
+func (c *Config) Restore(state json.RawMessage) error {
+	var s ConfigState
+	if err := json.Unmarshal(state, &s); err != nil {
+		return errors.Wrap(err, "configuration checkpoint")
+	}
+	c.state = s
+	return nil
+}
+
+// Reset implements Ledger.
+func (c *Config) Reset() { c.state = ConfigState{} }
