--- a/Makefile
+++ b/Makefile
@@ -8,3 +8,9 @@
 
 demo: build
 	scripts/demo
+
+SEED ?= 1
+TIME ?= 5m
+
+soak:
+	prooftest/soak $(SEED) $(TIME)
--- a/spec/calls.pml
+++ b/spec/calls.pml
@@ -77,6 +77,7 @@
 bool doubtTakenForNotRun;
 bool wrongOutcome;
 bool recordTookEffectTwice;
+bool lateCopyTookEffect;	/* after the first copy of the record had none */
 
 #ifdef MUTANT_NO_DEDUPE
 #define FIRST_COPY(l, r) true
@@ -84,6 +85,13 @@
 #define FIRST_COPY(l, r) ((seen[l] & (1 << BY(r))) == 0)
 #endif
 
+/* Claims whose copies are told apart: all of them, also those that lost. */
+#ifdef MUTANT_LOST_CLAIMS_FORGOTTEN
+#define REMEMBERED(l, r) (holder[l] == BY(r))
+#else
+#define REMEMBERED(l, r) true
+#endif
+
 #ifdef MUTANT_LAST_CLAIM_WINS
 #define FREE(l) true
 #else
@@ -99,7 +107,7 @@
 	:: else
 	fi;
 	if
-	:: KIND(r) == CLAIM -> seen[l] = seen[l] | (1 << BY(r))
+	:: KIND(r) == CLAIM && REMEMBERED(l, r) -> seen[l] = seen[l] | (1 << BY(r))
 	:: else
 	fi
 }
@@ -310,12 +318,15 @@
 		entry[size] = r;
 		size++;
 		if
-		:: KIND(r) == CLAIM && FIRST_COPY(ATTEMPTS, r) && FREE(ATTEMPTS) -> wins[BY(r)]++
+		:: KIND(r) == CLAIM && FIRST_COPY(ATTEMPTS, r) && FREE(ATTEMPTS) ->
+			wins[BY(r)]++;
+			recordTookEffectTwice = wins[BY(r)] > 1;
+			lateCopyTookEffect = wins[BY(r)] == 1 && copies[r] > 1
 		:: else
 		fi;
 		apply(ATTEMPTS, r);
-		recordTookEffectTwice = wins[BY(r)] > 1;
-		assert(!recordTookEffectTwice)
+		assert(!recordTookEffectTwice);
+		assert(!lateCopyTookEffect)
 	}
 }
 
