Specify that reports age from when they were asked for

Cause: the model of serving took a report and judged it in one step, so it could not show what a pause between the two does.

Change: a bound in which reports take time, a mutant that counts a report's age from its arrival and one that sends by a judgement made before the decision.

Conclusion: both guards are needed. Counted from arrival, or judged before a pause, a request goes to a replica whose VM left longer ago than reports count.

--- a/spec/serving.pml
+++ b/spec/serving.pml
@@ -7,12 +7,14 @@
  * again or never. VMs crash and come back idle. Generations are positions on
  * the control stream; 0 means none.
  */
-#define LOG 4	/* records on the control stream */
+#ifndef LOG
+#define LOG 4	/* records on the control stream, at most 4 */
+#endif
 #define VMS 2
 
 byte size;
-byte formed[LOG + 1];	/* replica formed at a position, plus 1 */
-byte gone[LOG + 1];	/* position at which a generation was dissolved */
+byte formed[5];	/* replica formed at a position, plus 1 */
+byte gone[5];	/* position at which a generation was dissolved */
 byte live;	/* generation that is live at the log's end */
 
 byte joined[VMS];	/* generation that the VM works for */
@@ -125,9 +127,56 @@
 	d_step { report[v] != joined[v] || age[v] != 0 -> report[v] = joined[v]; age[v] = 0 }
 }
 
+#ifdef REPORTS_TAKE_TIME
+/* A report of VM 1 on its way; its age counts from when it was asked for. */
+byte answer;
+byte answerAge = EXPIRED;
+
+inline askOne() {
+	d_step { answerAge == EXPIRED -> answer = joined[1]; answerAge = 0 }
+}
+
+inline arrive() {
+	d_step {
+#ifdef MUTANT_AGE_FROM_ARRIVAL
+		report[1] = answer;
+		age[1] = 0;
+#else
+		answerAge < EXPIRED ->
+		report[1] = answer;
+		age[1] = answerAge;
+#endif
+		answer = 0;
+		answerAge = EXPIRED
+	}
+}
+
+inline delay() {
+	if
+	:: answerAge < EXPIRED -> answerAge++
+	:: else
+	fi;
+	if
+#ifndef MUTANT_AGE_FROM_ARRIVAL
+	:: answerAge == EXPIRED -> answer = 0
+#endif
+	:: else
+	fi
+}
+#endif
+
+#ifdef MUTANT_JUDGED_BEFORE_THE_DECISION
+/* Replicas that were eligible when the router last looked, one bit each. */
+byte judged;
+#define BIT(g) ((KNOWN(g) && ELIGIBLE(g)) << g)
+#define MAY_SEND(g) ((judged >> g) & 1)
+#else
+#define MAY_SEND(g) (KNOWN(g) && ELIGIBLE(g))
+#endif
+
 inline send(g) {
 	d_step {
-		KNOWN(g) && ELIGIBLE(g) ->
+		MAY_SEND(g) ->
 		twoEligible = OTHER_ELIGIBLE(g);
 		memberMissing = !WAS_COMPLETE(g);
 		assert(!twoEligible);
@@ -156,12 +205,24 @@
 	do
 	:: d_step { cursor < size -> cursor++ }
 	:: poll(0)
+#ifdef REPORTS_TAKE_TIME
+	:: askOne()
+	:: arrive()
+#else
 	:: poll(1)
+#endif
+#ifdef MUTANT_JUDGED_BEFORE_THE_DECISION
+	:: d_step { judged = BIT(1) | BIT(2) | BIT(3) | BIT(4) }
+#endif
 	:: send(1)
 	:: send(2)
 	:: send(3)
 	:: send(4)
 	:: d_step { cursor > 0 -> cursor = 0; report[0] = 0; report[1] = 0 }	/* crash and restart */
+#ifdef REPORTS_TAKE_TIME
+	:: d_step { expire(0); expire(1); delay() }	/* time passes */
+#else
 	:: d_step { expire(0); expire(1) }	/* time passes */
+#endif
 	od
 }
