Judge stragglers by a low quantile of the time between tokens

The moving average of the time to the first token follows the prompt's length, the cache and the queue.

Change: a window of 16 samples, of which the lower quartile is compared; the time to the first token only where there are no tokens.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -11,10 +11,14 @@
 
 // Limits of a Detector.
 const (
-	// smoothing is the weight of a new sample in the moving average.
-	smoothing = 0.3
-	// minSamples is the number of samples an upstream is judged by at least.
-	minSamples = 5
+	// windowSize is the number of latest samples an upstream is judged by,
+	// and minSamples the least number.
+	windowSize = 16
+	minSamples = 8
+	// quantile of the window that is compared. A low one leaves out long
+	// prompts and short queues, which are no fault of the upstream; a
+	// straggler's best samples are slow as well.
+	quantile = 0.25
 	// minPeers is the number of judged upstreams that a median needs.
 	minPeers = 3
 	// slowFactor is the multiple of the median that an outlier exceeds.
@@ -65,9 +69,8 @@
 
 // member is what is known of one upstream.
 type member struct {
-	samples    int
-	perToken   float64
-	firstToken float64
+	perToken   window
+	firstToken window
 	failures   int
 	ejections  int
 	until      time.Time
@@ -103,7 +106,7 @@
 	switch {
 	case m.ejected:
 		return Ejected
-	case m.ejections > 0 && m.samples < minSamples:
+	case m.ejections > 0 && !m.judged():
 		return Probation
 	}
 	return Healthy
@@ -127,39 +130,31 @@
 	return true
 }
 
-// take adds a sample to the averages.
+// take adds a sample to the windows.
 func (m *member) take(s Sample) {
 	if !s.OK {
 		m.failures++
 		return
 	}
 	m.failures = 0
-	m.perToken = average(m.perToken, s.PerToken)
-	m.firstToken = average(m.firstToken, s.FirstToken)
-	m.samples++
+	m.perToken.add(s.PerToken)
+	m.firstToken.add(s.FirstToken)
 }
 
-// average returns the moving average with a sample; a sample of 0 is none.
-func average(old float64, sample time.Duration) float64 {
-	switch {
-	case sample <= 0:
-		return old
-	case old == 0:
-		return float64(sample)
-	}
-	return old + smoothing*(float64(sample)-old)
-}
+// judged reports whether there are enough samples of one kind.
+func (m *member) judged() bool { return m.perToken.low > 0 || m.firstToken.low > 0 }
 
-// isOutlier compares m with its peers in service.
+// isOutlier compares m with its peers in service. The time between tokens tells
+// most: the time to the first one depends on the prompt, the cache and the
+// queue, so it is only compared where there are no tokens.
 func (d *Detector) isOutlier(m *member) bool {
 	if m.failures >= maxFailures {
 		return !d.allFailing()
 	}
-	if m.samples < minSamples {
-		return false
+	if m.perToken.count > 0 {
+		return d.far(m, func(p *member) *window { return &p.perToken })
 	}
-	return d.far(m, func(p *member) float64 { return p.perToken }) ||
-		d.far(m, func(p *member) float64 { return p.firstToken })
+	return d.far(m, func(p *member) *window { return &p.firstToken })
 }
 
 // allFailing reports whether at least half of the upstreams in service fail
@@ -178,14 +173,16 @@
 	return 2*failing >= serving
 }
 
-// far reports whether m's latency is far above the median of the upstreams in
-// service.
-func (d *Detector) far(m *member, latency func(*member) float64) bool {
-	own := latency(m)
+// far reports whether m's low quantile is far above the median of the latest
+// samples of the upstreams in service. The latest samples are compared because
+// all upstreams may just have become slow: older ones would make the first
+// upstream that is known to be slow an outlier.
+func (d *Detector) far(m *member, latency func(*member) *window) bool {
+	own := latency(m).low
 	values := make([]float64, 0, len(d.members))
 	for _, p := range d.members {
-		if v := latency(p); !p.ejected && p.samples >= minSamples && v > 0 {
-			values = append(values, v)
+		if w := latency(p); !p.ejected && w.low > 0 {
+			values = append(values, w.last)
 		}
 	}
 	if own == 0 || len(values) < minPeers {
