Bound the lateness of waiting by the tightest target

Requests were let in up to a tenth of the answer target (18 s) late, when their first token was due in 2 s.

Change: the tolerance is a tenth of the first-token target where there is one.

--- a/admission/class.go
+++ b/admission/class.go
@@ -24,7 +24,7 @@
 	// firstTokenReserve is the part of the first-token target that is left
 	// for the upstream to process the prompt.
 	firstTokenReserve = 0.5
-	// lateness is the part of the answer target by which a request may be
+	// lateness is the part of the tightest target by which a request may be
 	// predicted to miss it and still be let in.
 	lateness = 0.1
 )
@@ -73,7 +73,11 @@
 
 // tolerance is how long after latestStart a request is still let in.
 func (k *class) tolerance() time.Duration {
-	return time.Duration(lateness * float64(k.Targets.AnsweredWithin))
+	target := k.Targets.AnsweredWithin
+	if first := k.Targets.FirstTokenWithin; first > 0 {
+		target = min(target, first)
+	}
+	return time.Duration(lateness * float64(target))
 }
 
 func earlier(a, b time.Time) time.Time {
