Let the router tell admission the node's share, and expect the herd

Change: router.Share gives the node's part of 0.9 of the slots of healthy upstreams, and its part of free ones beyond. Own sends since a report count by the square root of the number of nodes that share the upstream.

--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -24,6 +24,8 @@
 	reportDelay  = 500 * time.Millisecond
 	// gapShare is the part of cache reports that lose events.
 	gapShare = 0.02
+	// sharePeriod is the time between updates of the nodes' shares.
+	sharePeriod = 200 * time.Millisecond
 	// healthDelay is the time until nodes know that an engine is gone or back.
 	healthDelay = 3 * time.Second
 	// drainTime is how long a run goes on after the last arrival.
@@ -91,6 +93,7 @@
 		w.nodes = append(w.nodes, n)
 	}
 	w.announce()
+	w.loop.every(sharePeriod, sharePeriod, w.shareCapacity)
 	w.scheduleReports()
 	w.scheduleTraffic()
 	for _, f := range s.faults {
@@ -121,17 +124,23 @@
 // announce tells the nodes which engines are up.
 func (w *world) announce() {
 	var up []balance.Upstream
-	slots := map[string]int{}
 	for _, e := range w.engines {
 		if !e.down {
 			up = append(up, e.upstream)
-			slots[e.upstream.Pool] += e.upstream.Slots
 		}
 	}
 	for _, n := range w.nodes {
+		n.router.Handle(w.loop.now, router.NodesChanged{Nodes: len(w.nodes)})
 		n.router.Handle(w.loop.now, router.UpstreamsChanged{Upstreams: up})
+	}
+	w.shareCapacity()
+}
+
+// shareCapacity tells each node's admission its share of the slots.
+func (w *world) shareCapacity() {
+	for _, n := range w.nodes {
 		for _, f := range w.scenario.Deployment.fleets {
-			n.door.capacity(f.model, (slots[f.model]+len(w.nodes)-1)/len(w.nodes))
+			n.door.capacity(f.model, n.router.Share(w.loop.now, f.model))
 		}
 	}
 }
--- a/router/load.go
+++ b/router/load.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
@@ -21,8 +22,9 @@
 	reportAt  time.Time
 	// corrections holds the node's sends and finishes since reportAt.
 	corrections []correction
-	// change is the sum of corrections.
+	// change is the sum of corrections, and weight what each counts.
 	change int
+	weight float64
 	// requests counts the picks in flight by request.
 	requests map[string]int
 }
@@ -88,5 +90,15 @@
 // estimate sets the corrected load. The upstream runs at least the node's own
 // requests, whatever the report says.
 func (u *upstream) estimate() {
-	u.candidate.Load = max(u.candidate.Reported+u.change, u.candidate.InFlight)
+	change := int(math.Round(u.weight * float64(u.change)))
+	u.candidate.Load = max(u.candidate.Reported+change, u.candidate.InFlight)
+}
+
+// setSharers takes the number of nodes that use the upstream. The others see
+// the same reports and send to the same upstreams, so this node's sends stand
+// for theirs too. They are a small sample, so they count by the square root: a
+// larger weight would follow the noise, a smaller one the herd.
+func (u *upstream) setSharers(sharers float64) {
+	u.weight = math.Sqrt(sharers)
+	u.estimate()
 }
--- a/router/messages.go
+++ b/router/messages.go
@@ -12,6 +12,15 @@
 type UpstreamsChanged struct {
 	// Upstreams holds eligible upstreams only.
 	Upstreams []balance.Upstream
+	// PoolSizes counts all upstreams per pool. It is needed only if
+	// Upstreams is limited to this node's subset.
+	PoolSizes map[string]int
+}
+
+// NodesChanged tells how many entry VMs send requests to the upstreams.
+type NodesChanged struct {
+	// Nodes counts live entry VMs, this one included.
+	Nodes int
 }
 
 // LoadReported carries an upstream's lagging load report.
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,6 +28,8 @@
 	// probationRequests bounds the requests in flight on an upstream that
 	// returns from ejection.
 	probationRequests = 1
+	// usableShare is the part of an upstream's slots that admission fills.
+	usableShare = 0.9
 	// prefillDivisor gives the prompt's part of the expected work.
 	prefillDivisor = 4
 	// noReplicaRetry advises callers while a pool has no upstream.
@@ -53,6 +56,7 @@
 // Service is the kernel service "router".
 type Service struct {
 	config    Config
+	nodes     int
 	pools     map[string]*pool
 	upstreams map[string]*upstream
 	prefixes  *prefix.Index
@@ -62,6 +66,8 @@
 type pool struct {
 	members  []*upstream
 	outliers *outlier.Detector
+	// size counts the pool's upstreams, used by this node or not.
+	size int
 	// scratch is reused for the candidates of each Pick.
 	scratch []*balance.Candidate
 }
@@ -79,6 +85,7 @@
 	}
 	return &Service{
 		config:    c,
+		nodes:     1,
 		pools:     map[string]*pool{},
 		upstreams: map[string]*upstream{},
 		prefixes:  prefix.NewIndex(),
@@ -92,7 +99,10 @@
 func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
 	switch m := msg.(type) {
 	case UpstreamsChanged:
-		s.replaceUpstreams(m.Upstreams)
+		s.replaceUpstreams(m)
+	case NodesChanged:
+		s.nodes = m.Nodes
+		s.updateSharers()
 	case LoadReported:
 		if u, ok := s.upstreams[m.ID]; ok {
 			u.reported(m)
@@ -127,15 +137,30 @@
 	return free
 }
 
-// Slots returns the slots of a pool over the upstreams that this node uses.
-func (s *Service) Slots(pool string) int {
-	slots := 0
-	if p, ok := s.pools[pool]; ok {
-		for _, u := range p.members {
-			slots += u.candidate.Slots
+// Share returns how many requests of a pool this node may run at a time, for
+// admission.
+//
+// The node has an equal part of the slots of upstreams in service, less a
+// reserve that keeps a free slot in reach of two random choices. It may go
+// beyond that by its part of the slots that are free, so that a node with more
+// callers than the others uses what they leave.
+func (s *Service) Share(now time.Time, pool string) int {
+	p, ok := s.pools[pool]
+	if !ok {
+		return 0
+	}
+	slots, free, own := 0.0, 0.0, 0.0
+	for _, u := range p.members {
+		own += float64(u.candidate.InFlight)
+		if !s.config.KeepStragglers && p.outliers.State(u.candidate.ID, now) != outlier.Healthy {
+			continue
 		}
+		usable := usableShare * float64(u.candidate.Slots)
+		slots += usable
+		free += usable - float64(u.candidate.Load)
 	}
-	return slots
+	sharers := s.sharers(p)
+	return max(1, int(math.Ceil(slots/sharers)), int(own+free/sharers))
 }
 
 // count adds one to a counter of the service.
@@ -243,6 +268,9 @@
 }
 
 func (s *Service) observe(now time.Time, u *upstream, sample outlier.Sample) {
+	if s.config.KeepStragglers {
+		return
+	}
 	if s.pools[u.candidate.Pool].outliers.Observe(u.candidate.ID, now, sample) {
 		s.count("ejected")
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -99,7 +99,7 @@
 
 	It("uses a bounded subset of a large pool", func() {
 		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(1000)})
-		Expect(s.Slots("m")).To(Equal(4 * router.DefaultSubsetSize))
+		Expect(s.FreeSlots("m")).To(Equal(4 * router.DefaultSubsetSize))
 	})
 
 	It("takes a straggler out", func() {
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -10,8 +10,8 @@
 
 // replaceUpstreams takes the new set of eligible upstreams. What is known of an
 // upstream is kept while its generation stays the same.
-func (s *Service) replaceUpstreams(all []balance.Upstream) {
-	wanted := s.subset(all)
+func (s *Service) replaceUpstreams(m UpstreamsChanged) {
+	wanted, sizes := s.subset(m.Upstreams)
 	for id, u := range s.upstreams {
 		w, ok := wanted[id]
 		if !ok || w.Generation != u.candidate.Generation || w.Pool != u.candidate.Pool {
@@ -25,15 +25,34 @@
 		}
 		s.addUpstream(w)
 	}
-	for _, p := range s.pools {
+	for name, p := range s.pools {
+		p.size = max(sizes[name], m.PoolSizes[name])
 		slices.SortFunc(p.members, func(a, b *upstream) int {
 			return cmp.Compare(a.candidate.ID, b.candidate.ID)
 		})
 	}
+	s.updateSharers()
+}
+
+// sharers returns the number of nodes that use each upstream of a pool.
+func (s *Service) sharers(p *pool) float64 {
+	used := float64(len(p.members)) / float64(max(1, p.size))
+	return max(1, float64(s.nodes)*used)
+}
+
+// updateSharers passes the number of sharers on to the upstreams.
+func (s *Service) updateSharers() {
+	for _, p := range s.pools {
+		for _, u := range p.members {
+			u.setSharers(s.sharers(p))
+		}
+	}
 }
 
-// subset returns the upstreams that this node uses, by id.
-func (s *Service) subset(all []balance.Upstream) map[string]balance.Upstream {
+// subset returns the upstreams that this node uses by id, and the size of each
+// pool.
+func (s *Service) subset(all []balance.Upstream) (map[string]balance.Upstream, map[string]int) {
+	sizes := map[string]int{}
 	byID := map[string]balance.Upstream{}
 	byPool := map[string][]string{}
 	for _, u := range all {
@@ -41,12 +60,13 @@
 		byPool[u.Pool] = append(byPool[u.Pool], u.ID)
 	}
 	wanted := map[string]balance.Upstream{}
-	for _, ids := range byPool {
+	for pool, ids := range byPool {
+		sizes[pool] = len(ids)
 		for _, id := range balance.Subset(s.config.Node, ids, s.config.SubsetSize) {
 			wanted[id] = byID[id]
 		}
 	}
-	return wanted
+	return wanted, sizes
 }
 
 func (s *Service) addUpstream(w balance.Upstream) {
