--- a/health/health.go
+++ b/health/health.go
@@ -9,17 +9,27 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
 // Replicas gives the live replicas of the control ledger.
 type Replicas interface {
+	// Replicas returns all live replicas.
 	Replicas() []ledger.Replica
+	// Replica returns a live replica by name.
+	Replica(name string) (ledger.Replica, bool)
+	// Owner returns the live replica that a VM belongs to.
+	Owner(vm platform.VMID) (string, bool)
 }
 
 // vmState is what the service knows of one VM.
 type vmState struct {
 	Observation
+	// probing says that the VM is in this node's share.
 	probing bool
+	// status is what was last told to the lease holder, since statusSeq.
+	status    VMStatus
+	statusSeq int64
 	// suspected says that a request found the VM unreachable after HeardAt.
 	suspected bool
 }
@@ -34,11 +44,31 @@
 	observers   []string
 	// eligible holds the replicas of the latest publication.
 	eligible map[string]Upstream
+	self     record.NodeID
+	nodes    Nodes
+	// leads says that this node holds the control lease.
+	leads    func() bool
+	assigned map[string]bool
+	// probing holds the VMs of this node's share and those just left.
+	probing map[platform.VMID]*vmState
+	// seq counts the changes of the VMs in this node's share.
+	seq    int64
+	remote map[record.NodeID]*remoteShare
 }
 
-// New returns the service. rng spreads probes over time.
-func New(replicas Replicas, rng *rand.Rand) *Service {
+// Nodes lists the live entry nodes.
+type Nodes func(now time.Time) []string
+
+// New returns the service of a node. leads says that the node holds the
+// control lease; rng spreads probes over time.
+func New(self record.NodeID, nodes Nodes, leads func() bool, replicas Replicas, rng *rand.Rand) *Service {
 	return &Service{
+		self:     self,
+		nodes:    nodes,
+		leads:    leads,
+		probing:  map[platform.VMID]*vmState{},
+		assigned: map[string]bool{},
+		remote:   map[record.NodeID]*remoteShare{},
 		replicas: replicas,
 		rng:      rng,
 		vms:      map[platform.VMID]*vmState{},
@@ -57,7 +87,11 @@
 
 // Start implements kernel.Starter.
 func (s *Service) Start(time.Time) []kernel.Effect {
-	return []kernel.Effect{FetchInventory{}, timer(publishEvery, publishTick{})}
+	return []kernel.Effect{
+		FetchInventory{},
+		timer(publishEvery, publishTick{}),
+		timer(assignEvery, assignTick{}),
+	}
 }
 
 func timer(after time.Duration, msg kernel.Message) kernel.Effect {
@@ -70,7 +104,11 @@
 	case inventoryTick:
 		return []kernel.Effect{FetchInventory{}}
 	case InventoryDone:
-		return append(s.inventory(m), timer(inventoryEvery, inventoryTick{}))
+		s.inventory(m)
+		return append(s.assign(now), timer(inventoryEvery, inventoryTick{}))
+	case assignTick:
+		out := append(s.assign(now), s.observed(now)...)
+		return append(out, timer(assignEvery, assignTick{}))
 	case probeTick:
 		return s.probe(m.vm)
 	case Probed:
@@ -86,9 +124,9 @@
 
 // inventory takes in the VM list. While the list can't be read, what was known
 // stays.
-func (s *Service) inventory(m InventoryDone) []kernel.Effect {
+func (s *Service) inventory(m InventoryDone) {
 	if m.Err != nil {
-		return nil
+		return
 	}
 	if len(m.Models.Models) > 0 {
 		s.models = m.Models
@@ -96,7 +134,6 @@
 	for _, st := range s.vms {
 		st.Listed = false
 	}
-	var out []kernel.Effect
 	for _, vm := range m.VMs {
 		st, ok := s.vms[vm.ID]
 		if !ok {
@@ -105,13 +142,12 @@
 		}
 		st.VM = vm
 		st.Listed = true
-		if !st.probing && vm.Kind != platform.KindEntry {
-			st.probing = true
-			spread := time.Duration(s.rng.Int64N(int64(ProbeEvery)))
-			out = append(out, timer(spread, probeTick{vm.ID}))
+	}
+	for id, st := range s.vms {
+		if !st.Listed && !st.probing {
+			delete(s.vms, id)
 		}
 	}
-	return out
 }
 
 func (s *Service) probe(vm platform.VMID) []kernel.Effect {
@@ -119,8 +155,8 @@
 	if !ok {
 		return nil
 	}
-	if !st.Listed {
-		delete(s.vms, vm)
+	if !st.Listed || !s.mine(st) {
+		st.probing = false
 		return nil
 	}
 	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address}}
@@ -162,13 +198,12 @@
 		st.suspected = true
 		return
 	}
-	for _, r := range s.replicas.Replicas() {
-		if r.Name != upstream {
-			continue
-		}
-		if st, ok := s.vms[r.VMs[0]]; ok {
-			st.suspected = true
-		}
+	r, ok := s.replicas.Replica(upstream)
+	if !ok {
+		return
+	}
+	if st, ok := s.vms[r.VMs[0]]; ok {
+		st.suspected = true
 	}
 }
 
@@ -177,20 +212,26 @@
 	before := s.eligible
 	s.eligible = map[string]Upstream{}
 	var broken []string
-	for _, r := range s.replicas.Replicas() {
-		u, verdict := s.judge(now, r)
-		if verdict == complete {
-			s.eligible[r.Name] = u
+	for _, name := range s.candidates(before) {
+		r, ok := s.replicas.Replica(name)
+		if !ok {
+			broken = append(broken, name)
+			continue
 		}
-		if verdict == incomplete {
-			broken = append(broken, r.Name)
+		u, result := s.judge(now, r)
+		if result == complete {
+			s.eligible[name] = u
+		}
+		if result == incomplete {
+			broken = append(broken, name)
 		}
 	}
 	s.addPlain(now)
-	out := s.observed()
+	s.noteChanges(now)
 	if same(before, s.eligible) {
-		return out
+		return nil
 	}
+	var out []kernel.Effect
 	changed := Changed{Upstreams: s.Eligible(), Broken: lostSince(before, s.eligible, broken)}
 	for _, name := range s.subscribers {
 		out = append(out, kernel.Send{To: name, Msg: changed})
@@ -198,6 +239,18 @@
 	return out
 }
 
+// candidates returns the replicas in this node's share and those that were
+// eligible before, by name.
+func (s *Service) candidates(before map[string]Upstream) []string {
+	names := maps.Clone(s.assigned)
+	for id, u := range before {
+		if !u.Plain {
+			names[id] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // lostSince returns the replicas that were eligible before and are not now,
 // because they are broken or no longer live in the ledger.
 func lostSince(before, now map[string]Upstream, broken []string) []string {
@@ -273,7 +326,7 @@
 
 // addPlain adds the VMs of plain services that may take work.
 func (s *Service) addPlain(now time.Time) {
-	for id, st := range s.vms {
+	for id, st := range s.probing {
 		fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
 		ready := st.Report.State == platform.EngineReady && !st.VM.Leaving && !st.suspected
 		if st.VM.Kind != platform.KindPlain || !fresh || !ready {
@@ -291,12 +344,13 @@
 	}
 }
 
-// observed tells the observers all VMs.
-func (s *Service) observed() []kernel.Effect {
-	if len(s.observers) == 0 {
+// observed tells the observers all VMs while this node holds the lease.
+func (s *Service) observed(now time.Time) []kernel.Effect {
+	if !s.leads() {
 		return nil
 	}
 	msg := Observed{VMs: s.Observations(), Models: s.models}
+	s.dropSilent(now)
 	var out []kernel.Effect
 	for _, name := range s.observers {
 		out = append(out, kernel.Send{To: name, Msg: msg})
@@ -317,7 +371,7 @@
 func (s *Service) Observations() []Observation {
 	out := make([]Observation, 0, len(s.vms))
 	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
-		out = append(out, s.vms[id].Observation)
+		out = append(out, s.observation(s.vms[id]))
 	}
 	return out
 }
