--- a/admission/pool.go
+++ b/admission/pool.go
@@ -127,12 +127,14 @@
 	return min(want, int(maxHeadroom*float64(p.slots)))
 }
 
-// room returns the slots that a tier may take over all of its requests.
+// room returns the slots that a tier may take over all of its requests. Urgent
+// work may always take its headroom, even if other work has more than the rest
+// because the capacity shrank.
 func (p *pool) room(now time.Time, tier int) int {
 	if tier == tierUrgent {
 		normal := p.running[tierNormal]
 		reserve := min(normal+p.waiting[tierNormal], int(normalReserve*float64(p.slots)))
-		return p.slots - max(normal, reserve)
+		return max(p.slots-max(normal, reserve), p.headroom(now))
 	}
 	return p.slots - max(p.headroom(now), p.running[tierUrgent])
 }
--- a/bench/node.go
+++ b/bench/node.go
@@ -71,6 +71,8 @@
 	firstAt  time.Time
 	// have is the number of tokens that the caller has.
 	have int
+	// progressed says that the last try brought the answer forward.
+	progressed bool
 	// reportedAt and reportedTokens are those of the last progress report.
 	reportedAt     time.Time
 	reportedTokens int
@@ -199,8 +201,11 @@
 	n := a.node
 	n.router.Handle(n.loop.now, router.Finished{RequestID: a.request.id, Upstream: a.upstream.ID})
 	a.exclude = append(a.exclude, a.upstream.ID)
-	if n.retrier.resumes() {
-		a.have = min(a.request.tokens-1, a.have+a.job.produced())
+	a.progressed = false
+	if produced := a.job.produced(); n.retrier.resumes() && produced > 0 {
+		a.have = min(a.request.tokens-1, a.have+produced)
+		a.progressed = true
+		a.tries = 1
 	}
 	a.failed(e)
 }
@@ -214,8 +219,8 @@
 	deadline := r.arrived.Add(time.Duration(r.kind.class.Targets.AnsweredWithin))
 	d := n.retrier.next(n.loop.now, retry.Failure{
 		Class: r.kind.class.Name, Repeatable: true, Err: e, Attempt: a.tries,
-		Remaining: deadline.Sub(n.loop.now),
-		Work:      time.Duration(max(0, int(r.kind.answer)-a.have)) * tokenTimeIdle,
+		Remaining: deadline.Sub(n.loop.now), Progressed: a.progressed,
+		Work: time.Duration(max(0, int(r.kind.answer)-a.have)) * tokenTimeIdle,
 	})
 	if !d.Retry {
 		a.over = true
--- a/bench/result.go
+++ b/bench/result.go
@@ -28,6 +28,9 @@
 	// SmallTeams and LargeTeams are the Score of their requests.
 	SmallTeams float64 `json:"small_teams_percent"`
 	LargeTeams float64 `json:"large_teams_percent"`
+	// Broken counts requests that were let in and got no whole answer, in
+	// percent of those let in.
+	Broken float64 `json:"broken_percent"`
 	// Amplification is the number of tries on engines per request that
 	// reached one.
 	Amplification float64 `json:"amplification"`
@@ -181,17 +184,21 @@
 		LargeTeams: percent(rec.large.within, rec.large.offered),
 	}
 	var total tally
+	var broken, letIn int
 	for _, k := range s.Deployment.kinds {
 		c := rec.classes[k.class.Name]
 		c.FirstToken95 = c.first.ValueAtPercentile(95)
 		c.Answer95 = c.answer.ValueAtPercentile(95)
 		r.Classes = append(r.Classes, c.ClassResult)
 		total.offered += c.tally.offered
+		broken += sum(c.Failed)
+		letIn += c.Answered + sum(c.Failed)
 		total.answered += c.tally.answered
 		total.within += c.tally.within
 	}
 	r.Score = percent(total.within, total.offered)
 	r.WithinOfAnswered = percent(total.within, total.answered)
+	r.Broken = percent(float64(broken), float64(letIn))
 	r.addEngines(rec, w.engines)
 	for _, n := range w.nodes {
 		r.Ejections += metrics.GetOrRegisterCounter("router.ejected", n.metrics).Count()
@@ -199,6 +206,15 @@
 	return r
 }
 
+// sum adds up counts by reason.
+func sum(counts map[verdict.Reason]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
 // addEngines adds what the engines counted.
 func (r *Result) addEngines(rec *recorder, engines []*engine) {
 	var cached, processed, decoded int64
--- a/bench/table.go
+++ b/bench/table.go
@@ -17,10 +17,10 @@
 // WriteTable writes results for people.
 func WriteTable(w io.Writer, results []Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "DEPLOYMENT\tPOLICY\tSCORE %\tOF ANSWERED %\tSMALL TEAMS %\tLARGE TEAMS %\tTRIES\tWORK\tCACHED %\tEJECTED")
+	fmt.Fprintln(t, "DEPLOYMENT\tPOLICY\tSCORE %\tOF ANSWERED %\tSMALL TEAMS %\tLARGE TEAMS %\tBROKEN %\tTRIES\tWORK\tCACHED %\tEJECTED")
 	for _, r := range results {
-		fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%.1f\t%d\n",
-			r.Deployment, r.Policy, r.Score, r.WithinOfAnswered, r.SmallTeams, r.LargeTeams,
+		fmt.Fprintf(t, "%s\t%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%.1f\t%d\n",
+			r.Deployment, r.Policy, r.Score, r.WithinOfAnswered, r.SmallTeams, r.LargeTeams, r.Broken,
 			r.Amplification, r.WorkAmplification, r.CachedPrompt, r.Ejections)
 	}
 	fmt.Fprintln(t, "\nDEPLOYMENT\tPOLICY\tCLASS\tOFFERED\tANSWERED\tWITHIN\tFIRST TOKEN P95 ms\tANSWER P95 ms\tREFUSED\tFAILED")
