--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,7 +17,7 @@
 
 // DefaultBudget lets retries add a tenth to the load of a class.
 func DefaultBudget() BudgetConfig {
-	return BudgetConfig{Ratio: 0.1, PerSecond: 0.5, Max: 20}
+	return BudgetConfig{Ratio: 0.1, PerSecond: 0.5, Max: 60}
 }
 
 // Budget bounds the retries of one class. It starts full.
