Learn the work of a class, and count whom a prompt delays

Prompts are processed one after the other, so a saved one helps every request behind it.

Change: the uncached part of a prompt is charged for each request that the upstream has; a Pick without expectations uses what was learned of its class.

Ruled out: adding the delay only to what a holder saves; it sent requests to a full holder beside an idle upstream.

--- a/balance/twochoice/twochoice.go
+++ b/balance/twochoice/twochoice.go
@@ -34,8 +34,8 @@
 func (s *Strategy) Choose(r balance.Request, candidates []*balance.Candidate) *balance.Candidate {
 	var best *balance.Candidate
 	var bestCost time.Duration
-	consider := func(c *balance.Candidate, saved time.Duration) {
-		cost := Cost(r, c) - saved
+	consider := func(c *balance.Candidate, cached float64) {
+		cost := Cost(r, c, cached)
 		if best == nil || cost < bestCost {
 			best, bestCost = c, cost
 		}
@@ -50,7 +50,7 @@
 		consider(candidates[second], 0)
 	}
 	for _, h := range s.drawHolders(r.Holders) {
-		consider(h.Candidate, time.Duration(h.Share*float64(r.Prefill)))
+		consider(h.Candidate, h.Share)
 	}
 	return best
 }
@@ -65,15 +65,17 @@
 	return holders[start : start+draws]
 }
 
-// Cost estimates how long r takes on c beyond its work on an idle upstream.
+// Cost estimates the delays that r causes on c, its own and those of others.
 // Below the number of slots a fuller batch slows each token down; above it the
-// request also waits for a slot.
-func Cost(r balance.Request, c *balance.Candidate) time.Duration {
+// request also waits for a slot. Processing the part of the prompt that is not
+// cached delays each request that the upstream has.
+func Cost(r balance.Request, c *balance.Candidate, cached float64) time.Duration {
 	share := c.Utilization()
 	if c.Load >= c.Slots {
 		share += float64(c.Load-c.Slots+1) / float64(max(1, c.Slots))
 	}
-	cost := time.Duration(share * float64(r.Work))
+	prompt := (1 - cached) * float64(r.Prefill) * float64(1+c.Load)
+	cost := time.Duration(share*float64(r.Work) + prompt)
 	if c.Zone != r.Zone {
 		cost += zoneCost
 	}
--- a/bench/node.go
+++ b/bench/node.go
@@ -23,8 +23,8 @@
 	// patience is the multiple of the answer target after which a caller
 	// gives up.
 	patience = 2
-	// assumedTokenTime is what a node takes for the time between tokens.
-	assumedTokenTime = 30 * time.Millisecond
+	// bytesPerToken is the size of a token of a prompt.
+	bytesPerToken = 4
 )
 
 // node is one entry VM: the services, bound to fake engines.
@@ -109,11 +109,9 @@
 	}
 	n, r := a.node, a.request
 	a.tries++
-	prefill := time.Duration(r.prompt) * prefillPerToken
 	reply := n.router.Handle(n.loop.now, router.Pick{
 		RequestID: r.id, Pool: r.kind.class.Model, PrefixHashes: r.prefixes, Exclude: a.exclude,
-		ExpectedWork:    prefill + time.Duration(r.kind.answer)*assumedTokenTime,
-		ExpectedPrefill: prefill,
+		Class: r.kind.class.Name, PromptBytes: r.prompt * bytesPerToken,
 	})[0].(kernel.Reply).Msg
 	if refusal, ok := reply.(*verdict.Error); ok {
 		a.failed(refusal)
--- a/router/load.go
+++ b/router/load.go
@@ -25,8 +25,18 @@
 	// change is the sum of corrections, and weight what each counts.
 	change int
 	weight float64
-	// requests counts the picks in flight by request.
-	requests map[string]int
+	// requests holds the picks in flight by request.
+	requests map[string]sending
+}
+
+// sending is a request in flight on an upstream.
+type sending struct {
+	// picks counts the times that the request was picked for the upstream.
+	picks int
+	at    time.Time
+	class string
+	// coldBytes is the size of the prompt if no prefix of it was cached.
+	coldBytes int
 }
 
 // correction is a send (+1) or a finish (-1) after the last report.
@@ -36,24 +46,29 @@
 }
 
 // sent notes a request that goes to the upstream.
-func (u *upstream) sent(now time.Time, request string) {
-	u.requests[request]++
+func (u *upstream) sent(now time.Time, request, class string, coldBytes int) {
+	picks := u.requests[request].picks + 1
+	u.requests[request] = sending{picks: picks, at: now, class: class, coldBytes: coldBytes}
 	u.candidate.InFlight++
 	u.correct(now, 1)
 }
 
-// finished notes the end of a request. It reports whether it was in flight.
-func (u *upstream) finished(now time.Time, request string) bool {
-	if u.requests[request] == 0 {
-		return false
+// finished notes the end of a request and returns what was sent. It reports
+// whether the request was in flight.
+func (u *upstream) finished(now time.Time, request string) (sending, bool) {
+	r, ok := u.requests[request]
+	if !ok {
+		return sending{}, false
 	}
-	u.requests[request]--
-	if u.requests[request] == 0 {
+	r.picks--
+	if r.picks == 0 {
 		delete(u.requests, request)
+	} else {
+		u.requests[request] = r
 	}
 	u.candidate.InFlight--
 	u.correct(now, -1)
-	return true
+	return r, true
 }
 
 func (u *upstream) correct(now time.Time, change int) {
--- a/router/messages.go
+++ b/router/messages.go
@@ -46,10 +46,16 @@
 	PrefixHashes []uint64
 	// Exclude lists upstreams that must not be picked.
 	Exclude []string
-	// ExpectedWork is the service time on an idle upstream.
+	// Class is the class of the request. The service learns its work from
+	// Progressed and Finished.
+	Class string
+	// PromptBytes is the size of the prompt.
+	PromptBytes int
+	// ExpectedWork is the service time on an idle upstream; 0 stands for
+	// what was learned of the class.
 	ExpectedWork time.Duration
-	// ExpectedPrefill is the part of ExpectedWork that goes into the prompt;
-	// 0 stands for a quarter of it.
+	// ExpectedPrefill is the part of the work that goes into the prompt; 0
+	// stands for what was learned of the class.
 	ExpectedPrefill time.Duration
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -30,8 +30,6 @@
 	probationRequests = 1
 	// usableShare is the part of an upstream's slots that admission fills.
 	usableShare = 0.9
-	// prefillDivisor gives the prompt's part of the expected work.
-	prefillDivisor = 4
 	// noReplicaRetry advises callers while a pool has no upstream.
 	noReplicaRetry = 2 * time.Second
 )
@@ -60,6 +58,8 @@
 	pools     map[string]*pool
 	upstreams map[string]*upstream
 	prefixes  *prefix.Index
+	// works holds what was learned per class.
+	works map[string]*workEstimate
 }
 
 // pool is the upstreams of one model or service that this node uses.
@@ -89,6 +89,7 @@
 		pools:     map[string]*pool{},
 		upstreams: map[string]*upstream{},
 		prefixes:  prefix.NewIndex(),
+		works:     map[string]*workEstimate{},
 	}
 }
 
@@ -176,13 +177,14 @@
 		return verdict.Refuse(verdict.ReasonNoReplica, "no upstream of pool %q", m.Pool).
 			WithRetryAfter(noReplicaRetry)
 	}
-	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
-	if r.Prefill == 0 {
-		r.Prefill = r.Work / prefillDivisor
-	}
+	r := s.request(m)
 	r.Holders = s.holders(m.PrefixHashes, candidates)
 	chosen := s.config.Strategy.Choose(r, candidates)
-	s.upstreams[chosen.ID].sent(now, m.RequestID)
+	coldBytes := m.PromptBytes
+	if s.cached(chosen.ID, m.PrefixHashes) {
+		coldBytes = 0
+	}
+	s.upstreams[chosen.ID].sent(now, m.RequestID, m.Class, coldBytes)
 	for _, h := range m.PrefixHashes {
 		s.prefixes.Add(chosen.ID, h)
 	}
@@ -190,6 +192,40 @@
 	return Picked{Upstream: chosen.Upstream}
 }
 
+// request returns what the strategy knows about a Pick, with what was learned of
+// the class where the Pick says nothing.
+func (s *Service) request(m Pick) balance.Request {
+	learned := s.work(m.Class)
+	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
+	if r.Work == 0 {
+		r.Work = learned.work()
+	}
+	if r.Prefill == 0 {
+		r.Prefill = learned.prefill(m.PromptBytes)
+	}
+	return r
+}
+
+// work returns what was learned of a class.
+func (s *Service) work(class string) *workEstimate {
+	w, ok := s.works[class]
+	if !ok {
+		w = &workEstimate{}
+		s.works[class] = w
+	}
+	return w
+}
+
+// cached reports whether an upstream is known to hold a prefix.
+func (s *Service) cached(id string, hashes []uint64) bool {
+	for _, h := range hashes {
+		if _, found := slices.BinarySearch(s.prefixes.Holders(h), id); found {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the upstreams that may be picked, in order of their ids.
 // If stragglers are all that is left, they are better than nothing.
 func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
@@ -253,17 +289,31 @@
 
 func (s *Service) progressed(now time.Time, m Progressed) {
 	u, ok := s.upstreams[m.Upstream]
-	if !ok || u.requests[m.RequestID] == 0 {
+	if !ok {
 		return
 	}
+	r, ok := u.requests[m.RequestID]
+	if !ok {
+		return
+	}
+	s.work(r.class).firstToken(m.FirstToken, r.coldBytes)
 	s.observe(now, u, outlier.Sample{OK: true, FirstToken: m.FirstToken, PerToken: m.PerToken})
 }
 
 func (s *Service) finished(now time.Time, m Finished) {
 	u, ok := s.upstreams[m.Upstream]
-	if !ok || !u.finished(now, m.RequestID) {
+	if !ok {
+		return
+	}
+	r, ok := u.finished(now, m.RequestID)
+	if !ok {
 		return
 	}
+	if m.OK {
+		work := s.work(r.class)
+		work.firstToken(m.FirstToken, r.coldBytes)
+		work.finished(now.Sub(r.at))
+	}
 	s.observe(now, u, outlier.Sample{OK: m.OK, FirstToken: m.FirstToken, PerToken: m.PerToken})
 }
 
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -70,7 +70,7 @@
 }
 
 func (s *Service) addUpstream(w balance.Upstream) {
-	u := &upstream{candidate: balance.Candidate{Upstream: w}, requests: map[string]int{}}
+	u := &upstream{candidate: balance.Candidate{Upstream: w}, requests: map[string]sending{}}
 	s.upstreams[w.ID] = u
 	p, ok := s.pools[w.Pool]
 	if !ok {
