--- /dev/null
+++ b/admission/admission_bench_test.go
@@ -0,0 +1,31 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/admission"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
+)
+
+// BenchmarkRequest measures Arrive and Done of a request in a pool with slots
+// and waiting requests of ten teams.
+func BenchmarkRequest(b *testing.B) {
+	for _, slots := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(slots), func(b *testing.B) {
+			s := admission.New(nil)
+			s.Handle(start, admission.Configure{Classes: classes()})
+			s.Handle(start, admission.Capacity{Pool: "m", Slots: slots})
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				s.Handle(now, admission.Arrive{
+					Ask: kernel.AskID(i), RequestID: fmt.Sprint(i), Class: "draft", Team: fmt.Sprint("team-", i%10),
+				})
+				done := fmt.Sprint(i - slots - slots/10)
+				s.Handle(now, admission.Done{RequestID: done, Service: time.Second})
+			}
+		})
+	}
+}
