Predict the wait by the order in which the queue is served

The prediction counted every waiting request as ahead; the queue serves by the latest useful start.

Change: only requests that must start no later count as ahead.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -153,7 +153,7 @@
 	if p.slots == 0 {
 		return nil
 	}
-	wait := p.predictedWait(now, r.team, r.tier())
+	wait := p.predictedWait(now, r)
 	late := now.Add(wait).Sub(r.tooLate())
 	if late <= 0 {
 		return nil
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -218,15 +218,16 @@
 	return p.waiting[tierUrgent]+p.waiting[tierNormal] >= p.maxWaiting()
 }
 
-// predictedWait estimates how long a new request of a team waits. Teams take
-// turns, so of each other team at most as many requests go first as the team's
-// own place in its queue.
-func (p *pool) predictedWait(now time.Time, t *team, tier int) time.Duration {
-	own := len(t.waiting[tier])
+// predictedWait estimates how long a new request waits. In its own team those
+// that must start earlier go first; teams take turns, so of each other team at
+// most as many go first as the request's own place.
+func (p *pool) predictedWait(now time.Time, r *request) time.Duration {
+	tier := r.tier()
+	own := r.team.waiting[tier].before(r.latest)
 	ahead := own
 	for _, o := range p.teams {
-		if o != t {
-			ahead += min(len(o.waiting[tier]), own+1)
+		if o != r.team {
+			ahead += min(o.waiting[tier].before(r.latest), own+1)
 		}
 	}
 	room := p.room(now, tier)
--- a/admission/team.go
+++ b/admission/team.go
@@ -80,6 +80,17 @@
 	return last
 }
 
+// before counts the requests that must start no later than a time.
+func (q waitQueue) before(latest time.Time) int {
+	n := 0
+	for _, r := range q {
+		if !r.latest.After(latest) {
+			n++
+		}
+	}
+	return n
+}
+
 // add lets a request wait.
 func (t *team) add(r *request) { heap.Push(&t.waiting[r.tier()], r) }
 
