--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -54,12 +55,30 @@
 	Routing, Admission, Retry string
 	// KeepStragglers turns the ejection of stragglers off.
 	KeepStragglers bool
+	// Capacity names how a node's share of the slots is worked out; empty
+	// stands for CapacityRouter.
+	Capacity string
+	// Skewed sends twice as many requests to the first node as to another.
+	Skewed bool
 	// SubsetSize bounds the engines per node; 0 stands for the default.
 	SubsetSize int
 	// faults happen during the run.
 	faults []fault
 }
 
+// Names of the ways to work out a node's share of the slots.
+const (
+	// CapacityRouter asks the service "router".
+	CapacityRouter = "router"
+	// CapacityEqual divides the slots by the nodes.
+	CapacityEqual = "equal"
+	// CapacityMargin gives half as much again as an equal part.
+	CapacityMargin = "margin-1.5"
+)
+
+// capacityMargin is the margin of CapacityMargin.
+const capacityMargin = 1.5
+
 // fault is something that happens to the engines.
 type fault struct {
 	at    time.Duration
@@ -140,9 +159,35 @@
 func (w *world) shareCapacity() {
 	for _, n := range w.nodes {
 		for _, f := range w.scenario.Deployment.fleets {
-			n.door.capacity(f.model, n.router.Share(w.loop.now, f.model))
+			n.door.capacity(f.model, w.share(n, f.model))
+		}
+	}
+}
+
+// share returns a node's share of a model's slots.
+func (w *world) share(n *node, model string) int {
+	if w.scenario.Capacity == "" || w.scenario.Capacity == CapacityRouter {
+		return n.router.Share(w.loop.now, model)
+	}
+	slots := 0
+	for _, e := range w.engines {
+		if !e.down && e.upstream.Pool == model {
+			slots += e.upstream.Slots
 		}
 	}
+	equal := float64(slots) / float64(len(w.nodes))
+	if w.scenario.Capacity == CapacityMargin {
+		equal *= capacityMargin
+	}
+	return int(math.Ceil(equal))
+}
+
+// drawNode draws the node that a request arrives at.
+func (w *world) drawNode(rng *rand.Rand) *node {
+	if !w.scenario.Skewed {
+		return w.nodes[rng.IntN(len(w.nodes))]
+	}
+	return w.nodes[max(0, rng.IntN(len(w.nodes)+1)-1)]
 }
 
 // scheduleReports sends each engine's load and cache events to the nodes.
@@ -190,8 +235,7 @@
 		if w.loop.now.After(epoch.Add(w.scenario.Length)) {
 			return
 		}
-		n := w.nodes[t.rng.IntN(len(w.nodes))]
-		n.serve(t.draw(w.loop.now))
+		w.drawNode(t.rng).serve(t.draw(w.loop.now))
 		w.arriveNext(t)
 	})
 }
--- a/bench/suites.go
+++ b/bench/suites.go
@@ -49,7 +49,7 @@
 
 // Suites returns all suites.
 func Suites() []Suite {
-	return []Suite{routingSuite(), admissionSuite(), retriesSuite(), stragglersSuite(), allSlowSuite()}
+	return []Suite{routingSuite(), admissionSuite(), sharesSuite(), retriesSuite(), stragglersSuite(), allSlowSuite()}
 }
 
 // Scenarios returns the runs of a suite.
@@ -94,6 +94,14 @@
 	return u
 }
 
+func sharesSuite() Suite {
+	u := Suite{Name: "shares", Usage: "compare nodes' shares of the slots behind an uneven balancer", Fill: 0.9}
+	for _, name := range []string{CapacityRouter, CapacityEqual, CapacityMargin} {
+		u.variants = append(u.variants, variant{name, func(s *Scenario) { s.Capacity, s.Skewed = name, true }})
+	}
+	return u
+}
+
 // darkFrom and darkFor are when and how long a fabric domain is dark.
 const (
 	darkFrom = warmup + time.Minute
