--- a/placement/form.go
+++ b/placement/form.go
@@ -61,7 +61,7 @@
 	c := newCandidates(r, m)
 	for range count {
 		members := c.best()
-		if members == nil && r.policy.CrossDomain && r.tally(model).live == 0 {
+		if members == nil && r.policy.CrossDomain && len(r.gone) == 0 && !r.roomComing(model) {
 			members = r.acrossDomains(m)
 		}
 		if members == nil {
--- a/placement/index.go
+++ b/placement/index.go
@@ -16,6 +16,8 @@
 	free    bool
 	// settling says that the VM is counted as settling in its domain.
 	settling bool
+	// epoch is that of the last Sync that named the VM.
+	epoch int
 }
 
 // domainNode is a fabric domain with its free VMs.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -165,13 +165,6 @@
 // Plan returns what to do next, dissolutions first.
 func Plan(in Input, policy Policy) []Action {
 	p := NewPlanner(policy)
-	p.SetModels(in.Models, in.StoreBytesPerSecond)
-	p.SetDesired(in.Desired)
-	for i := range in.VMs {
-		p.SetVM(in.VMs[i])
-	}
-	for i := range in.Replicas {
-		p.SetReplica(in.Replicas[i])
-	}
+	p.Sync(in)
 	return p.Plan(in.Now)
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -26,6 +26,8 @@
 	// incomplete and broken are replicas that need a look in each plan.
 	incomplete map[string]*replicaNode
 	broken     map[string]*replicaNode
+	// epoch numbers calls of Sync.
+	epoch int
 }
 
 // replicaNode is a replica in the planner's index.
@@ -39,8 +41,12 @@
 	missing int
 	// loading is the number of bytes that its members still load.
 	loading int64
+	// ready counts the members that are ready.
+	ready int
 	// complete says that every member reported its membership as ready.
 	complete bool
+	// epoch is that of the last Sync that named the replica.
+	epoch int
 }
 
 // tally counts the sound replicas of one model.
@@ -66,18 +72,6 @@
 	}
 }
 
-// SetModels replaces what is known of the weight store.
-func (p *Planner) SetModels(models []platform.Model, storeBytesPerSecond int64) {
-	p.models = map[string]platform.Model{}
-	for _, m := range models {
-		p.models[m.Name] = m
-	}
-	p.storeRate = storeBytesPerSecond
-}
-
-// SetDesired replaces the demands.
-func (p *Planner) SetDesired(d []Demand) { p.desired = d }
-
 // SetReplica adds a replica or replaces what is known of it.
 func (p *Planner) SetReplica(r Replica) {
 	p.RemoveReplica(r.Name)
@@ -184,13 +178,13 @@
 
 // judge works out what a replica's members say about it.
 func (p *Planner) judge(n *replicaNode) {
-	n.cause, n.missing, n.loading, n.complete = "", 0, 0, true
+	n.cause, n.missing, n.loading, n.ready, n.complete = "", 0, 0, 0, true
 	if n.Dissolving {
 		n.cause = causeDissolving
 	}
 	for _, id := range n.VMs {
 		v, ok := p.vms[id]
-		cause := memberFault(v, ok)
+		cause := p.memberFault(v, ok)
 		if cause != "" {
 			n.missing++
 			if n.cause == "" {
@@ -199,6 +193,7 @@
 			continue
 		}
 		if v.memberReady(n) {
+			n.ready++
 			continue
 		}
 		n.complete = false
@@ -209,12 +204,13 @@
 }
 
 // memberFault returns why a member breaks its replica, empty if it does not.
-func memberFault(v *vmNode, listed bool) Cause {
+func (p *Planner) memberFault(v *vmNode, listed bool) Cause {
 	switch {
 	case !listed || v.Liveness == Lost:
 		return CauseMissing
 	case v.Restarted:
 		return CauseRestarted
+	case p.policy.WaitForGone:
 	case v.Leaving || v.Report.State == platform.EngineLeaving && v.inCurrentReplica():
 		return CauseLeaving
 	}
@@ -241,6 +237,7 @@
 	r.dissolveBroken()
 	r.dissolveOverdue()
 	r.dissolveUnwanted()
+	r.retireCrossDomain()
 	r.formWanted()
 	r.preempt()
 	r.undo()
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -27,7 +27,10 @@
 	// Preempt takes a replica of a model above its own need for a model
 	// below its minimum.
 	Preempt bool
-	// CrossDomain forms replicas across domains of one zone as a last resort.
+	// WaitForGone keeps a replica with a leaving VM until the VM is gone.
+	WaitForGone bool
+	// CrossDomain forms replicas across domains of one zone where no domain
+	// has room, and ends them when a domain has.
 	CrossDomain bool
 	// LoadWindow bounds the bytes loaded at once to what the weight store
 	// serves in this time; 0 means no bound.
@@ -47,6 +50,8 @@
 	PolicyCrossDomain = "cross-domain"
 	PolicyNoPreempt   = "no-preempt"
 	PolicyAnyWeights  = "any-weights"
+	PolicyNoSpread    = "no-spread"
+	PolicyWaitForGone = "wait-for-gone"
 )
 
 // Load limits of the policies.
@@ -87,6 +92,8 @@
 		variant(PolicyCrossDomain, func(p *Policy) { p.CrossDomain = true }),
 		variant(PolicyNoPreempt, func(p *Policy) { p.Preempt = false }),
 		variant(PolicyAnyWeights, func(p *Policy) { p.HoldersFirst = false }),
+		variant(PolicyNoSpread, func(p *Policy) { p.Spread = false }),
+		variant(PolicyWaitForGone, func(p *Policy) { p.WaitForGone = true }),
 	}
 }
 
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -64,30 +64,36 @@
 	return len(n.domains[0].free) >= n.missing
 }
 
-// dissolveOverdue ends replicas that do not get complete, such as those with a
-// member that loads much more slowly than its peers.
+// dissolveOverdue ends replicas that do not get complete although another of
+// their members has, such as those with a member that loads much more slowly.
+// The time allowed grows with all that the weight store has to serve: a slow
+// or busy store delays every replica, and forming them anew would only add
+// loads.
 func (r *run) dissolveOverdue() {
+	for _, n := range r.incomplete {
+		r.loading += n.loading
+	}
+	allowed := r.policy.LoadTimeout + loadSlack*r.storeTime(r.loading)
 	for _, name := range slices.Sorted(maps.Keys(r.incomplete)) {
 		n := r.incomplete[name]
-		r.loading += n.loading
-		if r.policy.LoadTimeout <= 0 || n.Pending {
+		if n.Pending || n.ready == 0 || r.policy.LoadTimeout <= 0 {
 			continue
 		}
-		if r.now.Sub(n.FormedAt) > r.policy.LoadTimeout+r.loadTime(n) {
+		if r.now.Sub(n.FormedAt) > allowed {
 			r.end(n, CauseLoadTimeout)
 		}
 	}
 }
 
-// loadTime is the time that the weight store needs for the whole replica
-// while other replicas share the load window.
-func (r *run) loadTime(n *replicaNode) time.Duration {
+// loadSlack is how many times longer than expected all loads may take.
+const loadSlack = 2
+
+// storeTime is the time that the weight store needs for a number of bytes.
+func (r *run) storeTime(bytes int64) time.Duration {
 	if r.storeRate <= 0 {
 		return 0
 	}
-	bytes := float64(r.models[n.Model].WeightBytes) * float64(len(n.VMs))
-	alone := time.Duration(bytes / float64(r.storeRate) * float64(time.Second))
-	return 2 * max(alone, r.policy.LoadWindow)
+	return time.Duration(float64(bytes) / float64(r.storeRate) * float64(time.Second))
 }
 
 // dissolveUnwanted ends replicas of models that no class names.
@@ -113,6 +119,29 @@
 	}
 }
 
+// retireCrossDomain ends replicas across domains whose VMs, with free ones of
+// their domain, can form a replica within it.
+func (r *run) retireCrossDomain() {
+	if !r.policy.CrossDomain {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.replicas)) {
+		n := r.replicas[name]
+		if len(n.domains) < 2 || n.cause != "" {
+			continue
+		}
+		inside := map[*domainNode]int{}
+		for _, id := range n.VMs {
+			inside[r.vms[id].domain]++
+		}
+		for d, members := range inside {
+			if members+len(d.free) >= len(n.VMs) {
+				r.end(n, CauseCrossDomain)
+			}
+		}
+	}
+}
+
 // preempt ends one replica of a model that has more than it needs, so that its
 // VMs can serve a blocked model. One at a time keeps the cost of a wrong guess
 // at one replica.
