Keep the planner's index between plans

Cause: a plan from nothing costs in proportion to the fleet. Change: the controller keeps a planner and tells it what it observed; a differential test compares it with a plan from nothing under random changes.

--- a/controller/plan.go
+++ b/controller/plan.go
@@ -60,7 +60,8 @@
 		Now:                 now,
 	}
 	var out []kernel.Effect
-	for _, a := range placement.Plan(in, s.Policy) {
+	s.planner.Sync(in)
+	for _, a := range s.planner.Plan(now) {
 		out = append(out, s.appendAction(now, a))
 	}
 	return out
--- a/controller/service.go
+++ b/controller/service.go
@@ -64,6 +64,7 @@
 	document *dynamic.Document
 	models   platform.ModelList
 	load     loadAverage
+	planner  *placement.Planner
 	pending  pendingRecords
 	drain    *Drain
 	drained  bool
@@ -82,7 +83,7 @@
 		fleet:    newFleetState(),
 		orders:   orderState{sent: map[platform.VMID]*sentOrder{}},
 		pending:  newPendingRecords(),
-		load:     loadAverage{},
+		planner:  placement.NewPlanner(s.Policy),
 	}
 }
 
--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,117 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+// bigFleet returns idle VMs in domains of 32 over 8 zones, and models with
+// replicas of 8 VMs.
+func bigFleet(vms int) Input {
+	in := Input{
+		Models: []platform.Model{
+			{Name: "desk", VMsPerReplica: 8, WeightBytes: 1 << 30},
+			{Name: "draft", VMsPerReplica: 8, WeightBytes: 1 << 30},
+		},
+		Desired: []Demand{
+			{Model: "desk", Min: 2, Want: vms / 800, Max: vms / 800, Urgent: true},
+			{Model: "draft", Min: 2, Want: vms/8 - vms/800, Max: vms / 8},
+		},
+		Now: start,
+	}
+	for i := range vms {
+		id := platform.VMID(fmt.Sprintf("vm-%06d", i))
+		in.VMs = append(in.VMs, VM{
+			VM:       platform.VM{ID: id, Domain: fmt.Sprintf("d-%05d", i/32), Zone: fmt.Sprint("z", i/32%8)},
+			Liveness: Live,
+			Report:   platform.Report{VM: id, State: platform.EngineIdle},
+		})
+	}
+	return in
+}
+
+// carryOut makes the plan's replicas live and their members ready.
+func carryOut(in *Input, actions []Action) {
+	index := map[platform.VMID]int{}
+	for i, v := range in.VMs {
+		index[v.ID] = i
+	}
+	for _, f := range forms(actions) {
+		g := record.Position(len(in.Replicas) + 1)
+		in.Replicas = append(in.Replicas, Replica{Name: f.Replica, Generation: g, Model: f.Model, VMs: f.VMs, FormedAt: start})
+		for _, id := range f.VMs {
+			r := &in.VMs[index[id]].Report
+			r.State, r.Replica, r.Generation = platform.EngineReady, f.Replica, int64(g)
+			r.HeldWeights = []string{f.Model}
+		}
+	}
+}
+
+var sizes = []int{320, 8000, 80000}
+
+// BenchmarkFormAll plans the whole fleet from nothing.
+func BenchmarkFormAll(b *testing.B) {
+	for _, vms := range sizes {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			in := bigFleet(vms)
+			for b.Loop() {
+				if got := len(Plan(in, DefaultPolicy())); got < vms/8-2 {
+					b.Fatalf("%d replicas", got)
+				}
+			}
+		})
+	}
+}
+
+// brokenFleet returns a formed fleet and its planner.
+func brokenFleet(vms int) (Input, *Planner) {
+	in := bigFleet(vms)
+	carryOut(&in, Plan(in, DefaultPolicy()))
+	p := NewPlanner(DefaultPolicy())
+	p.Sync(in)
+	return in, p
+}
+
+// BenchmarkRepairSync compares a whole observation with one lost VM to the
+// index and plans.
+func BenchmarkRepairSync(b *testing.B) {
+	for _, vms := range sizes {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			in, p := brokenFleet(vms)
+			i := 0
+			for b.Loop() {
+				in.VMs[i%vms].Liveness = Live
+				i += 97
+				in.VMs[i%vms].Liveness = Lost
+				p.Sync(in)
+				if got := len(p.Plan(start)); got != 1 {
+					b.Fatalf("%d actions", got)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRepairChange tells the index one lost VM and plans.
+func BenchmarkRepairChange(b *testing.B) {
+	for _, vms := range sizes {
+		b.Run(fmt.Sprint(vms), func(b *testing.B) {
+			in, p := brokenFleet(vms)
+			i := 0
+			for b.Loop() {
+				back := in.VMs[i%vms]
+				i += 97
+				lost := in.VMs[i%vms]
+				lost.Liveness = Lost
+				p.SetVM(back)
+				p.SetVM(lost)
+				if got := len(p.Plan(start)); got != 1 {
+					b.Fatalf("%d actions", got)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/placement/planner_test.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/record"
+)
+
+// change draws one thing that happens to a fleet.
+func change(t *rapid.T, in *Input) {
+	v := &in.VMs[rapid.IntRange(0, len(in.VMs)-1).Draw(t, "vm")]
+	switch rapid.IntRange(0, 6).Draw(t, "change") {
+	case 0:
+		v.Liveness = Lost
+	case 1:
+		v.Liveness = Suspected
+	case 2:
+		v.Liveness = Live
+	case 3:
+		v.Restarted = true
+		v.Report = platform.Report{VM: v.ID, State: platform.EngineIdle}
+	case 4:
+		v.Leaving = !v.Leaving
+	case 5:
+		if rapid.Bool().Draw(t, "unlist") && len(in.VMs) > 4 {
+			in.VMs = slices.DeleteFunc(in.VMs, func(o VM) bool { return o.ID == v.ID })
+		}
+	case 6:
+		if v.Report.Replica == "" {
+			v.Report.State = platform.EngineIdle
+		}
+	}
+}
+
+// obey carries some of the actions out.
+func obey(t *rapid.T, in *Input, actions []Action, next *record.Position) {
+	for _, d := range dissolves(actions) {
+		i := slices.IndexFunc(in.Replicas, func(r Replica) bool { return r.Name == d.Replica })
+		if rapid.Bool().Draw(t, "delay") {
+			in.Replicas[i].Dissolving = true
+			continue
+		}
+		in.Replicas = slices.Delete(in.Replicas, i, i+1)
+		for j := range in.VMs {
+			if in.VMs[j].Report.Replica == d.Replica {
+				in.VMs[j].Report.State, in.VMs[j].Report.Replica = platform.EngineIdle, ""
+			}
+		}
+	}
+	for _, f := range forms(actions) {
+		*next++
+		in.Replicas = append(in.Replicas, Replica{Name: f.Replica, Generation: *next, Model: f.Model, VMs: f.VMs, FormedAt: in.Now})
+		for j := range in.VMs {
+			if slices.Contains(f.VMs, in.VMs[j].ID) {
+				in.VMs[j].Report = platform.Report{
+					VM: in.VMs[j].ID, State: platform.EngineReady, Replica: f.Replica,
+					Generation: int64(*next), HeldWeights: []string{f.Model},
+				}
+			}
+		}
+	}
+}
+
+// checkForms fails if a formation uses a VM that it must not use.
+func checkForms(t *rapid.T, in *Input, got []Form) {
+	owner := map[platform.VMID]string{}
+	for _, r := range in.Replicas {
+		for _, id := range r.VMs {
+			owner[id] = r.Name
+		}
+	}
+	for _, f := range got {
+		domains := map[string]bool{}
+		for _, id := range f.VMs {
+			if owner[id] != "" {
+				t.Fatalf("%s is in %s and %s", id, owner[id], f.Replica)
+			}
+			owner[id] = f.Replica
+			v := find(in, id)
+			if v.Liveness != Live || v.Leaving || v.Report.State != platform.EngineIdle {
+				t.Fatalf("%s is used while %+v", id, v)
+			}
+			domains[v.Domain] = true
+		}
+		if len(domains) != 1 {
+			t.Fatalf("%s lies in %d domains", f.Replica, len(domains))
+		}
+	}
+}
+
+var _ = Describe("Planner", func() {
+	It("plans from its index what Plan works out from nothing, and only sound replicas", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			in := input(fleet(9, 6, 10, 4),
+				Demand{Model: "desk", Min: 1, Want: 1, Max: 2}, Demand{Model: "draft", Min: 2, Want: 4, Max: 6})
+			policy := rapid.SampledFrom(Policies()).Draw(t, "policy")
+			policy.CrossDomain = false
+			p := NewPlanner(policy)
+			next := record.Position(0)
+			for range rapid.IntRange(1, 25).Draw(t, "steps") {
+				want := Plan(in, policy)
+				p.Sync(in)
+				got := p.Plan(in.Now)
+				if fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("index: %v\nfresh: %v", got, want)
+				}
+				checkForms(t, &in, forms(got))
+				obey(t, &in, got, &next)
+				change(t, &in)
+			}
+		})
+	})
+
+	It("forms a wanted replica whenever a domain has room", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			in := input(fleet(5, 4, 3), Demand{Model: "draft", Min: 1, Want: 2, Max: 2})
+			for range rapid.IntRange(0, 12).Draw(t, "changes") {
+				change(t, &in)
+			}
+			room := 0
+			for _, d := range []string{"a", "b", "c"} {
+				free := 0
+				for _, v := range in.VMs {
+					if v.Domain == d && v.usable() {
+						free++
+					}
+				}
+				room += free / 4
+			}
+			Expect(forms(Plan(in, DefaultPolicy()))).To(HaveLen(min(room, 2)))
+		})
+	})
+})
