--- a/bench/formation/command.go
+++ b/bench/formation/command.go
@@ -83,7 +83,7 @@
 		return errors.Newf("unknown policy %q", c.String("policy"))
 	}
 	span := Span{Length: time.Duration(c.Int("days")) * 24 * time.Hour, SpeedUp: c.Float("speed-up")}
-	results, err := Measure(ctx, f, chosen, c.Uint64("seed"), c.Int("seeds"), span)
+	results, err := RunAll(ctx, f, chosen, c.Uint64("seed"), c.Int("seeds"), span)
 	if err != nil {
 		return err
 	}
@@ -93,9 +93,9 @@
 	return writeTable(os.Stdout, results)
 }
 
-// Measure runs each policy on the sequences of several seeds. The results are
+// RunAll runs each policy on the sequences of several seeds. The results are
 // by policy, then by seed.
-func Measure(ctx context.Context, f Fleet, policies []Variant, seed uint64, seeds int, s Span) ([][]Result, error) {
+func RunAll(ctx context.Context, f Fleet, policies []Variant, seed uint64, seeds int, s Span) ([][]Result, error) {
 	results := make([][]Result, len(policies))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(max(1, runtime.GOMAXPROCS(0)/2))
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -41,7 +41,6 @@
 	vm      platform.VM
 	rep     platform.Report
 	dark    bool
-	heardAt time.Time
 	readyAt time.Time
 	highest int64
 	// streams is the number of streams in flight at rank 0.
