Say how far a policy goes to form replicas across domains

Cause: leftover VMs of several domains can form a slow replica; whether that is worth it depends on the need. Ruled out: crossing before a replica of another model is taken, which left an urgent model on a slow replica. Change: reach of a policy (none, minimum, want, surplus); the default crosses only for a model below its minimum that no other model can help.

--- a/bench/formation/command.go
+++ b/bench/formation/command.go
@@ -62,6 +62,7 @@
 			&cli.IntFlag{Name: "seeds", Value: 8, Usage: "number of seeds"},
 			&cli.IntFlag{Name: "days", Value: 30, Usage: "simulated days for each seed"},
 			&cli.FloatFlag{Name: "speed-up", Value: 10, Usage: "times the daily VM faults of the two-year plan"},
+			&cli.FloatFlag{Name: "cross-speed", Value: 0.25, Usage: "worth of a replica across domains against one in a domain"},
 			&cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
 		},
 		Action: command,
@@ -82,7 +83,7 @@
 	if len(chosen) == 0 {
 		return errors.Newf("unknown policy %q", c.String("policy"))
 	}
-	span := Span{Length: time.Duration(c.Int("days")) * 24 * time.Hour, SpeedUp: c.Float("speed-up")}
+	span := Span{Length: time.Duration(c.Int("days")) * 24 * time.Hour, SpeedUp: c.Float("speed-up"), CrossSpeed: c.Float("cross-speed")}
 	results, err := RunAll(ctx, f, chosen, c.Uint64("seed"), c.Int("seeds"), span)
 	if err != nil {
 		return err
--- a/bench/formation/formation.go
+++ b/bench/formation/formation.go
@@ -53,6 +53,9 @@
 	Length time.Duration
 	// SpeedUp multiplies the rates of VM faults.
 	SpeedUp float64
+	// CrossSpeed is what a replica across domains is worth against one in a
+	// domain; the rest of its accelerators counts as stranded.
+	CrossSpeed float64
 }
 
 // VMs returns the number of VMs.
@@ -85,8 +88,6 @@
 	// deskWeight is the weight of a missing desk replica against a missing
 	// drafting replica: the desk's requests are short, urgent and many.
 	deskWeight = 5
-	// crossDomainSpeed is what a replica across domains is worth.
-	crossDomainSpeed = 0.25
 	// lostAfter is the time until a VM out of reach counts as lost.
 	lostAfter = 10 * time.Second
 	// planAfter is the time from a change to the orders that follow from it:
@@ -128,8 +129,9 @@
 	Seed   uint64 `json:"seed"`
 	// Days is the simulated time.
 	Days float64 `json:"days"`
-	// SpeedUp is that of the Span.
-	SpeedUp float64 `json:"speed_up"`
+	// SpeedUp and CrossSpeed are those of the Span.
+	SpeedUp    float64 `json:"speed_up"`
+	CrossSpeed float64 `json:"cross_speed"`
 	// DeskDown and DraftDown are replica hours missing against what is
 	// wanted.
 	DeskDown  float64 `json:"desk_down_replica_hours"`
--- a/bench/formation/run.go
+++ b/bench/formation/run.go
@@ -56,7 +56,7 @@
 		replicas:  map[string]*replica{},
 	}
 	r.advance(formTime)
-	r.result = Result{Policy: p.Name, Fleet: f.Name, Seed: seed, Days: s.Length.Hours() / 24, SpeedUp: s.SpeedUp}
+	r.result = Result{Policy: p.Name, Fleet: f.Name, Seed: seed, Days: s.Length.Hours() / 24, SpeedUp: s.SpeedUp, CrossSpeed: s.CrossSpeed}
 	for _, x := range sequence(f, seed, s) {
 		r.schedule(formTime+x.at, func() { r.strike(f, x) })
 	}
@@ -234,7 +234,7 @@
 		switch {
 		case !x.complete():
 		case x.cross:
-			serving[x.Model] += crossDomainSpeed
+			serving[x.Model] += r.result.CrossSpeed
 		default:
 			serving[x.Model]++
 		}
@@ -246,10 +246,13 @@
 	}
 	for _, v := range r.vms {
 		switch {
+		case v.dark > 0:
 		case v.stranded():
 			r.result.Stranded += hours
 		case v.state == platform.EngineLoading:
 			r.result.Loading += hours
+		case v.replica.cross:
+			r.result.Stranded += hours * (1 - r.result.CrossSpeed)
 		}
 	}
 }
--- a/placement/form.go
+++ b/placement/form.go
@@ -12,10 +12,10 @@
 // is wanted, then from VMs left over.
 func (r *run) formWanted() {
 	for _, d := range r.desired {
-		r.fill(d, d.Min, true)
+		r.fill(d, d.Min, ReachMin)
 	}
 	for _, d := range r.desired {
-		r.fill(d, d.Want, false)
+		r.fill(d, d.Want, ReachWant)
 	}
 	if !r.policy.Surplus {
 		return
@@ -27,19 +27,19 @@
 
 // fill forms replicas of a model until it has enough, and notes a model that
 // lacks VMs.
-func (r *run) fill(d Demand, enough int, belowMin bool) {
+func (r *run) fill(d Demand, enough int, need Reach) {
 	missing := enough - r.tally(d.Model).live
 	if missing <= 0 {
 		return
 	}
-	if r.formUpTo(d.Model, missing) == shortOfVMs {
-		r.blocked = append(r.blocked, blockedDemand{Demand: d, belowMin: belowMin})
+	if r.formUpTo(d, missing, need) == shortOfVMs {
+		r.blocked = append(r.blocked, blockedDemand{Demand: d, belowMin: need == ReachMin})
 	}
 }
 
 func (r *run) fillSurplus(d Demand) {
 	if missing := d.Max - r.tally(d.Model).live; missing > 0 {
-		r.formUpTo(d.Model, missing)
+		r.formUpTo(d, missing, ReachSurplus)
 	}
 }
 
@@ -52,16 +52,17 @@
 	storeBusy
 )
 
-// formUpTo forms at most count replicas of a model.
-func (r *run) formUpTo(model string, count int) outcome {
-	m, ok := r.models[model]
+// formUpTo forms at most count replicas of a model, across domains only if the
+// policy goes that far for the need.
+func (r *run) formUpTo(d Demand, count int, need Reach) outcome {
+	m, ok := r.models[d.Model]
 	if !ok || m.VMsPerReplica <= 0 {
 		return shortOfVMs
 	}
 	c := newCandidates(r, m)
 	for range count {
 		members := c.best()
-		if members == nil && r.policy.CrossDomain && len(r.gone) == 0 && !r.roomComing(model) {
+		if members == nil && r.mayCross(d, need) {
 			members = r.acrossDomains(m)
 		}
 		if members == nil {
@@ -76,6 +77,17 @@
 	return formedAll
 }
 
+// mayCross reports whether a replica may be formed across domains: only if the
+// policy goes that far for the need, and no domain can be expected to have room
+// soon.
+func (r *run) mayCross(d Demand, need Reach) bool {
+	if need > r.policy.CrossDomain || len(r.gone) > 0 || r.roomComing(d.Model) {
+		return false
+	}
+	blocked := blockedDemand{Demand: d, belowMin: need == ReachMin}
+	return !r.policy.Preempt || need == ReachSurplus || r.victim(blocked) == nil
+}
+
 // storeAllows reports whether the weight store can serve the members' loads
 // within the load window, next to the loads that run already.
 func (r *run) storeAllows(m platform.Model, members []*vmNode) bool {
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -29,9 +29,9 @@
 	Preempt bool
 	// WaitForGone keeps a replica with a leaving VM until the VM is gone.
 	WaitForGone bool
-	// CrossDomain forms replicas across domains of one zone where no domain
-	// has room, and ends them when a domain has.
-	CrossDomain bool
+	// CrossDomain says when replicas are formed across domains of one zone
+	// where no domain has room. They are ended when a domain has.
+	CrossDomain Reach
 	// LoadWindow bounds the bytes loaded at once to what the weight store
 	// serves in this time; 0 means no bound.
 	LoadWindow time.Duration
@@ -40,18 +40,34 @@
 	LoadTimeout time.Duration
 }
 
+// Reach is how far a policy goes to form a replica; each includes the former.
+type Reach int
+
+const (
+	// ReachNone never forms a replica across domains.
+	ReachNone Reach = iota
+	// ReachMin does so for a model below its minimum.
+	ReachMin
+	// ReachWant does so for a model below what is wanted.
+	ReachWant
+	// ReachSurplus does so whenever VMs are left over.
+	ReachSurplus
+)
+
 // Names of the policies.
 const (
-	PolicyFirstFit    = "first-fit"
-	PolicyNoMerge     = "no-merge"
-	PolicyNoSpares    = "no-spares"
-	PolicySpares      = "spares"
-	PolicyUnstaggered = "unstaggered"
-	PolicyCrossDomain = "cross-domain"
-	PolicyNoPreempt   = "no-preempt"
-	PolicyAnyWeights  = "any-weights"
-	PolicyNoSpread    = "no-spread"
-	PolicyWaitForGone = "wait-for-gone"
+	PolicyFirstFit     = "first-fit"
+	PolicyNoMerge      = "no-merge"
+	PolicyNoSpares     = "no-spares"
+	PolicySpares       = "spares"
+	PolicyUnstaggered  = "unstaggered"
+	PolicyInDomain     = "in-domain-only"
+	PolicyCrossWant    = "cross-domain-want"
+	PolicyCrossSurplus = "cross-domain-surplus"
+	PolicyNoPreempt    = "no-preempt"
+	PolicyAnyWeights   = "any-weights"
+	PolicyNoSpread     = "no-spread"
+	PolicyWaitForGone  = "wait-for-gone"
 )
 
 // Load limits of the policies.
@@ -70,6 +86,7 @@
 		Merge:        true,
 		Surplus:      true,
 		Preempt:      true,
+		CrossDomain:  ReachMin,
 		LoadWindow:   defaultLoadWindow,
 		LoadTimeout:  defaultLoadTimeout,
 	}
@@ -89,7 +106,9 @@
 		variant(PolicySpares, func(p *Policy) { p.SparesPerDomain = 1 }),
 		variant(PolicyNoMerge, func(p *Policy) { p.Merge = false }),
 		variant(PolicyUnstaggered, func(p *Policy) { p.LoadWindow = 0 }),
-		variant(PolicyCrossDomain, func(p *Policy) { p.CrossDomain = true }),
+		variant(PolicyInDomain, func(p *Policy) { p.CrossDomain = ReachNone }),
+		variant(PolicyCrossWant, func(p *Policy) { p.CrossDomain = ReachWant }),
+		variant(PolicyCrossSurplus, func(p *Policy) { p.CrossDomain = ReachSurplus }),
 		variant(PolicyNoPreempt, func(p *Policy) { p.Preempt = false }),
 		variant(PolicyAnyWeights, func(p *Policy) { p.HoldersFirst = false }),
 		variant(PolicyNoSpread, func(p *Policy) { p.Spread = false }),
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -122,7 +122,7 @@
 // retireCrossDomain ends replicas across domains whose VMs, with free ones of
 // their domain, can form a replica within it.
 func (r *run) retireCrossDomain() {
-	if !r.policy.CrossDomain {
+	if r.policy.CrossDomain == ReachNone {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.replicas)) {
