Load as much at once as the weight store serves in a minute

Cause: in a cold formation of today's fleet the window of 20 s left the store idle between two replicas. Change: window of 60 s; the bench measures cold formation.

--- a/bench/formation/command.go
+++ b/bench/formation/command.go
@@ -28,6 +28,9 @@
 	// NameLostEarly and NameLostLate count VMs as lost earlier and later.
 	NameLostEarly = "lost-after-4s"
 	NameLostLate  = "lost-after-30s"
+	// NameNarrow and NameWide bound the loads at once more and less.
+	NameNarrow = "load-window-20s"
+	NameWide   = "load-window-180s"
 )
 
 // Variants returns all policies and the variants of the default, which comes
@@ -47,6 +50,8 @@
 	variant(NameReserved, func(v *Variant) { v.IgnoreLog = true; v.SparesPerDomain = 1 })
 	variant(NameLostEarly, func(v *Variant) { v.LostAfter = 4 * time.Second })
 	variant(NameLostLate, func(v *Variant) { v.LostAfter = 30 * time.Second })
+	variant(NameNarrow, func(v *Variant) { v.LoadWindow = 20 * time.Second })
+	variant(NameWide, func(v *Variant) { v.LoadWindow = 3 * time.Minute })
 	return out
 }
 
@@ -63,6 +68,7 @@
 			&cli.IntFlag{Name: "days", Value: 30, Usage: "simulated days for each seed"},
 			&cli.FloatFlag{Name: "speed-up", Value: 10, Usage: "times the daily VM faults of the two-year plan"},
 			&cli.FloatFlag{Name: "cross-speed", Value: 0.25, Usage: "worth of a replica across domains against one in a domain"},
+			&cli.BoolFlag{Name: "cold", Usage: "measure the first formation of an empty fleet, without faults"},
 			&cli.StringFlag{Name: "output", Value: "table", Usage: "table or json"},
 		},
 		Action: command,
@@ -83,7 +89,7 @@
 	if len(chosen) == 0 {
 		return errors.Newf("unknown policy %q", c.String("policy"))
 	}
-	span := Span{Length: time.Duration(c.Int("days")) * 24 * time.Hour, SpeedUp: c.Float("speed-up"), CrossSpeed: c.Float("cross-speed")}
+	span := Span{Length: time.Duration(c.Int("days")) * 24 * time.Hour, SpeedUp: c.Float("speed-up"), CrossSpeed: c.Float("cross-speed"), Cold: c.Bool("cold")}
 	results, err := RunAll(ctx, f, chosen, c.Uint64("seed"), c.Int("seeds"), span)
 	if err != nil {
 		return err
--- a/bench/formation/formation.go
+++ b/bench/formation/formation.go
@@ -56,6 +56,8 @@
 	// CrossSpeed is what a replica across domains is worth against one in a
 	// domain; the rest of its accelerators counts as stranded.
 	CrossSpeed float64
+	// Cold measures the first formation of an empty fleet without faults.
+	Cold bool
 }
 
 // VMs returns the number of VMs.
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -72,7 +72,7 @@
 
 // Load limits of the policies.
 const (
-	defaultLoadWindow  = 20 * time.Second
+	defaultLoadWindow  = time.Minute
 	defaultLoadTimeout = 3 * time.Minute
 )
 
