--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/configuration"
 	"github.com/tamarackcleat/tamarackcleat/platform"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
@@ -175,10 +176,44 @@
 		Expect(w.run(3*time.Second, func() bool { return w.holder() != nil && w.holder() != first })).To(BeTrue())
 	})
 
+	It("counts its lease from when a renewal was sent, however late it is read back", func() {
+		settled(1, 1, 4)
+		n := w.holder()
+		n.cutLog = true
+		sent := n.svc.lease.renewedAt
+		Expect(w.run(time.Minute, func() bool { return n.svc.lease.renewedAt.After(sent) })).To(BeTrue())
+		w.step()
+		sent = n.svc.lease.renewedAt
+		n.cutLog = false
+		w.step()
+		Expect(n.svc.lease.validUntil).To(Equal(sent.Add(LeaseTTL - leaseMargin)))
+	})
+
+	It("does not release a lease while it waits out the former one", func() {
+		settled(2, 1, 4)
+		first := w.holder()
+		first.paused = true
+		Expect(w.run(time.Minute, func() bool { return w.holder() != nil && w.holder() != first })).To(BeTrue())
+		second := w.holder()
+		w.take(second, second.svc.Handle(w.now, Drain{ReplyTo: "drain"}))
+		w.run(time.Minute, func() bool { return false })
+		for _, r := range w.log {
+			Expect(r.Renewal == nil || !r.Renewal.Released).To(BeTrue())
+		}
+	})
+
+	It("does not claim the lease without a configuration", func() {
+		w = newWorld(1, 4)
+		w.nodes[0].svc.Handle(w.now, configuration.Changed{})
+		w.run(time.Minute, func() bool { return false })
+		Expect(w.log).To(BeEmpty())
+	})
+
 	It("lets exactly one of two racing claims win", func() {
 		w = newWorld(2, 4)
 		for _, n := range w.nodes {
 			n.svc.lease.claimAt = w.now
+			w.take(n, n.svc.Handle(w.now, w.observe(n)))
 			w.take(n, n.svc.Handle(w.now, tick{}))
 		}
 		claims := 0
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -126,7 +126,8 @@
 	}
 }
 
-// keepLease renews the node's lease or claims one that is not renewed.
+// keepLease renews the node's lease or claims one that is not renewed. A node
+// that could not plan does not claim.
 func (s *Service) keepLease(now time.Time) []kernel.Effect {
 	pausing := !s.lease.yieldedAt.IsZero() && now.Sub(s.lease.yieldedAt) < yieldPause
 	if pausing || !s.Log.CaughtUp(record.StreamControl) {
@@ -138,7 +139,7 @@
 		}
 		return s.renew(now, false)
 	}
-	if s.lease.claimID != "" || now.Before(s.lease.claimAt) {
+	if s.lease.claimID != "" || now.Before(s.lease.claimAt) || s.whyUnfit(now) != "" {
 		return nil
 	}
 	return s.claim(now)
--- a/controller/service.go
+++ b/controller/service.go
@@ -161,6 +161,13 @@
 		return IdleLogUnavailable
 	case !s.lease.valid(now):
 		return IdleLeaseLapsed
+	}
+	return s.whyUnfit(now)
+}
+
+// whyUnfit returns what the node lacks for planning, empty if nothing.
+func (s *Service) whyUnfit(now time.Time) IdleReason {
+	switch {
 	case s.document == nil || len(s.models.Models) == 0:
 		return IdleNoConfig
 	case now.Sub(s.fleet.at) > ObservationBound:
