--- a/placement/policy.go
+++ b/placement/policy.go
@@ -59,6 +59,7 @@
 	PolicyFirstFit     = "first-fit"
 	PolicyNoMerge      = "no-merge"
 	PolicyNoSpares     = "no-spares"
+	PolicyIdleSpares   = "idle-spares"
 	PolicySpares       = "spares"
 	PolicyUnstaggered  = "unstaggered"
 	PolicyInDomain     = "in-domain-only"
@@ -104,6 +105,7 @@
 		DefaultPolicy(),
 		{Name: PolicyFirstFit, LoadTimeout: defaultLoadTimeout},
 		variant(PolicySpares, func(p *Policy) { p.SparesPerDomain = 1 }),
+		variant(PolicyIdleSpares, func(p *Policy) { p.Surplus = false }),
 		variant(PolicyNoMerge, func(p *Policy) { p.Merge = false }),
 		variant(PolicyUnstaggered, func(p *Policy) { p.LoadWindow = 0 }),
 		variant(PolicyInDomain, func(p *Policy) { p.CrossDomain = ReachNone }),
