Order VMs to leave that report themselves leaving without an order

Cause: an engine that drains because another member goes away reports leaving; it was never ordered out of the dissolved replica. Measurement: go test ./controller passes; before the change the new test would wait for the order in vain.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -149,6 +149,21 @@
 		Expect(w.run(time.Minute, func() bool { return w.engines[r.VMs[3]].rep.State == platform.EngineIdle })).To(BeTrue())
 	})
 
+	It("orders a VM to leave that reports itself leaving a dissolved replica without an order", func() {
+		settled(1, 1, 4)
+		r := w.complete()[0]
+		lead := w.engines[r.VMs[0]]
+		lead.streams = 1
+		lead.rep.State = platform.EngineLeaving
+		ordered := func() bool {
+			n := len(lead.orders)
+			return lead.orders[n-1].Verb == platform.OrderLeave
+		}
+		Expect(w.run(time.Minute, ordered)).To(BeTrue())
+		lead.streams = 0
+		Expect(w.run(time.Minute, w.serves(1))).To(BeTrue())
+	})
+
 	It("gives the lease up when it loses most VMs at once, and dissolves nothing", func() {
 		settled(2, 2, 8)
 		cut := w.holder()
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -129,7 +129,7 @@
 // leaveOrder returns the order to leave a replica that the ledger does not
 // have. Other ranks leave after rank 0, which carries the streams.
 func leaveOrder(r platform.Report, serving map[place]bool) (platform.Order, bool) {
-	member := r.Replica != "" && (r.State == platform.EngineReady || r.State == platform.EngineLoading)
+	member := r.Replica != "" && r.State != platform.EngineIdle
 	if !member || (r.Rank != 0 && serving[place{r.Replica, r.Generation}]) {
 		return platform.Order{}, false
 	}
