Take a drafting replica for an urgent model below what is wanted

Cause: with no spare VM an urgent model waited for a repair while the other model had replicas above its minimum. Change: UrgentFirst in the default policy, preempt-for-minimum-only as the rival; the bench counts members of a replica with a leaving VM as stranded, so that keeping such a replica looks no better than dissolving it.

--- a/bench/formation/fleet.go
+++ b/bench/formation/fleet.go
@@ -105,7 +105,7 @@
 }
 
 // stranded reports whether the VM is up and neither serves nor loads. Members
-// of a replica that misses another member are stranded too.
+// of a replica that misses another member, or is about to, are stranded too.
 func (v *vm) stranded() bool {
 	if v.dark > 0 {
 		return false
@@ -114,7 +114,7 @@
 		return true
 	}
 	for _, m := range v.replica.members {
-		if m.dark > 0 || m.restarted {
+		if m.dark > 0 || m.restarted || m.vm.Leaving {
 			return true
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -169,6 +169,16 @@
 		Expect(Plan(in, DefaultPolicy())).To(BeEmpty(), "VMs are on their way")
 	})
 
+	It("takes a replica from a model above its minimum for an urgent one below what is wanted", func() {
+		in := input(fleet(4, 4, 4), Demand{Model: "desk", Min: 1, Want: 2, Max: 2, Urgent: true}, Demand{Model: "draft", Min: 1, Want: 2, Max: 2})
+		join(&in, "desk-1", "desk", "a-1", "a-2", "a-3", "a-4")
+		join(&in, "draft-1", "draft", "b-1", "b-2", "b-3", "b-4")
+		join(&in, "draft-2", "draft", "c-1", "c-2", "c-3", "c-4")
+		Expect(dissolves(Plan(in, DefaultPolicy()))).To(Equal([]Dissolve{{Replica: "draft-1", Generation: 2, Cause: CausePreempted}}))
+		minOnly, _ := PolicyByName(PolicyMinOnly)
+		Expect(Plan(in, minOnly)).To(BeEmpty())
+	})
+
 	It("keeps broken replicas apart when survivors are not merged", func() {
 		in := input(fleet(8), Demand{Model: "draft", Min: 2, Want: 2, Max: 2})
 		join(&in, "draft-1", "draft", "a-1", "a-2", "a-3", "a-4")
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -27,6 +27,9 @@
 	// Preempt takes a replica of a model above its own need for a model
 	// below its minimum.
 	Preempt bool
+	// UrgentFirst lets Preempt take a replica of a model above its minimum
+	// for an urgent model below what is wanted.
+	UrgentFirst bool
 	// WaitForGone keeps a replica with a leaving VM until the VM is gone.
 	WaitForGone bool
 	// CrossDomain says when replicas are formed across domains of one zone
@@ -66,6 +69,7 @@
 	PolicyCrossWant    = "cross-domain-want"
 	PolicyCrossSurplus = "cross-domain-surplus"
 	PolicyNoPreempt    = "no-preempt"
+	PolicyMinOnly      = "preempt-for-minimum-only"
 	PolicyAnyWeights   = "any-weights"
 	PolicyNoSpread     = "no-spread"
 	PolicyWaitForGone  = "wait-for-gone"
@@ -87,6 +91,7 @@
 		Merge:        true,
 		Surplus:      true,
 		Preempt:      true,
+		UrgentFirst:  true,
 		CrossDomain:  ReachMin,
 		LoadWindow:   defaultLoadWindow,
 		LoadTimeout:  defaultLoadTimeout,
@@ -112,6 +117,7 @@
 		variant(PolicyCrossWant, func(p *Policy) { p.CrossDomain = ReachWant }),
 		variant(PolicyCrossSurplus, func(p *Policy) { p.CrossDomain = ReachSurplus }),
 		variant(PolicyNoPreempt, func(p *Policy) { p.Preempt = false }),
+		variant(PolicyMinOnly, func(p *Policy) { p.UrgentFirst = false }),
 		variant(PolicyAnyWeights, func(p *Policy) { p.HoldersFirst = false }),
 		variant(PolicyNoSpread, func(p *Policy) { p.Spread = false }),
 		variant(PolicyWaitForGone, func(p *Policy) { p.WaitForGone = true }),
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -203,7 +203,9 @@
 	return best
 }
 
-// donors returns the models that can give a replica away to a blocked one.
+// donors returns the models that can give a replica away to a blocked one:
+// those with more than they want, and, for a greater need, less important ones
+// with more than their minimum.
 func (r *run) donors(b blockedDemand) map[string]bool {
 	donors := map[string]bool{}
 	below := false
@@ -213,7 +215,8 @@
 			continue
 		}
 		live := r.tally(d.Model).live
-		if live > max(d.Want, d.Min) || (b.belowMin && below && live > d.Min) {
+		greater := b.belowMin || r.policy.UrgentFirst && b.Urgent && !d.Urgent
+		if live > max(d.Want, d.Min) || below && greater && live > d.Min {
 			donors[d.Model] = true
 		}
 	}
