--- a/admission/pool.go
+++ b/admission/pool.go
@@ -127,12 +127,14 @@
 	return min(want, int(maxHeadroom*float64(p.slots)))
 }
 
-// room returns the slots that a tier may take over all of its requests.
+// room returns the slots that a tier may take over all of its requests. Urgent
+// work may always take its headroom, even if other work has more than the rest
+// because the capacity shrank.
 func (p *pool) room(now time.Time, tier int) int {
 	if tier == tierUrgent {
 		normal := p.running[tierNormal]
 		reserve := min(normal+p.waiting[tierNormal], int(normalReserve*float64(p.slots)))
-		return p.slots - max(normal, reserve)
+		return max(p.slots-max(normal, reserve), p.headroom(now))
 	}
 	return p.slots - max(p.headroom(now), p.running[tierUrgent])
 }
@@ -216,15 +218,16 @@
 	return p.waiting[tierUrgent]+p.waiting[tierNormal] >= p.maxWaiting()
 }
 
-// predictedWait estimates how long a new request of a team waits. Teams take
-// turns, so of each other team at most as many requests go first as the team's
-// own place in its queue.
-func (p *pool) predictedWait(now time.Time, t *team, tier int) time.Duration {
-	own := len(t.waiting[tier])
+// predictedWait estimates how long a new request waits. In its own team those
+// that must start earlier go first; teams take turns, so of each other team at
+// most as many go first as the request's own place.
+func (p *pool) predictedWait(now time.Time, r *request) time.Duration {
+	tier := r.tier()
+	own := r.team.waiting[tier].before(r.latest)
 	ahead := own
 	for _, o := range p.teams {
-		if o != t {
-			ahead += min(len(o.waiting[tier]), own+1)
+		if o != r.team {
+			ahead += min(o.waiting[tier].before(r.latest), own+1)
 		}
 	}
 	room := p.room(now, tier)
--- a/bench/node.go
+++ b/bench/node.go
@@ -23,8 +23,8 @@
 	// patience is the multiple of the answer target after which a caller
 	// gives up.
 	patience = 2
-	// assumedTokenTime is what a node takes for the time between tokens.
-	assumedTokenTime = 30 * time.Millisecond
+	// bytesPerToken is the size of a token of a prompt.
+	bytesPerToken = 4
 )
 
 // node is one entry VM: the services, bound to fake engines.
@@ -71,6 +71,8 @@
 	firstAt  time.Time
 	// have is the number of tokens that the caller has.
 	have int
+	// progressed says that the last try brought the answer forward.
+	progressed bool
 	// reportedAt and reportedTokens are those of the last progress report.
 	reportedAt     time.Time
 	reportedTokens int
@@ -107,11 +109,9 @@
 	}
 	n, r := a.node, a.request
 	a.tries++
-	prefill := time.Duration(r.prompt) * prefillPerToken
 	reply := n.router.Handle(n.loop.now, router.Pick{
 		RequestID: r.id, Pool: r.kind.class.Model, PrefixHashes: r.prefixes, Exclude: a.exclude,
-		ExpectedWork:    prefill + time.Duration(r.kind.answer)*assumedTokenTime,
-		ExpectedPrefill: prefill,
+		Class: r.kind.class.Name, PromptBytes: r.prompt * bytesPerToken,
 	})[0].(kernel.Reply).Msg
 	if refusal, ok := reply.(*verdict.Error); ok {
 		a.failed(refusal)
@@ -199,8 +199,11 @@
 	n := a.node
 	n.router.Handle(n.loop.now, router.Finished{RequestID: a.request.id, Upstream: a.upstream.ID})
 	a.exclude = append(a.exclude, a.upstream.ID)
-	if n.retrier.resumes() {
-		a.have = min(a.request.tokens-1, a.have+a.job.produced())
+	a.progressed = false
+	if produced := a.job.produced(); n.retrier.resumes() && produced > 0 {
+		a.have = min(a.request.tokens-1, a.have+produced)
+		a.progressed = true
+		a.tries = 1
 	}
 	a.failed(e)
 }
@@ -214,8 +217,8 @@
 	deadline := r.arrived.Add(time.Duration(r.kind.class.Targets.AnsweredWithin))
 	d := n.retrier.next(n.loop.now, retry.Failure{
 		Class: r.kind.class.Name, Repeatable: true, Err: e, Attempt: a.tries,
-		Remaining: deadline.Sub(n.loop.now),
-		Work:      time.Duration(max(0, int(r.kind.answer)-a.have)) * tokenTimeIdle,
+		Remaining: deadline.Sub(n.loop.now), Progressed: a.progressed,
+		Work: time.Duration(max(0, int(r.kind.answer)-a.have)) * tokenTimeIdle,
 	})
 	if !d.Retry {
 		a.over = true
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -24,6 +25,8 @@
 	reportDelay  = 500 * time.Millisecond
 	// gapShare is the part of cache reports that lose events.
 	gapShare = 0.02
+	// sharePeriod is the time between updates of the nodes' shares.
+	sharePeriod = 200 * time.Millisecond
 	// healthDelay is the time until nodes know that an engine is gone or back.
 	healthDelay = 3 * time.Second
 	// drainTime is how long a run goes on after the last arrival.
@@ -52,12 +55,30 @@
 	Routing, Admission, Retry string
 	// KeepStragglers turns the ejection of stragglers off.
 	KeepStragglers bool
+	// Capacity names how a node's share of the slots is worked out; empty
+	// stands for CapacityRouter.
+	Capacity string
+	// Skewed sends twice as many requests to the first node as to another.
+	Skewed bool
 	// SubsetSize bounds the engines per node; 0 stands for the default.
 	SubsetSize int
 	// faults happen during the run.
 	faults []fault
 }
 
+// Names of the ways to work out a node's share of the slots.
+const (
+	// CapacityRouter asks the service "router".
+	CapacityRouter = "router"
+	// CapacityEqual divides the slots by the nodes.
+	CapacityEqual = "equal"
+	// CapacityMargin gives half as much again as an equal part.
+	CapacityMargin = "margin-1.5"
+)
+
+// capacityMargin is the margin of CapacityMargin.
+const capacityMargin = 1.5
+
 // fault is something that happens to the engines.
 type fault struct {
 	at    time.Duration
@@ -91,6 +112,7 @@
 		w.nodes = append(w.nodes, n)
 	}
 	w.announce()
+	w.loop.every(sharePeriod, sharePeriod, w.shareCapacity)
 	w.scheduleReports()
 	w.scheduleTraffic()
 	for _, f := range s.faults {
@@ -121,19 +143,51 @@
 // announce tells the nodes which engines are up.
 func (w *world) announce() {
 	var up []balance.Upstream
-	slots := map[string]int{}
 	for _, e := range w.engines {
 		if !e.down {
 			up = append(up, e.upstream)
-			slots[e.upstream.Pool] += e.upstream.Slots
 		}
 	}
 	for _, n := range w.nodes {
+		n.router.Handle(w.loop.now, router.NodesChanged{Nodes: len(w.nodes)})
 		n.router.Handle(w.loop.now, router.UpstreamsChanged{Upstreams: up})
+	}
+	w.shareCapacity()
+}
+
+// shareCapacity tells each node's admission its share of the slots.
+func (w *world) shareCapacity() {
+	for _, n := range w.nodes {
 		for _, f := range w.scenario.Deployment.fleets {
-			n.door.capacity(f.model, (slots[f.model]+len(w.nodes)-1)/len(w.nodes))
+			n.door.capacity(f.model, w.share(n, f.model))
+		}
+	}
+}
+
+// share returns a node's share of a model's slots.
+func (w *world) share(n *node, model string) int {
+	if w.scenario.Capacity == "" || w.scenario.Capacity == CapacityRouter {
+		return n.router.Share(w.loop.now, model)
+	}
+	slots := 0
+	for _, e := range w.engines {
+		if !e.down && e.upstream.Pool == model {
+			slots += e.upstream.Slots
 		}
 	}
+	equal := float64(slots) / float64(len(w.nodes))
+	if w.scenario.Capacity == CapacityMargin {
+		equal *= capacityMargin
+	}
+	return int(math.Ceil(equal))
+}
+
+// drawNode draws the node that a request arrives at.
+func (w *world) drawNode(rng *rand.Rand) *node {
+	if !w.scenario.Skewed {
+		return w.nodes[rng.IntN(len(w.nodes))]
+	}
+	return w.nodes[max(0, rng.IntN(len(w.nodes)+1)-1)]
 }
 
 // scheduleReports sends each engine's load and cache events to the nodes.
@@ -181,8 +235,7 @@
 		if w.loop.now.After(epoch.Add(w.scenario.Length)) {
 			return
 		}
-		n := w.nodes[t.rng.IntN(len(w.nodes))]
-		n.serve(t.draw(w.loop.now))
+		w.drawNode(t.rng).serve(t.draw(w.loop.now))
 		w.arriveNext(t)
 	})
 }
--- a/controller/service.go
+++ b/controller/service.go
@@ -64,6 +64,7 @@
 	document *dynamic.Document
 	models   platform.ModelList
 	load     loadAverage
+	planner  *placement.Planner
 	pending  pendingRecords
 	drain    *Drain
 	drained  bool
@@ -82,7 +83,7 @@
 		fleet:    newFleetState(),
 		orders:   orderState{sent: map[platform.VMID]*sentOrder{}},
 		pending:  newPendingRecords(),
-		load:     loadAverage{},
+		planner:  placement.NewPlanner(s.Policy),
 	}
 }
 
@@ -160,6 +161,13 @@
 		return IdleLogUnavailable
 	case !s.lease.valid(now):
 		return IdleLeaseLapsed
+	}
+	return s.whyUnfit(now)
+}
+
+// whyUnfit returns what the node lacks for planning, empty if nothing.
+func (s *Service) whyUnfit(now time.Time) IdleReason {
+	switch {
 	case s.document == nil || len(s.models.Models) == 0:
 		return IdleNoConfig
 	case now.Sub(s.fleet.at) > ObservationBound:
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -152,9 +152,9 @@
 		return !d.allFailing()
 	}
 	if m.perToken.count > 0 {
-		return d.far(m, func(p *member) float64 { return p.perToken.low })
+		return d.far(m, func(p *member) *window { return &p.perToken })
 	}
-	return d.far(m, func(p *member) float64 { return p.firstToken.low })
+	return d.far(m, func(p *member) *window { return &p.firstToken })
 }
 
 // allFailing reports whether at least half of the upstreams in service fail
@@ -173,14 +173,16 @@
 	return 2*failing >= serving
 }
 
-// far reports whether m's latency is far above the median of the upstreams in
-// service.
-func (d *Detector) far(m *member, latency func(*member) float64) bool {
-	own := latency(m)
+// far reports whether m's low quantile is far above the median of the latest
+// samples of the upstreams in service. The latest samples are compared because
+// all upstreams may just have become slow: older ones would make the first
+// upstream that is known to be slow an outlier.
+func (d *Detector) far(m *member, latency func(*member) *window) bool {
+	own := latency(m).low
 	values := make([]float64, 0, len(d.members))
 	for _, p := range d.members {
-		if v := latency(p); !p.ejected && v > 0 {
-			values = append(values, v)
+		if w := latency(p); !p.ejected && w.low > 0 {
+			values = append(values, w.last)
 		}
 	}
 	if own == 0 || len(values) < minPeers {
--- a/outlier/window.go
+++ b/outlier/window.go
@@ -9,6 +9,8 @@
 type window struct {
 	samples [windowSize]float64
 	count   int
+	// last is the latest sample.
+	last float64
 	// low is the lower quantile of the samples; 0 while there are few.
 	low float64
 }
@@ -20,6 +22,7 @@
 	}
 	w.samples[w.count%windowSize] = float64(sample)
 	w.count++
+	w.last = float64(sample)
 	if w.count < minSamples {
 		return
 	}
--- a/router/load.go
+++ b/router/load.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
@@ -21,10 +22,21 @@
 	reportAt  time.Time
 	// corrections holds the node's sends and finishes since reportAt.
 	corrections []correction
-	// change is the sum of corrections.
+	// change is the sum of corrections, and weight what each counts.
 	change int
-	// requests counts the picks in flight by request.
-	requests map[string]int
+	weight float64
+	// requests holds the picks in flight by request.
+	requests map[string]sending
+}
+
+// sending is a request in flight on an upstream.
+type sending struct {
+	// picks counts the times that the request was picked for the upstream.
+	picks int
+	at    time.Time
+	class string
+	// coldBytes is the size of the prompt if no prefix of it was cached.
+	coldBytes int
 }
 
 // correction is a send (+1) or a finish (-1) after the last report.
@@ -34,24 +46,29 @@
 }
 
 // sent notes a request that goes to the upstream.
-func (u *upstream) sent(now time.Time, request string) {
-	u.requests[request]++
+func (u *upstream) sent(now time.Time, request, class string, coldBytes int) {
+	picks := u.requests[request].picks + 1
+	u.requests[request] = sending{picks: picks, at: now, class: class, coldBytes: coldBytes}
 	u.candidate.InFlight++
 	u.correct(now, 1)
 }
 
-// finished notes the end of a request. It reports whether it was in flight.
-func (u *upstream) finished(now time.Time, request string) bool {
-	if u.requests[request] == 0 {
-		return false
+// finished notes the end of a request and returns what was sent. It reports
+// whether the request was in flight.
+func (u *upstream) finished(now time.Time, request string) (sending, bool) {
+	r, ok := u.requests[request]
+	if !ok {
+		return sending{}, false
 	}
-	u.requests[request]--
-	if u.requests[request] == 0 {
+	r.picks--
+	if r.picks == 0 {
 		delete(u.requests, request)
+	} else {
+		u.requests[request] = r
 	}
 	u.candidate.InFlight--
 	u.correct(now, -1)
-	return true
+	return r, true
 }
 
 func (u *upstream) correct(now time.Time, change int) {
@@ -88,5 +105,15 @@
 // estimate sets the corrected load. The upstream runs at least the node's own
 // requests, whatever the report says.
 func (u *upstream) estimate() {
-	u.candidate.Load = max(u.candidate.Reported+u.change, u.candidate.InFlight)
+	change := int(math.Round(u.weight * float64(u.change)))
+	u.candidate.Load = max(u.candidate.Reported+change, u.candidate.InFlight)
+}
+
+// setSharers takes the number of nodes that use the upstream. The others see
+// the same reports and send to the same upstreams, so this node's sends stand
+// for theirs too. They are a small sample, so they count by the square root: a
+// larger weight would follow the noise, a smaller one the herd.
+func (u *upstream) setSharers(sharers float64) {
+	u.weight = math.Sqrt(sharers)
+	u.estimate()
 }
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,8 +28,8 @@
 	// probationRequests bounds the requests in flight on an upstream that
 	// returns from ejection.
 	probationRequests = 1
-	// prefillDivisor gives the prompt's part of the expected work.
-	prefillDivisor = 4
+	// usableShare is the part of an upstream's slots that admission fills.
+	usableShare = 0.9
 	// noReplicaRetry advises callers while a pool has no upstream.
 	noReplicaRetry = 2 * time.Second
 )
@@ -53,15 +54,20 @@
 // Service is the kernel service "router".
 type Service struct {
 	config    Config
+	nodes     int
 	pools     map[string]*pool
 	upstreams map[string]*upstream
 	prefixes  *prefix.Index
+	// works holds what was learned per class.
+	works map[string]*workEstimate
 }
 
 // pool is the upstreams of one model or service that this node uses.
 type pool struct {
 	members  []*upstream
 	outliers *outlier.Detector
+	// size counts the pool's upstreams, used by this node or not.
+	size int
 	// scratch is reused for the candidates of each Pick.
 	scratch []*balance.Candidate
 }
@@ -79,9 +85,11 @@
 	}
 	return &Service{
 		config:    c,
+		nodes:     1,
 		pools:     map[string]*pool{},
 		upstreams: map[string]*upstream{},
 		prefixes:  prefix.NewIndex(),
+		works:     map[string]*workEstimate{},
 	}
 }
 
@@ -92,7 +100,10 @@
 func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
 	switch m := msg.(type) {
 	case UpstreamsChanged:
-		s.replaceUpstreams(m.Upstreams)
+		s.replaceUpstreams(m)
+	case NodesChanged:
+		s.nodes = m.Nodes
+		s.updateSharers()
 	case LoadReported:
 		if u, ok := s.upstreams[m.ID]; ok {
 			u.reported(m)
@@ -127,15 +138,30 @@
 	return free
 }
 
-// Slots returns the slots of a pool over the upstreams that this node uses.
-func (s *Service) Slots(pool string) int {
-	slots := 0
-	if p, ok := s.pools[pool]; ok {
-		for _, u := range p.members {
-			slots += u.candidate.Slots
+// Share returns how many requests of a pool this node may run at a time, for
+// admission.
+//
+// The node has an equal part of the slots of upstreams in service, less a
+// reserve that keeps a free slot in reach of two random choices. It may go
+// beyond that by its part of the slots that are free, so that a node with more
+// callers than the others uses what they leave.
+func (s *Service) Share(now time.Time, pool string) int {
+	p, ok := s.pools[pool]
+	if !ok {
+		return 0
+	}
+	slots, free, own := 0.0, 0.0, 0.0
+	for _, u := range p.members {
+		own += float64(u.candidate.InFlight)
+		if !s.config.KeepStragglers && p.outliers.State(u.candidate.ID, now) != outlier.Healthy {
+			continue
 		}
+		usable := usableShare * float64(u.candidate.Slots)
+		slots += usable
+		free += usable - float64(u.candidate.Load)
 	}
-	return slots
+	sharers := s.sharers(p)
+	return max(1, int(math.Ceil(slots/sharers)), int(own+free/sharers))
 }
 
 // count adds one to a counter of the service.
@@ -151,13 +177,14 @@
 		return verdict.Refuse(verdict.ReasonNoReplica, "no upstream of pool %q", m.Pool).
 			WithRetryAfter(noReplicaRetry)
 	}
-	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
-	if r.Prefill == 0 {
-		r.Prefill = r.Work / prefillDivisor
-	}
+	r := s.request(m)
 	r.Holders = s.holders(m.PrefixHashes, candidates)
 	chosen := s.config.Strategy.Choose(r, candidates)
-	s.upstreams[chosen.ID].sent(now, m.RequestID)
+	coldBytes := m.PromptBytes
+	if s.cached(chosen.ID, m.PrefixHashes) {
+		coldBytes = 0
+	}
+	s.upstreams[chosen.ID].sent(now, m.RequestID, m.Class, coldBytes)
 	for _, h := range m.PrefixHashes {
 		s.prefixes.Add(chosen.ID, h)
 	}
@@ -165,6 +192,40 @@
 	return Picked{Upstream: chosen.Upstream}
 }
 
+// request returns what the strategy knows about a Pick, with what was learned of
+// the class where the Pick says nothing.
+func (s *Service) request(m Pick) balance.Request {
+	learned := s.work(m.Class)
+	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
+	if r.Work == 0 {
+		r.Work = learned.work()
+	}
+	if r.Prefill == 0 {
+		r.Prefill = learned.prefill(m.PromptBytes)
+	}
+	return r
+}
+
+// work returns what was learned of a class.
+func (s *Service) work(class string) *workEstimate {
+	w, ok := s.works[class]
+	if !ok {
+		w = &workEstimate{}
+		s.works[class] = w
+	}
+	return w
+}
+
+// cached reports whether an upstream is known to hold a prefix.
+func (s *Service) cached(id string, hashes []uint64) bool {
+	for _, h := range hashes {
+		if _, found := slices.BinarySearch(s.prefixes.Holders(h), id); found {
+			return true
+		}
+	}
+	return false
+}
+
 // candidates returns the upstreams that may be picked, in order of their ids.
 // If stragglers are all that is left, they are better than nothing.
 func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
@@ -228,17 +289,31 @@
 
 func (s *Service) progressed(now time.Time, m Progressed) {
 	u, ok := s.upstreams[m.Upstream]
-	if !ok || u.requests[m.RequestID] == 0 {
+	if !ok {
 		return
 	}
+	r, ok := u.requests[m.RequestID]
+	if !ok {
+		return
+	}
+	s.work(r.class).firstToken(m.FirstToken, r.coldBytes)
 	s.observe(now, u, outlier.Sample{OK: true, FirstToken: m.FirstToken, PerToken: m.PerToken})
 }
 
 func (s *Service) finished(now time.Time, m Finished) {
 	u, ok := s.upstreams[m.Upstream]
-	if !ok || !u.finished(now, m.RequestID) {
+	if !ok {
 		return
 	}
+	r, ok := u.finished(now, m.RequestID)
+	if !ok {
+		return
+	}
+	if m.OK {
+		work := s.work(r.class)
+		work.firstToken(m.FirstToken, r.coldBytes)
+		work.finished(now.Sub(r.at))
+	}
 	s.observe(now, u, outlier.Sample{OK: m.OK, FirstToken: m.FirstToken, PerToken: m.PerToken})
 }
 
