Look at replicas across domains only when there are any

Cause: each plan sorted all replicas to find those across domains. Change: the index keeps them apart. Measurement (go test ./placement -bench ., machine busy): a plan after one lost VM of 80,000 told to the index 4.7 ms before, 13 us after.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -26,6 +26,8 @@
 	// incomplete and broken are replicas that need a look in each plan.
 	incomplete map[string]*replicaNode
 	broken     map[string]*replicaNode
+	// crossing holds the replicas across domains.
+	crossing map[string]*replicaNode
 	// epoch numbers calls of Sync.
 	epoch int
 }
@@ -69,6 +71,7 @@
 		tallies:    map[string]*tally{},
 		incomplete: map[string]*replicaNode{},
 		broken:     map[string]*replicaNode{},
+		crossing:   map[string]*replicaNode{},
 	}
 }
 
@@ -87,6 +90,7 @@
 		v.replica = n
 	}
 	n.domains = p.domainsOf(n)
+	setMember(p.crossing, n, len(n.domains) > 1)
 	p.count(n, 1)
 	p.check(n)
 }
@@ -103,6 +107,7 @@
 	delete(p.replicas, name)
 	delete(p.incomplete, name)
 	delete(p.broken, name)
+	delete(p.crossing, name)
 	for _, id := range n.VMs {
 		delete(p.memberOf, id)
 		if v, ok := p.vms[id]; ok {
--- a/placement/repair.go
+++ b/placement/repair.go
@@ -125,9 +125,9 @@
 	if r.policy.CrossDomain == ReachNone {
 		return
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.replicas)) {
-		n := r.replicas[name]
-		if len(n.domains) < 2 || n.cause != "" {
+	for _, name := range slices.Sorted(maps.Keys(r.crossing)) {
+		n := r.crossing[name]
+		if n.cause != "" {
 			continue
 		}
 		inside := map[*domainNode]int{}
