Mend four faults that the proofs found

Causes, by docs/PROOF.md: (1) a late copy of a claim that had lost won after the winner's release and left its key in progress; (2) a report counted as fresh from its arrival, so a node that was paused took an old answer for a new one; (3) a paused node routed by the judgement of before its pause; (4) a restarted node was ready before it had read the configuration that the log held. Ruled out: a shorter freshness, which the pause outlasts as well. Change: lost claims are remembered; reports age from the question; each judgement carries its end and the router checks it at the pick; a node is ready when it has read the configuration to its end once, or can't reach the log.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -18,6 +18,9 @@
 	Zone string
 	// Slots is the number of requests that run at the same time.
 	Slots int
+	// FreshUntil is when the judgement that the upstream may take work
+	// expires; zero for never.
+	FreshUntil time.Time
 }
 
 // ServicePool returns the pool of a plain service.
--- a/entry/bridge.go
+++ b/entry/bridge.go
@@ -57,6 +57,8 @@
 			Queued:  m.Report.Queued,
 			LoadAt:  time.UnixMilli(m.Report.LoadAt),
 		}}}
+	case health.Renewed:
+		return []kernel.Effect{kernel.Send{To: router.Name, Msg: router.Renewed(m)}}
 	case configuration.Changed:
 		return []kernel.Effect{
 			kernel.Send{To: admission.Name, Msg: admission.Configure{Classes: m.Document.Classes}},
@@ -80,6 +82,7 @@
 			Pool:       poolOf(u),
 			Zone:       u.Zone,
 			Slots:      u.Slots,
+			FreshUntil: u.FreshUntil,
 		})
 	}
 	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.UpstreamsChanged{Upstreams: list}}}
@@ -107,7 +110,7 @@
 		total[poolOf(u)] += u.Slots
 	}
 	b.slots = total
-	var out []kernel.Effect
+	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.NodesChanged{Nodes: b.nodes(now)}}}
 	for _, pool := range sortedKeys(total) {
 		out = append(out, kernel.Send{To: admission.Name, Msg: admission.Capacity{
 			Pool:  pool,
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -86,6 +86,7 @@
 	if chat.Seed != nil {
 		g.seed = *chat.Seed
 	}
+	g.promptBytes = len(g.prompt)
 	g.fingerprint = digest(req.class.Name, g.prompt)
 	if chat.Stream {
 		g.writer = newStreamWriter(w, req.id, chat.Model, req.arrived)
--- a/entry/drivers.go
+++ b/entry/drivers.go
@@ -103,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
 	report, err := d.upstream.Report(ctx, e.Address)
-	d.post(health.Name, health.Probed{VM: e.VM, Report: report, Err: err})
+	d.post(health.Name, health.Probed{VM: e.VM, AskedAt: e.AskedAt, Report: report, Err: err})
 }
 
 // orderDriver performs the orders of the controller.
--- a/entry/peerapi.go
+++ b/entry/peerapi.go
@@ -86,6 +86,8 @@
 		return "draining"
 	case n.configuration.InForce().Document == nil:
 		return "no configuration is in force"
+	case n.log.Reachable(now) && !n.log.ReachedHead(record.StreamConfig):
+		return "the log of configuration is still being read"
 	case n.peers.Isolated(now):
 		return "neither the log nor a peer was heard of lately"
 	default:
--- a/entry/request.go
+++ b/entry/request.go
@@ -38,6 +38,8 @@
 	deadline time.Time
 	class    dynamic.Class
 	trace    *requestTrace
+	// promptBytes is the size of the prompt; 0 for calls.
+	promptBytes int
 }
 
 // newRequest gives a request its id.
--- a/entry/steps.go
+++ b/entry/steps.go
@@ -62,7 +62,8 @@
 			Pool:         pool,
 			PrefixHashes: prefixes,
 			Exclude:      exclude,
-			ExpectedWork: time.Duration(q.class.Targets.AnsweredWithin) / 2,
+			Class:        q.class.Name,
+			PromptBytes:  q.promptBytes,
 		}
 	})
 	if failure != nil {
--- a/health/health.go
+++ b/health/health.go
@@ -110,7 +110,7 @@
 		out := append(s.assign(now), s.observed(now)...)
 		return append(out, timer(assignEvery, assignTick{}))
 	case probeTick:
-		return s.probe(m.vm)
+		return s.probe(now, m.vm)
 	case Probed:
 		return s.probed(now, m)
 	case Suspected:
@@ -150,7 +150,7 @@
 	}
 }
 
-func (s *Service) probe(vm platform.VMID) []kernel.Effect {
+func (s *Service) probe(now time.Time, vm platform.VMID) []kernel.Effect {
 	st, ok := s.vms[vm]
 	if !ok {
 		return nil
@@ -159,7 +159,7 @@
 		st.probing = false
 		return nil
 	}
-	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address}}
+	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address, AskedAt: now}}
 }
 
 func (s *Service) probed(now time.Time, m Probed) []kernel.Effect {
@@ -172,7 +172,7 @@
 		return out
 	}
 	st.Report = m.Report
-	st.HeardAt = now
+	st.HeardAt = m.AskedAt
 	st.suspected = false
 	if u, ok := s.serving(m.VM); ok {
 		for _, name := range s.subscribers {
@@ -229,7 +229,7 @@
 	s.addPlain(now)
 	s.noteChanges(now)
 	if same(before, s.eligible) {
-		return nil
+		return s.renewed()
 	}
 	var out []kernel.Effect
 	changed := Changed{Upstreams: s.Eligible(), Broken: lostSince(before, s.eligible, broken)}
@@ -239,6 +239,19 @@
 	return out
 }
 
+// renewed tells subscribers how long the unchanged judgement holds.
+func (s *Service) renewed() []kernel.Effect {
+	msg := Renewed{FreshUntil: map[string]time.Time{}}
+	for id, u := range s.eligible {
+		msg.FreshUntil[id] = u.FreshUntil
+	}
+	var out []kernel.Effect
+	for _, name := range s.subscribers {
+		out = append(out, kernel.Send{To: name, Msg: msg})
+	}
+	return out
+}
+
 // candidates returns the replicas in this node's share and those that were
 // eligible before, by name.
 func (s *Service) candidates(before map[string]Upstream) []string {
@@ -294,11 +307,15 @@
 // judge decides whether a replica may take work.
 func (s *Service) judge(now time.Time, r ledger.Replica) (Upstream, standing) {
 	result := complete
+	oldest := now
 	for _, id := range r.VMs {
 		st, ok := s.vms[id]
 		if !ok || !s.member(now, st, r) {
 			return Upstream{}, incomplete
 		}
+		if st.HeardAt.Before(oldest) {
+			oldest = st.HeardAt
+		}
 		if st.VM.Leaving || st.Report.State == platform.EngineLeaving || st.suspected {
 			result = leaving
 		}
@@ -312,6 +329,7 @@
 		Zone:       lead.VM.Zone,
 		Slots:      lead.Report.Slots,
 		Report:     lead.Report,
+		FreshUntil: oldest.Add(FreshFor),
 	}, result
 }
 
@@ -340,6 +358,8 @@
 			Zone:    st.VM.Zone,
 			Slots:   st.Report.Slots,
 			Report:  st.Report,
+
+			FreshUntil: st.HeardAt.Add(FreshFor),
 		}
 	}
 }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -64,7 +64,7 @@
 			skip = skip || id == vm.ID
 		}
 		if !skip {
-			s.Handle(now, health.Probed{VM: vm.ID, Report: f.reports[vm.ID]})
+			s.Handle(now, health.Probed{VM: vm.ID, AskedAt: now, Report: f.reports[vm.ID]})
 		}
 	}
 }
--- a/health/messages.go
+++ b/health/messages.go
@@ -48,13 +48,18 @@
 type Probe struct {
 	VM      platform.VMID
 	Address string
+	// AskedAt goes back in Probed.
+	AskedAt time.Time
 }
 
 // Probed is the result of a Probe.
 type Probed struct {
-	VM     platform.VMID
-	Report platform.Report
-	Err    error
+	VM platform.VMID
+	// AskedAt is the time of the Probe: what the report says was true then
+	// or later.
+	AskedAt time.Time
+	Report  platform.Report
+	Err     error
 }
 
 // Suspected says that a request found an upstream unreachable or leaving. It
@@ -82,6 +87,8 @@
 	Slots int
 	// Report is the latest report of the VM at Address.
 	Report platform.Report
+	// FreshUntil is when the first report behind the judgement expires.
+	FreshUntil time.Time
 }
 
 // Changed tells subscribers the whole set of eligible upstreams, and the
@@ -99,6 +106,12 @@
 	Report platform.Report
 }
 
+// Renewed tells subscribers until when eligible upstreams may take work. A
+// request that is routed later, by a node that was paused, must not use them.
+type Renewed struct {
+	FreshUntil map[string]time.Time
+}
+
 // Observation is what is known of one VM.
 type Observation struct {
 	VM platform.VM
--- a/ledger/calls.go
+++ b/ledger/calls.go
@@ -49,6 +49,9 @@
 	Node record.NodeID `json:"node"`
 	// Released holds the attempts that gave their claims back.
 	Released []string `json:"released,omitempty"`
+	// Lost holds the identifiers of claims that lost, so that a late copy of
+	// one does not win after a release.
+	Lost []string `json:"lost,omitempty"`
 	// Body is the recorded answer.
 	Body json.RawMessage `json:"body,omitempty"`
 }
@@ -95,7 +98,7 @@
 	c.advance(r.AtMillis)
 	switch {
 	case r.Claim != nil:
-		return c.claim(r.AtMillis, *r.Claim)
+		return c.claim(r.ID, r.AtMillis, *r.Claim)
 	case r.Release != nil:
 		return c.release(*r.Release)
 	default:
@@ -113,7 +116,7 @@
 	}
 }
 
-func (c *Calls) claim(at int64, r record.CallClaim) Result {
+func (c *Calls) claim(id string, at int64, r record.CallClaim) Result {
 	tooOld := r.KeyMillis < c.logTime-KeyWindow.Milliseconds()
 	tooNew := r.KeyMillis > at+KeySkew.Milliseconds()
 	if tooOld || tooNew {
@@ -124,10 +127,11 @@
 		c.add(&Call{Key: r.Key, KeyMillis: r.KeyMillis, Phase: CallFree, Digest: r.Digest})
 		known = c.calls[r.Key]
 	}
-	if known.Attempt == r.Attempt || slices.Contains(known.Released, r.Attempt) {
+	if known.Attempt == r.Attempt || slices.Contains(known.Released, r.Attempt) || slices.Contains(known.Lost, id) {
 		return rejected(CauseDuplicate)
 	}
 	if known.Phase != CallFree {
+		known.Lost = append(known.Lost, id)
 		return rejected(CauseKeyClaimed)
 	}
 	if known.Digest != r.Digest {
--- a/logfollow/follower.go
+++ b/logfollow/follower.go
@@ -19,6 +19,9 @@
 	based bool
 	// atHead says that the latest read reached the end of the stream.
 	atHead bool
+	// reachedHead says that a read has reached the end of the stream since
+	// the process started.
+	reachedHead bool
 	// rebuildFrom is the first offset in buffer while there is no base.
 	rebuildFrom int64
 	buffer      []platform.Entry
@@ -59,6 +62,7 @@
 		f.next++
 	}
 	f.atHead = f.next >= res.Next
+	f.reachedHead = f.reachedHead || (f.atHead && f.based)
 	return out
 }
 
--- a/logfollow/service.go
+++ b/logfollow/service.go
@@ -220,6 +220,10 @@
 // Based reports whether a stream's ledger has its base.
 func (s *Service) Based(stream string) bool { return s.followers[stream].based }
 
+// ReachedHead reports whether a stream was read to its end, with its base, at
+// some time since the start.
+func (s *Service) ReachedHead(stream string) bool { return s.followers[stream].reachedHead }
+
 // Next returns the offset up to which a stream was read.
 func (s *Service) Next(stream string) int64 { return s.followers[stream].next }
 
--- a/prooftest/freshness_test.go
+++ b/prooftest/freshness_test.go
@@ -33,6 +33,7 @@
 // asked is a probe on its way; the VM has answered it if report is set.
 type asked struct {
 	vm     platform.VMID
+	at     time.Time
 	report *platform.Report
 }
 
@@ -73,7 +74,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case health.Probe:
-			w.probes = append(w.probes, asked{vm: e.VM})
+			w.probes = append(w.probes, asked{vm: e.VM, at: e.AskedAt})
 		case kernel.SetTimer:
 			w.timers = append(w.timers, envelope{at: w.now.Add(e.After), msg: e.Msg})
 		}
@@ -111,7 +112,7 @@
 	}
 	p := w.probes[i]
 	w.probes = slices.Delete(w.probes, i, i+1)
-	w.handle(health.Probed{VM: p.vm, Report: *p.report})
+	w.handle(health.Probed{VM: p.vm, AskedAt: p.at, Report: *p.report})
 }
 
 // pass lets time pass. The service may be paused meanwhile: its timers go off
--- a/router/messages.go
+++ b/router/messages.go
@@ -17,6 +17,13 @@
 	PoolSizes map[string]int
 }
 
+// Renewed tells until when upstreams may be picked, while the set of eligible
+// upstreams stays the same.
+type Renewed struct {
+	// FreshUntil holds the end of each upstream's eligibility by its id.
+	FreshUntil map[string]time.Time
+}
+
 // NodesChanged tells how many entry VMs send requests to the upstreams.
 type NodesChanged struct {
 	// Nodes counts live entry VMs, this one included.
--- a/router/router.go
+++ b/router/router.go
@@ -101,6 +101,8 @@
 	switch m := msg.(type) {
 	case UpstreamsChanged:
 		s.replaceUpstreams(m)
+	case Renewed:
+		s.renew(m)
 	case NodesChanged:
 		s.nodes = m.Nodes
 		s.updateSharers()
@@ -235,7 +237,7 @@
 	}
 	p.scratch = p.scratch[:0]
 	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) && s.inService(now, p, u) {
+		if usable(now, m, u) && s.inService(now, p, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
@@ -243,13 +245,29 @@
 		return p.scratch
 	}
 	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) {
+		if usable(now, m, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
 	return p.scratch
 }
 
+// usable reports whether a request may be sent to u. A node that was paused
+// finds its judgements expired until health checking has renewed them.
+func usable(now time.Time, m Pick, u *upstream) bool {
+	fresh := u.candidate.FreshUntil.IsZero() || now.Before(u.candidate.FreshUntil)
+	return fresh && !slices.Contains(m.Exclude, u.candidate.ID)
+}
+
+// renew prolongs the eligibility of upstreams.
+func (s *Service) renew(m Renewed) {
+	for id, until := range m.FreshUntil {
+		if u, ok := s.upstreams[id]; ok {
+			u.candidate.FreshUntil = until
+		}
+	}
+}
+
 // inService reports whether u is no ejected straggler.
 func (s *Service) inService(now time.Time, p *pool, u *upstream) bool {
 	if s.config.KeepStragglers {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -119,3 +119,21 @@
 		}
 	})
 })
+
+var _ = Describe("a judgement of eligibility", func() {
+	It("expires for a node that was paused, until it is renewed", func() {
+		start := time.Unix(1000, 0)
+		s := router.New(router.Config{Node: "n", Rand: rand.New(rand.NewPCG(1, 1))})
+		s.Handle(start, router.UpstreamsChanged{Upstreams: []balance.Upstream{
+			{ID: "r1", Pool: "m", Slots: 8, FreshUntil: start.Add(3 * time.Second)},
+		}})
+		pick := func(at time.Time) kernel.Message {
+			return s.Handle(at, router.Pick{Ask: 1, RequestID: at.String(), Pool: "m"})[0].(kernel.Reply).Msg
+		}
+		Expect(pick(start)).To(BeAssignableToTypeOf(router.Picked{}))
+		resumed := start.Add(time.Minute)
+		Expect(pick(resumed)).To(BeAssignableToTypeOf(&verdict.Error{}))
+		s.Handle(resumed, router.Renewed{FreshUntil: map[string]time.Time{"r1": resumed.Add(time.Second)}})
+		Expect(pick(resumed)).To(BeAssignableToTypeOf(router.Picked{}))
+	})
+})
