Observe the fleet while nobody live holds the control lease

Cause: a node told its controller of VMs only while it held the lease, and the controller claims the lease only after it was told of VMs; no node ever claimed. A node that took over would also have taken VMs it never watched for lost. Ruled out: observing always, whose cost grows with the fleet on every node. Change: a node observes while it holds the lease or its holder is not live; a VM in the share of no node that was heard counts as heard since then.

--- /dev/null
+++ b/entry/cluster_test.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/config/static"
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/standin/engine"
+	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
+	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
+	"github.com/tamarackcleat/tamarackcleat/standin/weightstore"
+)
+
+// waitLong bounds every wait for a condition.
+const waitLong = 60 * time.Second
+
+// cluster is a platform of stand-ins with entry nodes, all on loopback.
+type cluster struct {
+	log     *logservice.Service
+	vms     *vmlist.Service
+	list    *httptest.Server
+	engines map[platform.VMID]*engine.Service
+	servers map[platform.VMID]*httptest.Server
+	plain   *plainservice.Service
+	nodes   []*running
+	urls    static.Platform
+}
+
+// running is a node that runs.
+type running struct {
+	*Node
+	url  string
+	stop context.CancelFunc
+	done chan error
+}
+
+func newCluster() *cluster {
+	logSettings := logservice.DefaultSettings()
+	listSettings := vmlist.DefaultSettings()
+	listSettings.Lag = 100 * time.Millisecond
+	c := &cluster{
+		log:     logservice.New(logSettings),
+		vms:     vmlist.New(listSettings),
+		engines: map[platform.VMID]*engine.Service{},
+		servers: map[platform.VMID]*httptest.Server{},
+	}
+	weights := weightstore.New(weightstore.Settings{Clock: time.Now, List: platform.ModelList{
+		Models:         []platform.Model{{Name: "draft-70b", VMsPerReplica: 2, WeightBytes: 1 << 20}},
+		BytesPerSecond: 1 << 30,
+	}})
+	c.list = c.serve(c.vms)
+	c.urls = static.Platform{Log: c.serve(c.log).URL, VMs: c.list.URL, Weights: c.serve(weights).URL}
+	return c
+}
+
+func (c *cluster) serve(h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	DeferCleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s
+}
+
+// register puts a VM on the VM list.
+func (c *cluster) register(vm platform.VM) { c.change(vmlist.Register, vm) }
+
+func (c *cluster) change(verb vmlist.ChangeVerb, vm platform.VM) {
+	body, err := json.Marshal(vmlist.Change{Verb: verb, VM: vm})
+	Expect(err).NotTo(HaveOccurred())
+	resp, err := http.Post(c.list.URL+"/v1/vms", "application/json", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	resp.Body.Close()
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+}
+
+// addEngines adds engine VMs to a fabric domain.
+func (c *cluster) addEngines(domain string, count int) {
+	for i := range count {
+		vm := platform.VM{ID: platform.VMID(fmt.Sprintf("%s-%d", domain, i)), Kind: platform.KindEngine, Zone: "a", Domain: domain, Accelerators: 8, ChecksFencing: true}
+		e := engine.New(engine.DefaultSettings(vm.ID))
+		s := c.serve(e)
+		vm.Address = strings.TrimPrefix(s.URL, "http://")
+		c.engines[vm.ID] = e
+		c.servers[vm.ID] = s
+		c.register(vm)
+	}
+}
+
+// addPlain adds the VM of a plain service.
+func (c *cluster) addPlain(service string) {
+	c.plain = plainservice.New(plainservice.DefaultSettings(platform.VMID(service + "-0")))
+	s := c.serve(c.plain)
+	c.register(platform.VM{ID: platform.VMID(service + "-0"), Kind: platform.KindPlain, Zone: "a", Service: service, Address: strings.TrimPrefix(s.URL, "http://")})
+}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// addNode starts an entry node.
+func (c *cluster) addNode() *running {
+	address := freeAddress()
+	n, err := New(static.Settings{Listen: address, Advertise: address, Zone: "a", Platform: c.urls}, slog.New(slog.NewTextHandler(GinkgoWriter, nil)))
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Node: n, url: "http://" + address, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx) }()
+	DeferCleanup(cancel)
+	c.register(platform.VM{ID: platform.VMID(n.id), Kind: platform.KindEntry, Zone: "a", Address: address})
+	c.nodes = append(c.nodes, r)
+	return r
+}
+
+const testDocument = `deployment: test
+classes:
+  - name: drafting
+    kind: generate
+    model: draft-70b
+    targets:
+      first_token_within: 430ms
+      between_tokens_within: 53ms
+      answered_within: 10s
+      for: 95 in 100
+  - name: confirm
+    kind: call
+    service: bookings
+    targets:
+      answered_within: 5s
+      for: 99 in 100
+`
+
+// publish puts the test's document in force.
+func (c *cluster) publish(base int64) {
+	Eventually(func() int {
+		body, _ := json.Marshal(api.PublishRequest{ID: newID(), Base: base, Document: testDocument, Author: "test"})
+		resp, err := http.Post(c.nodes[0].url+api.PathConfig, "application/json", bytes.NewReader(body))
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		GinkgoWriter.Println("publish:", resp.StatusCode, string(text))
+		return resp.StatusCode
+	}, waitLong, "100ms").Should(Equal(http.StatusOK))
+}
+
+// status reads a node's status.
+func (r *running) status() api.Status {
+	var s api.Status
+	resp, err := http.Get(r.url + api.PathStatus)
+	if err != nil {
+		return s
+	}
+	defer resp.Body.Close()
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	return s
+}
+
+// serving counts the replicas that a node routes to.
+func (r *running) serving() int {
+	n := 0
+	for _, m := range r.status().Models {
+		n += m.Serving
+	}
+	return n
+}
+
+// chat sends a chat completion and returns its status and text.
+func (r *running) chat(prompt string, tokens int) (int, string) {
+	body := fmt.Sprintf(`{"model":"drafting","messages":[{"role":"user","content":%q}],"max_tokens":%d,"seed":7}`, prompt, tokens)
+	resp, err := http.Post(r.url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return resp.StatusCode, string(data)
+	}
+	var c chatCompletion
+	if json.Unmarshal(data, &c) != nil || len(c.Choices) != 1 {
+		return resp.StatusCode, "malformed: " + string(data)
+	}
+	return resp.StatusCode, c.Choices[0].Message.Content
+}
+
+// confirm sends a call with a key.
+func (r *running) confirm(key, body string) (int, string) {
+	req, _ := http.NewRequest(http.MethodPost, r.url+"/v1/calls/confirm", strings.NewReader(body))
+	req.Header.Set(api.HeaderIdempotencyKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- a/entry/node.go
+++ b/entry/node.go
@@ -104,8 +104,8 @@
 	ledgers := logfollow.NewLedgers(configuration.Validate)
 	n.log = logfollow.New(ledgers, rng, newID)
 	holder := func() record.NodeID { return ledgers.Control.Lease().Holder }
-	leads := func() bool { return holder() == n.id }
-	n.health = health.New(n.id, n.nodeNames, leads, ledgers.Control, rng)
+	observes := func(now time.Time) bool { return holder() == n.id || !n.isLive(now, holder()) }
+	n.health = health.New(n.id, n.nodeNames, observes, ledgers.Control, rng)
 	n.peers = peers.New(n.settings.Advertise, n, n.log, n.health, holder, rng)
 	n.configuration = configuration.New(n.log)
 	n.quarantine = quarantine.New(n.id, n.log, n.isLive, newID)
--- a/health/health.go
+++ b/health/health.go
@@ -46,9 +46,11 @@
 	eligible map[string]Upstream
 	self     record.NodeID
 	nodes    Nodes
-	// leads says that this node holds the control lease.
-	leads    func() bool
-	assigned map[string]bool
+	// observes says that this node holds the control lease or may claim it;
+	// observedSince is since when it does.
+	observes      Observes
+	observedSince time.Time
+	assigned      map[string]bool
 	// probing holds the VMs of this node's share and those just left.
 	probing map[platform.VMID]*vmState
 	// seq counts the changes of the VMs in this node's share.
@@ -59,13 +61,15 @@
 // Nodes lists the live entry nodes.
 type Nodes func(now time.Time) []string
 
-// New returns the service of a node. leads says that the node holds the
-// control lease; rng spreads probes over time.
-func New(self record.NodeID, nodes Nodes, leads func() bool, replicas Replicas, rng *rand.Rand) *Service {
+// Observes reports whether this node holds the control lease or may claim it.
+type Observes func(now time.Time) bool
+
+// New returns the service of a node. rng spreads probes over time.
+func New(self record.NodeID, nodes Nodes, observes Observes, replicas Replicas, rng *rand.Rand) *Service {
 	return &Service{
 		self:     self,
 		nodes:    nodes,
-		leads:    leads,
+		observes: observes,
 		probing:  map[platform.VMID]*vmState{},
 		assigned: map[string]bool{},
 		remote:   map[record.NodeID]*remoteShare{},
@@ -364,11 +368,16 @@
 	}
 }
 
-// observed tells the observers all VMs while this node holds the lease.
+// observed tells the observers all VMs while this node holds the lease or may
+// claim it.
 func (s *Service) observed(now time.Time) []kernel.Effect {
-	if !s.leads() {
+	if !s.observes(now) {
+		s.observedSince = time.Time{}
 		return nil
 	}
+	if s.observedSince.IsZero() {
+		s.observedSince = now
+	}
 	msg := Observed{VMs: s.Observations(), Models: s.models}
 	s.dropSilent(now)
 	var out []kernel.Effect
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -51,7 +51,7 @@
 
 // service returns the service of a node among others, told of all VMs.
 func (f *fleet) service(self string, nodes []string, now time.Time) *health.Service {
-	s := health.New(record.NodeID(self), func(time.Time) []string { return nodes }, func() bool { return true }, f.control, rand.New(rand.NewPCG(1, 1)))
+	s := health.New(record.NodeID(self), func(time.Time) []string { return nodes }, func(time.Time) bool { return true }, f.control, rand.New(rand.NewPCG(1, 1)))
 	s.Handle(now, health.InventoryDone{VMs: f.vms, Models: platform.ModelList{Models: []platform.Model{{Name: "m"}}}})
 	return s
 }
@@ -165,3 +165,28 @@
 		})
 	}
 }
+
+var _ = Describe("a node that takes over the control lease", func() {
+	It("does not take VMs that it never watched for lost before the others told it", func() {
+		f := newFleet(40, 2)
+		nodes := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
+		begun := time.Unix(1000, 0)
+		s := f.service("n1", nodes, begun)
+		f.probe(s, begun)
+		later := begun.Add(time.Hour)
+		var observed health.Observed
+		s.Observe("controller")
+		for _, e := range s.Handle(later, health.AssignTick()) {
+			if send, ok := e.(kernel.Send); ok {
+				observed, _ = send.Msg.(health.Observed)
+			}
+		}
+		unwatched := 0
+		for _, o := range observed.VMs {
+			if o.HeardAt.Equal(later) {
+				unwatched++
+			}
+		}
+		Expect(unwatched).To(BeNumerically(">", 40))
+	})
+})
--- a/health/share.go
+++ b/health/share.go
@@ -186,17 +186,24 @@
 	}
 }
 
-// observation returns the latest that this node or another knows of a VM.
+// observation returns the latest that this node or another knows of a VM. A VM
+// in the share of no node that was heard counts as heard when this node began
+// to observe: a new lease holder knows little until the others have told it.
 func (s *Service) observation(st *vmState) Observation {
 	best := st.Observation
+	watched := st.probing
 	for _, share := range s.remote {
 		v, ok := share.vms[st.VM.ID]
+		watched = watched || ok
 		if !ok || !v.Alive || !share.heardAt.After(best.HeardAt) {
 			continue
 		}
 		best.HeardAt = share.heardAt
 		best.Report = v.report()
 	}
+	if !watched && s.observedSince.After(best.HeardAt) {
+		best.HeardAt = s.observedSince
+	}
 	return best
 }
 
--- a/prooftest/freshness_test.go
+++ b/prooftest/freshness_test.go
@@ -57,7 +57,7 @@
 	control.Apply(term, record.Record{ID: "lease", Lease: &record.LeaseClaim{Holder: "n"}})
 	form := &record.Formation{Term: term, Replica: "r", Model: "m", VMs: []platform.VMID{"v1", "v2"}}
 	control.Apply(w.generation, record.Record{ID: "form", Form: form})
-	w.service = health.New("n", func(time.Time) []string { return nil }, func() bool { return true }, control, rand.New(rand.NewPCG(1, 1)))
+	w.service = health.New("n", func(time.Time) []string { return nil }, func(time.Time) bool { return true }, control, rand.New(rand.NewPCG(1, 1)))
 	inventory := health.InventoryDone{Models: platform.ModelList{Models: []platform.Model{{Name: "m"}}}}
 	for _, id := range form.VMs {
 		w.members = append(w.members, &member{id: id})
