Mend stand-in tests that depended on order and start groups whole

Cause: the engine stand-in's rank 0 served before it had seen its members, so a member that died before the first check was never missed: the spec of a missing member hung in 2 of about 50 runs. The log specs relied on defaults that have changed and on a read that waits, which it no longer does by itself. Ruled out: a fault of the batch's queue (the heap order was right in each failing run) and of the fault switches. Change: rank 0 becomes ready once all members obey the same order; the specs fix what they rely on and have a guard against hanging.

--- /dev/null
+++ b/standin/callers/callers_test.go
@@ -0,0 +1,113 @@
+package callers_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/standin/callers"
+	"github.com/tamarackcleat/tamarackcleat/standin/engine"
+)
+
+// tokens is the length of the answers of the specs.
+const tokens = 5
+
+// chat is what an entry node reads of a request.
+type chat struct {
+	Seed     int64 `json:"seed"`
+	Messages []struct {
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// streaming answers every completion with the events that spoil makes of the
+// token texts.
+func streaming(spoil func([]string) []string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var req chat
+		if json.NewDecoder(r.Body).Decode(&req) != nil || len(req.Messages) == 0 {
+			return
+		}
+		answer := engine.AnswerTo("user: "+req.Messages[0].Content, req.Seed, tokens)
+		var events []string
+		for i := range answer.Tokens {
+			events = append(events, fmt.Sprintf(`{"choices":[{"delta":{"content":%q}}]}`, answer.Token(i)))
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, e := range spoil(append(events, "[DONE]")) {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", e)
+		}
+	}
+}
+
+var _ = Describe("the callers", func() {
+	// run sends three requests of one kind to a handler.
+	run := func(handler http.HandlerFunc, kind callers.Kind) *callers.Result {
+		server := httptest.NewServer(handler)
+		DeferCleanup(server.Close)
+		return callers.Run(context.Background(), callers.Settings{
+			Entries: []string{server.URL}, Kinds: []callers.Kind{kind}, Requests: 3, PerSecond: 1000, Seed: 1,
+		})[0]
+	}
+	generate := callers.Kind{Class: "drafting", Tokens: tokens, Share: 1}
+
+	DescribeTable("judge a streamed answer", func(spoil func([]string) []string, whole bool) {
+		result := run(streaming(spoil), generate)
+		Expect(result.Sent).To(Equal(3))
+		if whole {
+			Expect(result.Whole).To(Equal(3))
+			Expect(result.FirstToken.TotalCount()).To(BeEquivalentTo(3))
+			return
+		}
+		Expect(result.Wrong).To(Equal(3))
+		Expect(result.Problems).To(HaveLen(3))
+	},
+		Entry("whole", func(e []string) []string { return e }, true),
+		Entry("without its end marker", func(e []string) []string { return e[:tokens] }, false),
+		Entry("without a token", func(e []string) []string { return append(e[:1:1], e[2:]...) }, false),
+		Entry("with a token twice", func(e []string) []string { return append(e[:1:1], e...) }, false),
+		Entry("with tokens swapped", func(e []string) []string { e[0], e[4] = e[4], e[0]; return e }, false),
+		Entry("with an event that is no JSON", func(e []string) []string { e[0] = "{"; return e }, false),
+		Entry("empty", func([]string) []string { return nil }, false),
+	)
+
+	It("count refusals by their reason, also in mid-stream", func() {
+		const body = `{"error":{"reason":"queue_full","verdict":"not_run"}}`
+		refused := run(func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, body, http.StatusTooManyRequests)
+		}, generate)
+		Expect(refused.Refused).To(Equal(map[string]int{"queue_full": 3}))
+		broken := run(streaming(func(e []string) []string { e[2] = body; return e }), generate)
+		Expect(broken.Refused).To(Equal(map[string]int{"queue_full": 3}))
+	})
+
+	It("send a call again with the same key until it is answered", func() {
+		var mu sync.Mutex
+		sends := map[string]int{}
+		result := run(func(w http.ResponseWriter, r *http.Request) {
+			key := r.Header.Get("Idempotency-Key")
+			mu.Lock()
+			sends[key]++
+			first := sends[key] == 1
+			mu.Unlock()
+			if first {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.Copy(w, r.Body)
+		}, callers.Kind{Class: "confirm", Share: 1})
+		Expect(result.Whole).To(Equal(3))
+		mu.Lock()
+		defer mu.Unlock()
+		Expect(sends).To(HaveLen(3))
+		for _, n := range sends {
+			Expect(n).To(Equal(2))
+		}
+	})
+})
--- a/standin/command.go
+++ b/standin/command.go
@@ -134,6 +134,7 @@
 			&cli.BoolFlag{Name: "ignore-fencing", Usage: "obey orders with an old fencing number"},
 			&cli.DurationFlag{Name: "first-token", Usage: "time to the first token", Value: 30 * time.Millisecond},
 			&cli.DurationFlag{Name: "between-tokens", Usage: "time between tokens", Value: 10 * time.Millisecond},
+			&cli.DurationFlag{Name: "member-check", Usage: "time between rank 0's checks of its members; 0 for none"},
 			&cli.IntFlag{Name: "slots", Usage: "size of the continuous batch", Value: 8},
 		},
 		Action: runEngines,
@@ -156,7 +157,7 @@
 		vm := platform.VM{
 			ID:            platform.VMID(c.String("id")),
 			Kind:          platform.KindEngine,
-			Address:       net.JoinHostPort(host, strconv.Itoa(first+i)),
+			Address:       net.JoinHostPort(host, portAfter(first, i)),
 			Zone:          c.String("zone"),
 			Domain:        c.String("domain"),
 			Accelerators:  8,
@@ -171,6 +172,15 @@
 	return group.Wait()
 }
 
+// portAfter returns the port of the nth VM; 0 stays a port of the system's
+// choice.
+func portAfter(first, n int) string {
+	if first == 0 {
+		return "0"
+	}
+	return strconv.Itoa(first + n)
+}
+
 // runEngine registers an engine VM and serves it. An engine that is alone in
 // its process crashes with it.
 func runEngine(ctx context.Context, c *cli.Command, vm platform.VM, alone bool) error {
@@ -180,13 +190,25 @@
 	s.FirstToken = c.Duration("first-token")
 	s.BetweenTokens = c.Duration("between-tokens")
 	s.Slots = c.Int("slots")
+	s.MemberCheck = c.Duration("member-check")
 	if alone {
 		s.OnCrash = func() { os.Exit(1) }
 	}
-	if err := register(ctx, c.String("list"), vm); err != nil {
+	return runVM(ctx, c.String("list"), vm, engine.New(s))
+}
+
+// runVM puts a VM on the list with the address on which it listens, and serves
+// it.
+func runVM(ctx context.Context, list string, vm platform.VM, h leaver) error {
+	l, err := listen(vm.Address)
+	if err != nil {
+		return err
+	}
+	vm.Address = l.Addr().String()
+	if err := register(ctx, list, vm); err != nil {
 		return err
 	}
-	return serveVM(ctx, vm, engine.New(s))
+	return serveVM(ctx, l, h)
 }
 
 func plainCommand() *cli.Command {
@@ -207,10 +229,7 @@
 			}
 			s := plainservice.DefaultSettings(vm.ID)
 			s.OnCrash = func() { os.Exit(1) }
-			if err := register(ctx, c.String("list"), vm); err != nil {
-				return err
-			}
-			return serveVM(ctx, vm, plainservice.New(s))
+			return runVM(ctx, c.String("list"), vm, plainservice.New(s))
 		},
 	}
 }
--- a/standin/engine/fixture_test.go
+++ b/standin/engine/fixture_test.go
@@ -23,6 +23,16 @@
 	testGeneration = 1024
 )
 
+// hangGuard ends a request that would never end; no verdict depends on it.
+const hangGuard = time.Minute
+
+// guarded returns a context that ends with the spec or the guard.
+func guarded() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), hangGuard)
+	DeferCleanup(cancel)
+	return ctx
+}
+
 // vm is an engine VM without delays, on a clock that the spec moves.
 type vm struct {
 	service  *engine.Service
@@ -90,7 +100,7 @@
 
 // generate sends a request and returns all chunks and the end of the stream.
 func (m *vm) generate(req platform.GenerateRequest) ([]platform.Chunk, error) {
-	stream, err := m.upstream.Generate(context.Background(), m.address, req)
+	stream, err := m.upstream.Generate(guarded(), m.address, req)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +131,7 @@
 func (m *vm) open(req platform.GenerateRequest) *platformhttp.Stream {
 	GinkgoHelper()
 	Expect(m.service.Faults.Set(`{"stall_next":1,"break_after":1}`)).To(Succeed())
-	stream, err := m.upstream.Generate(context.Background(), m.address, req)
+	stream, err := m.upstream.Generate(guarded(), m.address, req)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(stream.Close)
 	_, err = stream.Next()
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -97,21 +97,37 @@
 	}
 }
 
-// checkMembers frees rank 0 and cuts its streams when a member that was there
-// is missing.
-func (s *Service) checkMembers(ctx context.Context, o platform.Order) {
-	seen := map[string]string{}
+// awaitMembers waits until all other members obey the same order and returns
+// their boots by address.
+func (s *Service) awaitMembers(ctx context.Context, o platform.Order) (map[string]string, bool) {
+	boots := map[string]string{}
+	for _, address := range otherMembers(o) {
+		for boots[address] == "" {
+			boot, err := s.memberBoot(ctx, address, o)
+			if err == nil {
+				boots[address] = boot
+				continue
+			}
+			if !fault.Sleep(ctx, s.settings.MemberCheck) {
+				return nil, false
+			}
+		}
+	}
+	return boots, true
+}
+
+// otherMembers returns the addresses of all members but rank 0.
+func otherMembers(o platform.Order) []string { return o.Members[min(1, len(o.Members)):] }
+
+// checkMembers frees rank 0 and cuts its streams when a member is missing.
+func (s *Service) checkMembers(ctx context.Context, o platform.Order, boots map[string]string) {
 	failures := map[string]int{}
 	for fault.Sleep(ctx, s.settings.MemberCheck) {
-		for _, address := range o.Members[min(1, len(o.Members)):] {
+		for _, address := range otherMembers(o) {
 			boot, err := s.memberBoot(ctx, address, o)
-			switch {
-			case err == nil && (seen[address] == "" || seen[address] == boot):
-				seen[address] = boot
+			if err == nil && boot == boots[address] {
 				failures[address] = 0
 				continue
-			case seen[address] == "":
-				continue
 			}
 			failures[address]++
 			if failures[address] >= memberFailures {
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -92,11 +92,16 @@
 	if !s.holds(o.Model) && !s.transfer(ctx, o.Model) {
 		return
 	}
-	if !s.sleep(ctx, s.settings.LoadHeld) || !s.finishLoading(o) {
+	if !s.sleep(ctx, s.settings.LoadHeld) {
 		return
 	}
-	if o.Rank == 0 && s.settings.MemberCheck > 0 {
-		s.checkMembers(ctx, o)
+	if o.Rank != 0 || s.settings.MemberCheck <= 0 {
+		s.finishLoading(o)
+		return
+	}
+	boots, ok := s.awaitMembers(ctx, o)
+	if ok && s.finishLoading(o) {
+		s.checkMembers(ctx, o, boots)
 	}
 }
 
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -18,6 +18,13 @@
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
 )
 
+// Values of the specs.
+const (
+	retention = time.Hour
+	// longWait is a long poll that no spec waits out.
+	longWait = 20 * time.Second
+)
+
 // fixture is a log service with a clock that the spec moves.
 type fixture struct {
 	service *logservice.Service
@@ -34,6 +41,7 @@
 func start(change func(*logservice.Settings)) *fixture {
 	f := &fixture{arrived: make(chan struct{}, 100)}
 	settings := logservice.DefaultSettings()
+	settings.Retention = retention
 	settings.Clock = func() time.Time { return time.Unix(0, f.now.Load()) }
 	change(&settings)
 	f.service = logservice.New(settings)
@@ -74,7 +82,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(result.Entries).To(HaveLen(1))
 		Expect(result.Entries[0].Data).To(MatchJSON(`{"n":1}`))
-		Expect(result.RetentionMillis).To(BeEquivalentTo((24 * time.Hour).Milliseconds()))
+		Expect(result.RetentionMillis).To(BeEquivalentTo(retention.Milliseconds()))
 		other, err := f.log.Append(ctx, "t", []byte(`1`))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(other.Offset).To(BeZero())
@@ -84,7 +92,7 @@
 		result := make(chan platform.ReadResult, 1)
 		go func() {
 			defer GinkgoRecover()
-			r, err := f.log.Read(ctx, "s", 0, 0)
+			r, err := f.log.Read(ctx, "s", 0, longWait)
 			Expect(err).NotTo(HaveOccurred())
 			result <- r
 		}()
--- /dev/null
+++ b/standin/plainservice/plainservice_test.go
@@ -0,0 +1,89 @@
+package plainservice_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
+)
+
+var _ = Describe("the plain service stand-in", func() {
+	var (
+		service *plainservice.Service
+		call    func(ctx context.Context, key string) (platform.CallResponse, error)
+		report  func() platform.Report
+	)
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		service = plainservice.New(plainservice.Settings{VM: "p-1", Clock: time.Now})
+		server := httptest.NewServer(service)
+		DeferCleanup(server.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		upstream := platformhttp.NewUpstream(nil)
+		call = func(ctx context.Context, key string) (platform.CallResponse, error) {
+			return upstream.Call(ctx, address, platform.CallRequest{
+				RequestID: "r1", Class: "confirm", Key: key, Body: json.RawMessage(`{"wall":4}`),
+			})
+		}
+		report = func() platform.Report {
+			r, err := upstream.Report(ctx, address)
+			Expect(err).NotTo(HaveOccurred())
+			return r
+		}
+	})
+
+	It("answers with the request and counts effects by key", func() {
+		for _, key := range []string{"k", "k", ""} {
+			_, err := call(ctx, key)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		answer, err := call(ctx, "other")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Body).To(MatchJSON(`{"effect":1,"vm":"p-1","request":{"wall":4}}`))
+		Expect(service.Effects()).To(Equal(plainservice.Effects{ByKey: map[string]int{"k": 2, "other": 1}, Unkeyed: 1}))
+	})
+
+	DescribeTable("fails once", func(faults string, want verdict.Verdict, effects int, restarts bool) {
+		before := report().Boot
+		Expect(service.Faults.Set(faults)).To(Succeed())
+		_, err := call(ctx, "k")
+		Expect(verdict.From(err).Verdict).To(Equal(want))
+		Expect(service.Effects().ByKey["k"]).To(Equal(effects))
+		Expect(report().Boot != before).To(Equal(restarts))
+		_, err = call(ctx, "k")
+		Expect(err).NotTo(HaveOccurred())
+	},
+		Entry("refusing it as not run", `{"refuse_next":1}`, verdict.NotRun, 0, false),
+		Entry("losing the answer after the effect", `{"lose_answers":1}`, verdict.MayHaveRun, 1, false),
+		Entry("crashing before the effect", `{"crash_before":1}`, verdict.MayHaveRun, 0, true),
+		Entry("crashing after the effect", `{"crash_after":1}`, verdict.MayHaveRun, 1, true),
+	)
+
+	It("leaves once its calls have ended and refuses new ones", func() {
+		Expect(service.Faults.Set(`{"hang_answers":1}`)).To(Succeed())
+		waiting, giveUp := context.WithCancel(ctx)
+		go func() { _, _ = call(waiting, "k") }()
+		Eventually(func() int { return service.Effects().ByKey["k"] }).Should(Equal(1))
+		left := make(chan struct{})
+		go func() {
+			service.Leave(ctx)
+			close(left)
+		}()
+		Eventually(report).Should(HaveField("State", platform.EngineLeaving))
+		_, err := call(ctx, "other")
+		Expect(verdict.From(err).Verdict).To(Equal(verdict.NotRun))
+		Expect(left).NotTo(BeClosed())
+		giveUp()
+		Eventually(left).Should(BeClosed())
+	})
+})
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -18,6 +18,8 @@
 const (
 	// leaveTimeout bounds the graceful stop of a VM.
 	leaveTimeout = 5 * time.Minute
+	// shutdownTimeout bounds the wait for answers in flight.
+	shutdownTimeout = 2 * time.Second
 	// registerTimeout bounds the registration of a VM with the VM list.
 	registerTimeout = 5 * time.Second
 	// headerTimeout ends the wait for a request's header.
@@ -31,25 +33,54 @@
 	Leave(ctx context.Context)
 }
 
-// serve answers requests on an address until the context ends.
-func serve(ctx context.Context, address string, h http.Handler) error {
+// listen opens an address and logs it.
+func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
-		return errors.Wrap(err, "listening")
+		return nil, errors.Wrap(err, "listening")
 	}
 	slog.Info("listening", "address", l.Addr().String())
+	return l, nil
+}
+
+// serve answers requests on an address until the context ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := listen(address)
+	if err != nil {
+		return err
+	}
+	return serveOn(ctx, l, h)
+}
+
+// serveOn answers requests on a listener until the context ends. It returns
+// once the answers in flight are written, at most after shutdownTimeout.
+func serveOn(ctx context.Context, l net.Listener, h http.Handler) error {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stopped()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		shutdown(server)
+	})
+	err := server.Serve(l)
+	if stop() {
 		return errors.Wrap(err, "serving")
 	}
+	<-closed
 	return nil
 }
 
+// shutdown lets the answers in flight be written and closes the server.
+func shutdown(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
 // serveVM answers requests to a VM. When the context ends, the VM leaves
 // gracefully.
-func serveVM(ctx context.Context, vm platform.VM, h leaver) error {
+func serveVM(ctx context.Context, l net.Listener, h leaver) error {
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	context.AfterFunc(ctx, func() {
@@ -58,7 +89,7 @@
 		h.Leave(leaving)
 		stop()
 	})
-	return serve(serving, vm.Address, h)
+	return serveOn(serving, l, h)
 }
 
 // register puts a VM on the VM list.
