Compare the callers' calls with the effects of the plain services

Cause: the callers counted a call as whole when it was answered; a doubled or lost effect stayed unseen.

--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -51,6 +51,8 @@
 	Refused            map[string]int
 	// FirstToken and Total hold times in microseconds.
 	FirstToken, Total *hdrhistogram.Histogram
+	// Calls holds the idempotency keys and whether each was answered.
+	Calls map[string]bool
 	// Problems describes some of the wrong answers.
 	Problems []string
 }
@@ -58,6 +60,7 @@
 // outcome is what became of one request.
 type outcome struct {
 	class      string
+	key        string
 	whole      bool
 	refused    string
 	problem    string
@@ -116,6 +119,7 @@
 	return &Result{
 		Class:      class,
 		Refused:    map[string]int{},
+		Calls:      map[string]bool{},
 		FirstToken: hdrhistogram.New(1, longestMeasured, significantDigits),
 		Total:      hdrhistogram.New(1, longestMeasured, significantDigits),
 	}
@@ -126,6 +130,9 @@
 
 func (r *Result) add(o outcome) {
 	r.Sent++
+	if o.key != "" {
+		r.Calls[o.key] = o.whole
+	}
 	switch {
 	case o.whole:
 		r.Whole++
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -7,13 +7,16 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/standin/callers"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
+	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
 )
 
 // tokens is the length of the answers of the specs.
@@ -110,4 +113,26 @@
 			Expect(n).To(Equal(2))
 		}
 	})
+
+	DescribeTable("compare calls with their effects", func(effects string, problems int) {
+		service := plainservice.New(plainservice.Settings{Clock: time.Now})
+		server := httptest.NewServer(service)
+		DeferCleanup(server.Close)
+		result := &callers.Result{Class: "confirm", Calls: map[string]bool{"k": true, "unanswered": false}}
+		for _, key := range strings.Fields(effects) {
+			resp, err := http.Post(server.URL+"/v1/call", "application/json", strings.NewReader(`{"key":"team/`+key+`"}`))
+			Expect(err).NotTo(HaveOccurred())
+			resp.Body.Close()
+		}
+		found, err := callers.CheckEffects(context.Background(), []*callers.Result{result},
+			[]callers.Ledger{{Class: "confirm", URL: server.URL}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(HaveLen(problems))
+	},
+		Entry("once", "k", 0),
+		Entry("once, and an unanswered one too", "k unanswered", 0),
+		Entry("lost", "unanswered", 1),
+		Entry("doubled", "k k", 1),
+		Entry("unanswered and doubled", "k unanswered unanswered", 1),
+	)
 })
--- a/standin/callers/command.go
+++ b/standin/callers/command.go
@@ -20,6 +20,7 @@
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of an entry node", Required: true},
 			&cli.StringSliceFlag{Name: "kind", Usage: "`CLASS=TOKENS:SHARE`; 0 tokens for a call", Required: true},
+			&cli.StringSliceFlag{Name: "effects", Usage: "`CLASS=URL` of a plain service's VM where the class's calls take effect once"},
 			&cli.IntFlag{Name: "requests", Usage: "number of requests", Value: 100},
 			&cli.FloatFlag{Name: "per-second", Usage: "requests a second", Value: 20},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the sequence of kinds", Value: 1},
@@ -45,7 +46,32 @@
 		}
 		s.Kinds = append(s.Kinds, k)
 	}
-	return report(c, Run(ctx, s))
+	var ledgers []Ledger
+	for _, text := range c.StringSlice("effects") {
+		l, err := parseLedger(text)
+		if err != nil {
+			return err
+		}
+		ledgers = append(ledgers, l)
+	}
+	results := Run(ctx, s)
+	problems, err := CheckEffects(ctx, results, ledgers)
+	return errors.CombineErrors(report(c, results), reportEffects(c, problems, err))
+}
+
+// errEffects ends a run in which a call was lost or doubled.
+var errEffects = errors.New("not every call took effect exactly once")
+
+// reportEffects prints calls that were lost or doubled and fails if there are
+// any.
+func reportEffects(c *cli.Command, problems []string, err error) error {
+	for _, p := range problems {
+		_, _ = fmt.Fprintln(c.Root().Writer, p)
+	}
+	if err == nil && len(problems) > 0 {
+		return errEffects
+	}
+	return err
 }
 
 // parseKind reads CLASS=TOKENS:SHARE.
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -114,6 +114,7 @@
 	var last outcome
 	for range callAttempts {
 		last = callOnce(ctx, entry, k, name, key)
+		last.key = key
 		if last.whole {
 			return last
 		}
