--- a/standin/callers/callers.go
+++ b/standin/callers/callers.go
@@ -34,6 +34,9 @@
 type Settings struct {
 	// Entries holds the URLs of entry nodes; requests take turns.
 	Entries []string
+	// Direct holds addresses of rank 0 VMs. If there are any, each request
+	// for a generation is also sent to one of them, as a class of its own.
+	Direct []string
 	// Kinds holds the kinds of requests.
 	Kinds []Kind
 	// Requests is the number of requests and PerSecond their rate.
@@ -68,29 +71,26 @@
 	total      time.Duration
 }
 
-// Run sends the requests and returns one result per kind.
+// Run sends the requests and returns one result per class.
 func Run(ctx context.Context, s Settings) []*Result {
-	results := map[string]*Result{}
-	var order []*Result
-	for _, k := range s.Kinds {
-		r := newResult(k.Class)
-		results[k.Class] = r
-		order = append(order, r)
-	}
+	results, order := s.results()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
+	add := func(o outcome) {
+		mu.Lock()
+		defer mu.Unlock()
+		results[o.class].add(o)
+	}
 	rng := rand.New(rand.NewPCG(s.Seed, s.Seed))
 	tick := time.NewTicker(time.Duration(float64(time.Second) / s.PerSecond))
 	defer tick.Stop()
 	for i := range s.Requests {
 		kind := pick(rng, s.Kinds)
-		entry := s.Entries[i%len(s.Entries)]
-		wg.Go(func() {
-			o := send(ctx, entry, kind, fmt.Sprintf("request %d-%d", s.Seed, i))
-			mu.Lock()
-			defer mu.Unlock()
-			results[kind.Class].add(o)
-		})
+		name := fmt.Sprintf("request %d-%d", s.Seed, i)
+		wg.Go(func() { add(send(ctx, s.Entries[i%len(s.Entries)], kind, name)) })
+		if len(s.Direct) > 0 && kind.Tokens > 0 {
+			wg.Go(func() { add(sendDirect(ctx, s.Direct[i%len(s.Direct)], kind, name)) })
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -100,6 +100,23 @@
 	return order
 }
 
+// results returns empty results by class and in the order of the kinds.
+func (s Settings) results() (byClass map[string]*Result, order []*Result) {
+	byClass = map[string]*Result{}
+	for _, k := range s.Kinds {
+		classes := []string{k.Class}
+		if len(s.Direct) > 0 && k.Tokens > 0 {
+			classes = append(classes, k.Class+directSuffix)
+		}
+		for _, class := range classes {
+			r := newResult(class)
+			byClass[class] = r
+			order = append(order, r)
+		}
+	}
+	return byClass, order
+}
+
 // pick draws a kind by its share.
 func pick(rng *rand.Rand, kinds []Kind) Kind {
 	total := 0
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/callers"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
@@ -91,6 +93,26 @@
 		Expect(broken.Refused).To(Equal(map[string]int{"queue_full": 3}))
 	})
 
+	It("send each generation to an engine too, if they are told to", func() {
+		vm := engine.New(engine.Settings{VM: "vm", Slots: 4, MaxQueue: 4, CachePrefixes: 1, Clock: time.Now})
+		server := httptest.NewServer(vm)
+		DeferCleanup(server.Close)
+		DeferCleanup(vm.Close)
+		address := strings.TrimPrefix(server.URL, "http://")
+		Expect(platformhttp.NewUpstream(nil).Order(context.Background(), address,
+			platform.Order{Verb: platform.OrderJoin, Replica: "r", Generation: 1, Model: "m"})).To(Succeed())
+		Eventually(vm.Report).Should(HaveField("State", platform.EngineReady))
+		entry := httptest.NewServer(streaming(func(e []string) []string { return e }))
+		DeferCleanup(entry.Close)
+		results := callers.Run(context.Background(), callers.Settings{
+			Entries: []string{entry.URL}, Direct: []string{address}, Kinds: []callers.Kind{generate},
+			Requests: 3, PerSecond: 1000, Seed: 1,
+		})
+		Expect(results).To(HaveLen(2))
+		Expect(results[0].Whole).To(Equal(3))
+		Expect(results[1]).To(And(HaveField("Class", "drafting (direct)"), HaveField("Whole", 3)))
+	})
+
 	It("send a call again with the same key until it is answered", func() {
 		var mu sync.Mutex
 		sends := map[string]int{}
--- a/standin/callers/command.go
+++ b/standin/callers/command.go
@@ -19,6 +19,7 @@
 		Usage: "send requests to entry nodes and check the answers",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Usage: "`URL` of an entry node", Required: true},
+			&cli.StringSliceFlag{Name: "direct", Usage: "`ADDRESS` of a rank 0 VM that gets each generation too, to compare"},
 			&cli.StringSliceFlag{Name: "kind", Usage: "`CLASS=TOKENS:SHARE`; 0 tokens for a call", Required: true},
 			&cli.StringSliceFlag{Name: "effects", Usage: "`CLASS=URL` of a plain service's VM where the class's calls take effect once"},
 			&cli.IntFlag{Name: "requests", Usage: "number of requests", Value: 100},
@@ -35,6 +36,7 @@
 func run(ctx context.Context, c *cli.Command) error {
 	s := Settings{
 		Entries:   c.StringSlice("entry"),
+		Direct:    c.StringSlice("direct"),
 		Requests:  c.Int("requests"),
 		PerSecond: c.Float("per-second"),
 		Seed:      c.Uint64("seed"),
--- /dev/null
+++ b/standin/serve_test.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+)
+
+func TestStandin(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "standin")
+}
+
+// gate holds the answer to a call back until the spec releases it.
+type gate struct {
+	*plainservice.Service
+	entered, release chan struct{}
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/call" {
+		w = &heldWriter{ResponseWriter: w, gate: g}
+	}
+	g.Service.ServeHTTP(w, r)
+}
+
+// heldWriter waits at the gate before the answer's header.
+type heldWriter struct {
+	http.ResponseWriter
+	gate *gate
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *heldWriter) WriteHeader(status int) {
+	close(w.gate.entered)
+	<-w.gate.release
+	w.ResponseWriter.WriteHeader(status)
+}
+
+var _ = Describe("a VM that is told to stop", func() {
+	It("answers the call in flight before it closes", func() {
+		ctx := context.Background()
+		vm := &gate{
+			Service: plainservice.New(plainservice.DefaultSettings("p")),
+			entered: make(chan struct{}), release: make(chan struct{}),
+		}
+		l, err := listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		running, stop := context.WithCancel(ctx)
+		defer stop()
+		stopped := make(chan error, 1)
+		go func() { stopped <- serveVM(running, l, vm) }()
+		upstream := platformhttp.NewUpstream(nil)
+		address := l.Addr().String()
+		answered := make(chan error, 1)
+		go func() {
+			_, err := upstream.Call(ctx, address, platform.CallRequest{RequestID: "r", Key: "k", Body: json.RawMessage(`{}`)})
+			answered <- err
+		}()
+		Eventually(vm.entered, "10s").Should(BeClosed())
+		stop()
+		Eventually(func() (platform.Report, error) { return upstream.Report(ctx, address) }, "10s").
+			Should(HaveField("State", platform.EngineLeaving))
+		Expect(stopped).NotTo(Receive())
+		close(vm.release)
+		Eventually(answered, "10s").Should(Receive(BeNil()))
+		Eventually(stopped, "10s").Should(Receive(BeNil()))
+	})
+})
+
+var _ = DescribeTable("models of the weight store", func(text, rate string, good bool) {
+	list, err := modelList([]string{text}, rate)
+	Expect(err == nil).To(Equal(good))
+	if good {
+		Expect(list).To(Equal(platform.ModelList{
+			BytesPerSecond: 2_000_000_000,
+			Models:         []platform.Model{{Name: "m", VMsPerReplica: 2, WeightBytes: 14_000_000_000}},
+		}))
+	}
+},
+	Entry("with units", "m=2:14GB", "2GB", true),
+	Entry("without a size", "m=2", "2GB", false),
+	Entry("without a count", "m=x:14GB", "2GB", false),
+	Entry("with a bad rate", "m=2:14GB", "fast", false),
+)
