--- a/admission/pool.go
+++ b/admission/pool.go
@@ -219,14 +219,14 @@
 }
 
 // predictedWait estimates how long a new request waits. In its own team those
-// that must start earlier go first; teams take turns, so of each other team at
-// most as many go first as the request's own place.
+// that must start earlier go first. Teams take turns, so of each other team that
+// was not served more at most as many go first as the request's own place.
 func (p *pool) predictedWait(now time.Time, r *request) time.Duration {
 	tier := r.tier()
 	own := r.team.waiting[tier].before(r.latest)
 	ahead := own
 	for _, o := range p.teams {
-		if o != r.team {
+		if o != r.team && o.served <= r.team.served+fairnessQuantum {
 			ahead += min(o.waiting[tier].before(r.latest), own+1)
 		}
 	}
