Work out the share from whole slots, and test it

Cause: a test of the share gave 10 for 9: tenths of slots were summed per upstream, and the rounding error was rounded up to one more request. Change: slots are summed as integers. Tests cover the share, the weight of own sends, and the small team's predicted wait.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -153,6 +153,16 @@
 		Expect(d.order).To(Equal([]string{"s"}))
 	})
 
+	It("doesn't refuse a small team for the queue of a large one", func() {
+		d := newDoor(10)
+		for i := range 200 {
+			d.arrive(start, fmt.Sprint("l", i), "draft", "large")
+		}
+		Expect(d.reason("l199")).NotTo(Equal("waiting"))
+		d.arrive(start, "s", "draft", "small")
+		Expect(d.reason("s")).To(Equal("waiting"))
+	})
+
 	It("tells a team that it is over its share when the queue is full", func() {
 		d := newDoor(0)
 		for i := range 64 {
--- a/router/router.go
+++ b/router/router.go
@@ -150,18 +150,20 @@
 	if !ok {
 		return 0
 	}
-	slots, free, own := 0.0, 0.0, 0.0
+	slots, load, own := 0, 0, 0
 	for _, u := range p.members {
-		own += float64(u.candidate.InFlight)
+		own += u.candidate.InFlight
 		if !s.config.KeepStragglers && p.outliers.State(u.candidate.ID, now) != outlier.Healthy {
 			continue
 		}
-		usable := usableShare * float64(u.candidate.Slots)
-		slots += usable
-		free += usable - float64(u.candidate.Load)
+		slots += u.candidate.Slots
+		load += u.candidate.Load
 	}
+	usable := usableShare * float64(slots)
 	sharers := s.sharers(p)
-	return max(1, int(math.Ceil(slots/sharers)), int(own+free/sharers))
+	equal := int(math.Ceil(usable / sharers))
+	beyond := own + int(math.Floor((usable-float64(load))/sharers))
+	return max(1, equal, beyond)
 }
 
 // count adds one to a counter of the service.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -102,20 +102,59 @@
 		Expect(s.FreeSlots("m")).To(Equal(4 * router.DefaultSubsetSize))
 	})
 
-	It("takes a straggler out", func() {
-		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(10)})
-		for i := range 200 {
-			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
-			request := fmt.Sprint(i)
-			id := pick(s, now, router.Pick{RequestID: request})
-			latency := 20 * time.Millisecond
-			if id == "r3" {
-				latency *= 10
+	It("counts own sends for those of other nodes, by the square root", func() {
+		s.Handle(start, router.NodesChanged{Nodes: 9})
+		s.Handle(start, router.LoadReported{ID: "r0", LoadAt: start})
+		Expect(pick(s, start.Add(time.Second), router.Pick{RequestID: "q", Exclude: []string{"r1"}})).To(Equal("r0"))
+		Expect(s.FreeSlots("m")).To(Equal(8 - 3))
+	})
+
+	DescribeTable("gives a node its share of the slots",
+		func(fleet, nodes, load, want int) {
+			s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(fleet)})
+			s.Handle(start, router.NodesChanged{Nodes: nodes})
+			for i := range fleet {
+				s.Handle(start, router.LoadReported{ID: fmt.Sprint("r", i), Running: load, LoadAt: start})
 			}
-			s.Handle(now, router.Finished{RequestID: request, Upstream: id, OK: true, PerToken: latency})
+			Expect(s.Share(start, "m")).To(Equal(want))
+		},
+		Entry("nothing of an empty pool", 0, 7, 0, 0),
+		Entry("all usable slots when alone", 10, 1, 0, 36),
+		Entry("an equal part", 10, 4, 0, 9),
+		Entry("an equal part even of a full pool", 10, 4, 4, 9),
+		Entry("by the nodes that use an upstream, of a large pool", 960, 10, 0, 346),
+	)
+
+	It("lets a node with more callers go into free slots", func() {
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(10)})
+		s.Handle(start, router.NodesChanged{Nodes: 2})
+		for i := range 18 {
+			pick(s, start, router.Pick{RequestID: fmt.Sprint(i)})
 		}
+		Expect(s.Share(start, "m")).To(BeNumerically(">", 18))
+	})
+
+	It("takes a straggler out", func() {
+		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(10)})
+		before := s.Share(start, "m")
+		eject(s, "r3")
+		Expect(s.Share(start.Add(3*time.Second), "m")).To(BeNumerically("<", before))
 		for i := range 100 {
 			Expect(pick(s, start.Add(3*time.Second), router.Pick{RequestID: fmt.Sprint(i)})).NotTo(Equal("r3"))
 		}
 	})
 })
+
+// eject makes one upstream of ten a straggler.
+func eject(s *router.Service, straggler string) {
+	for i := range 200 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		request := fmt.Sprint("eject-", i)
+		id := pick(s, now, router.Pick{RequestID: request})
+		latency := 20 * time.Millisecond
+		if id == straggler {
+			latency *= 10
+		}
+		s.Handle(now, router.Finished{RequestID: request, Upstream: id, OK: true, PerToken: latency})
+	}
+}
