--- a/admission/pool.go
+++ b/admission/pool.go
@@ -16,18 +16,8 @@
 	// fairnessQuantum is how much more service a team may have been given
 	// than the least served one and still go by deadline alone.
 	fairnessQuantum = 2 * time.Second
-	// headroomPeriod is the time over which urgent demand is averaged.
-	headroomPeriod = 30 * time.Second
-	// headroomDeviations is how many standard deviations above the mean
-	// urgent demand the headroom covers.
-	headroomDeviations = 1.0
-	// maxHeadroom is the largest part of the slots kept for urgent work.
-	maxHeadroom = 0.5
 	// maxTeams bounds the idle teams that a pool remembers.
 	maxTeams = 256
-	// normalReserve is the part of the slots that urgent work leaves to
-	// waiting requests of other classes.
-	normalReserve = 0.1
 )
 
 // request is a request, waiting or running.
@@ -103,45 +93,6 @@
 	})
 }
 
-// noteUrgent adds the arrival of an urgent request to the demand average.
-func (p *pool) noteUrgent(now time.Time, service time.Duration) {
-	p.decayUrgent(now)
-	p.urgentLoad += service.Seconds() / headroomPeriod.Seconds()
-}
-
-func (p *pool) decayUrgent(now time.Time) {
-	if !p.urgentAt.IsZero() {
-		p.urgentLoad *= math.Exp(-now.Sub(p.urgentAt).Seconds() / headroomPeriod.Seconds())
-	}
-	p.urgentAt = now
-}
-
-// headroom returns the slots that only urgent work may take: its mean demand
-// and some deviations, as arrivals vary.
-func (p *pool) headroom(now time.Time) int {
-	p.decayUrgent(now)
-	if p.slots < 2 || p.urgentLoad < 1e-3 {
-		return 0
-	}
-	want := int(math.Ceil(p.urgentLoad + headroomDeviations*math.Sqrt(p.urgentLoad)))
-	return min(want, int(maxHeadroom*float64(p.slots)))
-}
-
-// room returns the slots that a tier may take over all of its requests. Urgent
-// work may always take its headroom, even if other work has more than the rest
-// because the capacity shrank.
-func (p *pool) room(now time.Time, tier int) int {
-	if tier == tierUrgent {
-		normal := p.running[tierNormal]
-		reserve := min(normal+p.waiting[tierNormal], int(normalReserve*float64(p.slots)))
-		return max(p.slots-max(normal, reserve), p.headroom(now))
-	}
-	return p.slots - max(p.headroom(now), p.running[tierUrgent])
-}
-
-// free reports whether a request of a tier may start.
-func (p *pool) free(now time.Time, tier int) bool { return p.running[tier] < p.room(now, tier) }
-
 // next returns the waiting request of a tier that starts next: the one with the
 // earliest latest start of the teams that are not served ahead of the others.
 func (p *pool) next(tier int) *request {
@@ -217,48 +168,3 @@
 func (p *pool) full() bool {
 	return p.waiting[tierUrgent]+p.waiting[tierNormal] >= p.maxWaiting()
 }
-
-// predictedWait estimates how long a new request waits. In its own team those
-// that must start earlier go first. Teams take turns, so of each other team that
-// was not served more at most as many go first as the request's own place.
-func (p *pool) predictedWait(now time.Time, r *request) time.Duration {
-	tier := r.tier()
-	own := r.team.waiting[tier].before(r.latest)
-	ahead := own
-	for _, o := range p.teams {
-		if o != r.team && o.served <= r.team.served+fairnessQuantum {
-			ahead += min(o.waiting[tier].before(r.latest), own+1)
-		}
-	}
-	room := p.room(now, tier)
-	freeSlots := max(0, room-p.running[tier])
-	if ahead < freeSlots {
-		return 0
-	}
-	turns := float64(ahead+1-freeSlots) / float64(max(1, room))
-	return time.Duration(turns * float64(p.service[tier]))
-}
-
-// overShare reports whether a team has more than an equal part of the pool
-// among the teams that are not idle.
-func (p *pool) overShare(t *team) bool {
-	active, total := 0, 0
-	for _, o := range p.teams {
-		if !o.idle() {
-			active++
-			total += o.running + o.waits()
-		}
-	}
-	return active > 1 && (t.running+t.waits())*active > total
-}
-
-// longest returns the team with the most waiting requests.
-func (p *pool) longest() *team {
-	var best *team
-	for _, t := range p.teams {
-		if best == nil || t.waits() > best.waits() {
-			best = t
-		}
-	}
-	return best
-}
