Learn nothing from a canceled request

Cause, found by reading: a cancellation counts as no failure, but it also reset the count of failures in a row and shortened the learned work of its class. Change: a finish without any latency teaches nothing. The router's file is split by job.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -130,12 +130,16 @@
 	return true
 }
 
-// take adds a sample to the windows.
+// take adds a sample to the windows. Success without a latency says nothing: its
+// caller went away.
 func (m *member) take(s Sample) {
 	if !s.OK {
 		m.failures++
 		return
 	}
+	if s.PerToken+s.FirstToken <= 0 {
+		return
+	}
 	m.failures = 0
 	m.perToken.add(s.PerToken)
 	m.firstToken.add(s.FirstToken)
--- a/router/router.go
+++ b/router/router.go
@@ -3,10 +3,8 @@
 package router
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -16,7 +14,6 @@
 	"github.com/tamarackcleat/tamarackcleat/balance/twochoice"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/outlier"
-	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
 // Name is the name of the service.
@@ -170,169 +167,3 @@
 func (s *Service) count(name string) {
 	metrics.GetOrRegisterCounter("router."+name, s.config.Metrics).Inc(1)
 }
-
-// pick answers a Pick with Picked or *verdict.Error.
-func (s *Service) pick(now time.Time, m Pick) kernel.Message {
-	candidates := s.candidates(now, m)
-	if len(candidates) == 0 {
-		s.count("refused." + string(verdict.ReasonNoReplica))
-		return verdict.Refuse(verdict.ReasonNoReplica, "no upstream of pool %q", m.Pool).
-			WithRetryAfter(noReplicaRetry)
-	}
-	r := s.request(m)
-	r.Holders = s.holders(m.PrefixHashes, candidates)
-	chosen := s.config.Strategy.Choose(r, candidates)
-	coldBytes := m.PromptBytes
-	if s.cached(chosen.ID, m.PrefixHashes) {
-		coldBytes = 0
-	}
-	s.upstreams[chosen.ID].sent(now, m.RequestID, m.Class, coldBytes)
-	for _, h := range m.PrefixHashes {
-		s.prefixes.Add(chosen.ID, h)
-	}
-	s.count("picked")
-	return Picked{Upstream: chosen.Upstream}
-}
-
-// request returns what the strategy knows about a Pick, with what was learned of
-// the class where the Pick says nothing.
-func (s *Service) request(m Pick) balance.Request {
-	learned := s.work(m.Class)
-	r := balance.Request{Zone: s.config.Zone, Work: m.ExpectedWork, Prefill: m.ExpectedPrefill}
-	if r.Work == 0 {
-		r.Work = learned.work()
-	}
-	if r.Prefill == 0 {
-		r.Prefill = learned.prefill(m.PromptBytes)
-	}
-	return r
-}
-
-// work returns what was learned of a class.
-func (s *Service) work(class string) *workEstimate {
-	w, ok := s.works[class]
-	if !ok {
-		w = &workEstimate{}
-		s.works[class] = w
-	}
-	return w
-}
-
-// cached reports whether an upstream is known to hold a prefix.
-func (s *Service) cached(id string, hashes []uint64) bool {
-	for _, h := range hashes {
-		if _, found := slices.BinarySearch(s.prefixes.Holders(h), id); found {
-			return true
-		}
-	}
-	return false
-}
-
-// candidates returns the upstreams that may be picked, in order of their ids.
-// If stragglers are all that is left, they are better than nothing.
-func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
-	p, ok := s.pools[m.Pool]
-	if !ok {
-		return nil
-	}
-	p.scratch = p.scratch[:0]
-	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) && s.inService(now, p, u) {
-			p.scratch = append(p.scratch, &u.candidate)
-		}
-	}
-	if len(p.scratch) > 0 {
-		return p.scratch
-	}
-	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) {
-			p.scratch = append(p.scratch, &u.candidate)
-		}
-	}
-	return p.scratch
-}
-
-// inService reports whether u is no ejected straggler.
-func (s *Service) inService(now time.Time, p *pool, u *upstream) bool {
-	if s.config.KeepStragglers {
-		return true
-	}
-	switch p.outliers.State(u.candidate.ID, now) {
-	case outlier.Ejected:
-		return false
-	case outlier.Probation:
-		return u.candidate.InFlight < probationRequests
-	}
-	return true
-}
-
-// holders returns the candidates that hold the longest known prefix.
-func (s *Service) holders(hashes []uint64, candidates []*balance.Candidate) []balance.Holder {
-	for i, h := range hashes {
-		var holders []balance.Holder
-		for _, id := range s.prefixes.Holders(h) {
-			if at, ok := find(candidates, id); ok {
-				share := float64(len(hashes)-i) / float64(len(hashes))
-				holders = append(holders, balance.Holder{Candidate: candidates[at], Share: share})
-			}
-		}
-		if len(holders) > 0 {
-			return holders
-		}
-	}
-	return nil
-}
-
-func find(candidates []*balance.Candidate, id string) (int, bool) {
-	return slices.BinarySearchFunc(candidates, id, func(c *balance.Candidate, id string) int {
-		return cmp.Compare(c.ID, id)
-	})
-}
-
-func (s *Service) progressed(now time.Time, m Progressed) {
-	u, ok := s.upstreams[m.Upstream]
-	if !ok {
-		return
-	}
-	r, ok := u.requests[m.RequestID]
-	if !ok {
-		return
-	}
-	s.work(r.class).firstToken(m.FirstToken, r.coldBytes)
-	s.observe(now, u, outlier.Sample{OK: true, FirstToken: m.FirstToken, PerToken: m.PerToken})
-}
-
-func (s *Service) finished(now time.Time, m Finished) {
-	u, ok := s.upstreams[m.Upstream]
-	if !ok {
-		return
-	}
-	r, ok := u.finished(now, m.RequestID)
-	if !ok {
-		return
-	}
-	if m.OK {
-		work := s.work(r.class)
-		work.firstToken(m.FirstToken, r.coldBytes)
-		work.finished(now.Sub(r.at))
-	}
-	s.observe(now, u, outlier.Sample{OK: m.OK, FirstToken: m.FirstToken, PerToken: m.PerToken})
-}
-
-func (s *Service) observe(now time.Time, u *upstream, sample outlier.Sample) {
-	if s.config.KeepStragglers {
-		return
-	}
-	if s.pools[u.candidate.Pool].outliers.Observe(u.candidate.ID, now, sample) {
-		s.count("ejected")
-	}
-}
-
-func (s *Service) cacheEvents(m CacheEvents) {
-	if _, ok := s.upstreams[m.ID]; !ok {
-		return
-	}
-	if s.prefixes.Apply(m.ID, m.Boot, m.Events) {
-		s.count("cache_event_gap")
-	}
-}
