--- a/router/pick.go
+++ b/router/pick.go
@@ -77,7 +77,7 @@
 	}
 	p.scratch = p.scratch[:0]
 	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) && s.inService(now, p, u) {
+		if usable(now, m, u) && s.inService(now, p, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
@@ -85,13 +85,20 @@
 		return p.scratch
 	}
 	for _, u := range p.members {
-		if !slices.Contains(m.Exclude, u.candidate.ID) {
+		if usable(now, m, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
 	return p.scratch
 }
 
+// usable reports whether a request may be sent to u. A node that was paused
+// finds its judgements expired until health checking has renewed them.
+func usable(now time.Time, m Pick, u *upstream) bool {
+	fresh := u.candidate.FreshUntil.IsZero() || now.Before(u.candidate.FreshUntil)
+	return fresh && !slices.Contains(m.Exclude, u.candidate.ID)
+}
+
 // inService reports whether u is no ejected straggler.
 func (s *Service) inService(now time.Time, p *pool, u *upstream) bool {
 	if s.config.KeepStragglers {
--- a/router/router.go
+++ b/router/router.go
@@ -98,6 +98,8 @@
 	switch m := msg.(type) {
 	case UpstreamsChanged:
 		s.replaceUpstreams(m)
+	case Renewed:
+		s.renew(m)
 	case NodesChanged:
 		s.nodes = m.Nodes
 		s.updateSharers()
