--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tamarackcleat/tamarackcleat/bench"
+	"github.com/tamarackcleat/tamarackcleat/bench/formation"
 )
 
 func main() {
@@ -21,6 +22,7 @@
 	for _, s := range bench.Suites() {
 		app.Commands = append(app.Commands, command(s))
 	}
+	app.Commands = append(app.Commands, formation.Command())
 	if err := app.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
