Count replicas of the whole deployment in the status

Cause: with 7 nodes and 73 replicas the status of a node called the 49 replicas that other nodes watch 'forming'; the lease holder also took a watcher's older word for a newer state and dissolved a replica as restarted. Ruled out: asking all nodes for each status. Change: status counts live replicas of the ledger and those of the node's share; what a watcher told counts as of when it was told.

--- a/api/api.go
+++ b/api/api.go
@@ -138,7 +138,10 @@
 type ModelStatus struct {
 	// Model is the model's name.
 	Model string `json:"model"`
-	// Serving replicas are complete; Forming ones are not yet.
+	// Replicas counts all live replicas.
+	Replicas int `json:"replicas"`
+	// Serving counts the complete replicas that the answering node routes
+	// to, Forming those in its share that are not complete.
 	Serving int `json:"serving"`
 	Forming int `json:"forming"`
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -135,7 +135,7 @@
 		LeaseHolder:          control.Lease().Holder,
 		Classes:              []api.ClassStatus{},
 		Nodes:                n.nodeVersions(now),
-		Models:               modelStatus(control.Replicas(), eligible),
+		Models:               n.modelStatus(control.Replicas(), eligible),
 		StrandedAccelerators: stranded(n.health.Observations(), control),
 	}
 	if doc := n.configuration.InForce().Document; doc != nil {
@@ -149,7 +149,7 @@
 }
 
 // modelStatus counts replicas by model.
-func modelStatus(replicas []ledger.Replica, eligible []health.Upstream) []api.ModelStatus {
+func (n *Node) modelStatus(replicas []ledger.Replica, eligible []health.Upstream) []api.ModelStatus {
 	serving := map[string]bool{}
 	for _, u := range eligible {
 		serving[u.ID] = true
@@ -161,9 +161,11 @@
 			m = &api.ModelStatus{Model: r.Model}
 			byModel[r.Model] = m
 		}
-		if serving[r.Name] {
+		m.Replicas++
+		switch {
+		case serving[r.Name]:
 			m.Serving++
-		} else {
+		case n.health.Watches(r.Name):
 			m.Forming++
 		}
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -396,6 +396,9 @@
 	return out
 }
 
+// Watches reports whether a replica is in this node's share.
+func (s *Service) Watches(replica string) bool { return s.assigned[replica] }
+
 // Observations returns what is known of all VMs, by id.
 func (s *Service) Observations() []Observation {
 	out := make([]Observation, 0, len(s.vms))
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -190,3 +190,22 @@
 		Expect(unwatched).To(BeNumerically(">", 40))
 	})
 })
+
+var _ = Describe("what the lease holder is told", func() {
+	It("is not overruled by a watcher that has not seen the change yet", func() {
+		f := newFleet(1, 1)
+		vm := f.vms[0].ID
+		nodes := []string{"n1", "n2", "n3"}
+		begun := time.Unix(1000, 0)
+		holder := f.service("n1", nodes, begun)
+		share := func(seq int64, state platform.EngineState) health.ShareReport {
+			return health.ShareReport{Seq: seq, VMs: []health.VMStatus{{VM: vm, Alive: true, State: state}}}
+		}
+		holder.Merge(begun, "n3", share(1, platform.EngineIdle))
+		at := func(ms int) time.Time { return begun.Add(10*time.Second + time.Duration(ms)*time.Millisecond) }
+		holder.Merge(at(0), "n3", health.ShareReport{Base: 1, Seq: 1})
+		holder.Merge(at(300), "n2", share(1, platform.EngineReady))
+		holder.Merge(at(800), "n3", health.ShareReport{Base: 1, Seq: 1})
+		Expect(holder.Observations()[0].Report.State).To(Equal(platform.EngineReady))
+	})
+})
--- a/health/share.go
+++ b/health/share.go
@@ -15,6 +15,11 @@
 const (
 	// idlePool is the pool of engine VMs in no replica.
 	idlePool = "idle"
+	// shareLag is the longest time from a change on a VM until its watcher
+	// has told it: a probe and a heartbeat.
+	shareLag = ProbeEvery + time.Second + probeMargin
+	// probeMargin is for the time that a probe and a heartbeat take.
+	probeMargin = 500 * time.Millisecond
 	// remoteFor is how long a share counts after its node was heard.
 	remoteFor = 5 * time.Second
 )
@@ -52,7 +57,13 @@
 type remoteShare struct {
 	seq     int64
 	heardAt time.Time
-	vms     map[platform.VMID]VMStatus
+	vms     map[platform.VMID]toldStatus
+}
+
+// toldStatus is a status with the time at which it was told.
+type toldStatus struct {
+	VMStatus
+	toldAt time.Time
 }
 
 // assign renews this node's share and begins to probe what is new in it.
@@ -159,7 +170,7 @@
 func (s *Service) Merge(now time.Time, from record.NodeID, r ShareReport) int64 {
 	share, ok := s.remote[from]
 	if r.Base == 0 || !ok {
-		share = &remoteShare{vms: map[platform.VMID]VMStatus{}}
+		share = &remoteShare{vms: map[platform.VMID]toldStatus{}}
 		s.remote[from] = share
 	}
 	if r.Base != share.seq {
@@ -169,7 +180,7 @@
 	share.heardAt = now
 	share.seq = r.Seq
 	for _, v := range r.VMs {
-		share.vms[v.VM] = v
+		share.vms[v.VM] = toldStatus{VMStatus: v, toldAt: now}
 		if v.Gone {
 			delete(share.vms, v.VM)
 		}
@@ -191,15 +202,21 @@
 // to observe: a new lease holder knows little until the others have told it.
 func (s *Service) observation(st *vmState) Observation {
 	best := st.Observation
+	asOf := st.HeardAt
 	watched := st.probing
 	for _, share := range s.remote {
 		v, ok := share.vms[st.VM.ID]
 		watched = watched || ok
-		if !ok || !v.Alive || !share.heardAt.After(best.HeardAt) {
+		if !ok || !v.Alive {
 			continue
 		}
-		best.HeardAt = share.heardAt
-		best.Report = v.report()
+		if share.heardAt.After(best.HeardAt) {
+			best.HeardAt = share.heardAt
+		}
+		if at := share.asOf(v); at.After(asOf) {
+			asOf = at
+			best.Report = v.report()
+		}
 	}
 	if !watched && s.observedSince.After(best.HeardAt) {
 		best.HeardAt = s.observedSince
@@ -207,6 +224,16 @@
 	return best
 }
 
+// asOf returns the time for which a status surely holds: when it was told, or,
+// if nothing was told since, a little before the share was heard. Without it,
+// a node that has not probed yet would overrule one that has.
+func (r *remoteShare) asOf(v toldStatus) time.Time {
+	if confirmed := r.heardAt.Add(-shareLag); confirmed.After(v.toldAt) {
+		return confirmed
+	}
+	return v.toldAt
+}
+
 // report returns a status as the report of the VM, without its load.
 func (v VMStatus) report() platform.Report {
 	r := platform.Report{
--- a/operator/commands_test.go
+++ b/operator/commands_test.go
@@ -22,7 +22,7 @@
 		{Class: "confirm", Target: "answered within 5s for 99 in 100", WithinTarget: -1},
 	},
 	Nodes:                []api.NodeVersion{{Node: "n1", Zone: "a", Version: 1024, Ready: true}, {Node: "n2", Zone: "b", Version: 512}},
-	Models:               []api.ModelStatus{{Model: "draft-70b", Serving: 0, Forming: 1}},
+	Models:               []api.ModelStatus{{Model: "draft-70b", Replicas: 1, Serving: 0, Forming: 1}},
 	StrandedAccelerators: 1,
 }
 
@@ -78,7 +78,7 @@
 		Expect(o.stdout).To(Equal(`configuration  version 1024 as node n1 has it
 platform log   NOT REACHABLE: no new versions, replicas or non-repeatable calls until it is back
 entry VMs      2 live; node n2 in b is not ready; node n2 in b still has version 512
-replicas       draft-70b 0 serving, 1 forming; formed by node n2
+replicas       draft-70b 1 (0 serving by way of this node, 1 forming); formed by node n2
 stranded       1 accelerator
 
 drafting
--- a/operator/status.go
+++ b/operator/status.go
@@ -136,7 +136,7 @@
 	}
 	parts := make([]string, len(models))
 	for i, m := range models {
-		parts[i] = fmt.Sprintf("%s %d serving, %d forming", m.Model, m.Serving, m.Forming)
+		parts[i] = fmt.Sprintf("%s %d (%d serving by way of this node, %d forming)", m.Model, m.Replicas, m.Serving, m.Forming)
 	}
 	return strings.Join(parts, "; ")
 }
