Take the request policy's share of slots and probe every two seconds

Ruled out: probing rank 0 only, which would not show a missing member. Change: admission gets router.Share five times a second; the router learns work by class and hears of streams as they run; VMs are probed every 2 s and count for 5 s; the stand-ins answer conditional requests.

--- a/entry/bridge.go
+++ b/entry/bridge.go
@@ -16,10 +16,7 @@
 
 const (
 	// capacityEvery is how often a node's share of the slots is renewed.
-	capacityEvery = time.Second
-	// shareMargin lets a node use more than an even share, because callers
-	// are not spread evenly over the nodes.
-	shareMargin = 1.5
+	capacityEvery = 200 * time.Millisecond
 )
 
 // disrupted is the effect that ends the streams on replicas that broke; their
@@ -34,7 +31,9 @@
 type bridge struct {
 	nodes  func(now time.Time) int
 	health *health.Service
-	slots  map[string]int
+	router *router.Service
+	// pools holds every pool that has had an upstream.
+	pools map[string]bool
 }
 
 // Name implements kernel.Service.
@@ -85,7 +84,10 @@
 			FreshUntil: u.FreshUntil,
 		})
 	}
-	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.UpstreamsChanged{Upstreams: list}}}
+	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.UpstreamsChanged{
+		Upstreams: list,
+		PoolSizes: b.poolSizes(),
+	}}}
 	if len(m.Broken) > 0 {
 		out = append(out, disrupted{upstreams: m.Broken})
 	}
@@ -102,30 +104,28 @@
 
 // capacity tells admission this node's share of each pool's slots.
 func (b *bridge) capacity(now time.Time) []kernel.Effect {
-	total := map[string]int{}
-	for pool := range b.slots {
-		total[pool] = 0
-	}
+	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.NodesChanged{Nodes: b.nodes(now)}}}
 	for _, u := range b.health.Eligible() {
-		total[poolOf(u)] += u.Slots
+		b.pools[poolOf(u)] = true
 	}
-	b.slots = total
-	out := []kernel.Effect{kernel.Send{To: router.Name, Msg: router.NodesChanged{Nodes: b.nodes(now)}}}
-	for _, pool := range sortedKeys(total) {
+	for _, pool := range sortedKeys(b.pools) {
 		out = append(out, kernel.Send{To: admission.Name, Msg: admission.Capacity{
 			Pool:  pool,
-			Slots: share(total[pool], b.nodes(now)),
+			Slots: b.router.Share(now, pool),
 		}})
 	}
 	return out
 }
 
-// share returns a node's share of the slots of a pool, at least one if there
-// is any.
-func share(slots, nodes int) int {
-	if slots == 0 {
-		return 0
+// poolSizes counts the upstreams of each pool over the whole deployment.
+func (b *bridge) poolSizes() map[string]int {
+	sizes := map[string]int{}
+	for _, g := range b.health.Groups() {
+		if g.Plain {
+			sizes[balance.ServicePool(g.Pool)] = g.Count
+			continue
+		}
+		sizes[g.Pool] = g.Count
 	}
-	part := int(shareMargin*float64(slots)/float64(max(1, nodes))) + 1
-	return min(slots, part)
+	return sizes
 }
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -181,22 +181,45 @@
 	return nil
 }
 
+// progressEvery is how often the router is told of a running stream.
+const progressEvery = 5 * time.Second
+
 // attemptTiming measures one attempt.
 type attemptTiming struct {
-	started     time.Time
-	firstTokens int
-	firstToken  time.Duration
+	started time.Time
+	// reportedAt and reportedTokens are of the latest report to the router.
+	reportedAt     time.Time
+	reportedTokens int
+	firstToken     time.Duration
 }
 
 func newAttemptTiming(tokens int) *attemptTiming {
-	return &attemptTiming{started: time.Now(), firstTokens: tokens}
+	return &attemptTiming{started: time.Now(), reportedTokens: tokens}
 }
 
-// progress notes that tokens arrived.
-func (r *attemptTiming) progress() {
-	if r.firstToken == 0 {
-		r.firstToken = time.Since(r.started)
+// report returns what to tell the router of a stream that has reached a number
+// of tokens, if it is time to.
+func (t *attemptTiming) report(now time.Time, tokens int) (router.Progressed, bool) {
+	if t.firstToken == 0 {
+		t.firstToken = now.Sub(t.started)
+		t.reportedAt, t.reportedTokens = now, tokens
+		return router.Progressed{FirstToken: t.firstToken}, true
+	}
+	if now.Sub(t.reportedAt) < progressEvery {
+		return router.Progressed{}, false
+	}
+	p := router.Progressed{PerToken: t.sinceReport(now, tokens)}
+	t.reportedAt, t.reportedTokens = now, tokens
+	return p, true
+}
+
+// sinceReport returns the mean time between tokens since the latest report; 0
+// if there were none.
+func (t *attemptTiming) sinceReport(now time.Time, tokens int) time.Duration {
+	if t.reportedAt.IsZero() || tokens <= t.reportedTokens {
+		return 0
 	}
+	return now.Sub(t.reportedAt) / time.Duration(tokens-t.reportedTokens)
 }
 
 // choose selects an upstream; a trial gets one without another trial.
@@ -209,17 +232,21 @@
 }
 
 // settle tells the router how the attempt ended.
-func (g *generation) settle(u balance.Upstream, failure *verdict.Error, r *attemptTiming) {
-	finished := router.Finished{
-		RequestID:  g.id,
-		Upstream:   u.ID,
-		OK:         failure == nil || failure.Reason == verdict.ReasonCanceled,
-		FirstToken: r.firstToken,
-	}
-	if tokens := g.answer.Tokens() - r.firstTokens; tokens > 1 {
-		finished.PerToken = perToken(time.Since(r.started)-r.firstToken, tokens)
+func (g *generation) settle(u balance.Upstream, failure *verdict.Error, t *attemptTiming) {
+	g.node.kernel.Post(router.Name, router.Finished{
+		RequestID: g.id,
+		Upstream:  u.ID,
+		OK:        failure == nil || failure.Reason == verdict.ReasonCanceled,
+		PerToken:  t.sinceReport(time.Now(), g.answer.Tokens()),
+	})
+}
+
+// progress tells the router of a running stream now and then.
+func (g *generation) progress(u balance.Upstream, t *attemptTiming) {
+	if p, due := t.report(time.Now(), g.answer.Tokens()); due {
+		p.RequestID, p.Upstream = g.id, u.ID
+		g.node.kernel.Post(router.Name, p)
 	}
-	g.node.kernel.Post(router.Name, finished)
 }
 
 // checkSuspect asks quarantine whether the request may run.
@@ -293,7 +320,7 @@
 	defer s.Close()
 	stall := time.AfterFunc(g.stallAfter(), func() { cancel(errStalled) })
 	defer stall.Stop()
-	return g.read(ctx, s, stall, r)
+	return g.read(ctx, s, stall, func() { g.progress(u, r) })
 }
 
 // errStalled ends a stream that made no progress.
@@ -314,7 +341,7 @@
 }
 
 // read takes chunks until the answer is whole.
-func (g *generation) read(ctx context.Context, s chunkReader, stall *time.Timer, r *attemptTiming) *verdict.Error {
+func (g *generation) read(ctx context.Context, s chunkReader, stall *time.Timer, progress func()) *verdict.Error {
 	for {
 		chunk, err := s.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -324,10 +351,10 @@
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the stream ended with chunks missing")
 		}
 		stall.Reset(g.stallAfter())
-		r.progress()
 		if failure := g.take(chunk); failure != nil {
 			return failure
 		}
+		progress()
 		if g.answer.Whole() {
 			return nil
 		}
--- a/entry/node.go
+++ b/entry/node.go
@@ -118,6 +118,7 @@
 		NewID:   newID,
 		Metrics: n.registry,
 	})
+	selection := router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry})
 	n.subscribe()
 	services := []kernel.Service{
 		n.log,
@@ -127,10 +128,10 @@
 		n.quarantine,
 		control,
 		calls.New(n.id, n.log, n.isLive, newID),
-		router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry}),
+		selection,
 		admission.New(n.registry),
 		retry.NewService(retry.NewPolicy(rng, retry.DefaultBudget(), n.registry)),
-		&bridge{nodes: n.liveNodes, health: n.health, slots: map[string]int{}},
+		&bridge{nodes: n.liveNodes, health: n.health, router: selection, pools: map[string]bool{}},
 		&configSink{node: n},
 		&drainSink{drained: n.drained},
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -35,6 +35,7 @@
 	id       string
 	team     string
 	arrived  time.Time
+	admitted time.Time
 	deadline time.Time
 	class    dynamic.Class
 	trace    *requestTrace
--- a/entry/steps.go
+++ b/entry/steps.go
@@ -13,7 +13,7 @@
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
-// admit waits for admission.
+// admit waits for admission. The request runs from then on.
 func (q *request) admit(ctx context.Context) (priority int, failure *verdict.Error) {
 	msg, failure := q.node.ask(ctx, admission.Name, func(id kernel.AskID) kernel.Message {
 		return admission.Arrive{Ask: id, RequestID: q.id, Class: q.class.Name, Team: q.team, Deadline: q.deadline}
@@ -24,6 +24,7 @@
 	}
 	switch m := msg.(type) {
 	case admission.Admitted:
+		q.admitted = time.Now()
 		q.trace.add(api.TraceEvent{Step: "admitted"})
 		return m.Priority, nil
 	case *verdict.Error:
@@ -37,7 +38,7 @@
 func (q *request) leave(ran bool) {
 	var service time.Duration
 	if ran {
-		service = time.Since(q.arrived)
+		service = time.Since(q.admitted)
 	}
 	q.node.kernel.Post(admission.Name, admission.Done{RequestID: q.id, Service: service})
 }
--- a/health/messages.go
+++ b/health/messages.go
@@ -23,9 +23,9 @@
 
 const (
 	// ProbeEvery is the time between two probes of a VM.
-	ProbeEvery = time.Second
+	ProbeEvery = 2 * time.Second
 	// FreshFor is how long a report counts.
-	FreshFor = 3 * time.Second
+	FreshFor = 5 * time.Second
 	// inventoryEvery is the time between two reads of the VM list.
 	inventoryEvery = 2 * time.Second
 	// publishEvery bounds how long a change of state waits for publication.
--- a/health/share.go
+++ b/health/share.go
@@ -106,6 +106,37 @@
 	return out
 }
 
+// PoolCount is the number of upstreams of a pool over the whole deployment.
+type PoolCount struct {
+	// Pool is the model's name or that of the plain service.
+	Pool string
+	// Plain says that Pool is a plain service.
+	Plain bool
+	Count int
+}
+
+// Groups counts live replicas by model and listed VMs by plain service.
+func (s *Service) Groups() []PoolCount {
+	type key struct {
+		pool  string
+		plain bool
+	}
+	counts := map[key]int{}
+	for _, r := range s.replicas.Replicas() {
+		counts[key{r.Model, false}]++
+	}
+	for _, st := range s.vms {
+		if st.Listed && st.VM.Kind == platform.KindPlain {
+			counts[key{st.VM.Service, true}]++
+		}
+	}
+	var out []PoolCount
+	for k, n := range counts {
+		out = append(out, PoolCount{Pool: k.pool, Plain: k.plain, Count: n})
+	}
+	return out
+}
+
 // mine reports whether a VM is in this node's share.
 func (s *Service) mine(st *vmState) bool {
 	if st.VM.Kind == platform.KindEntry {
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -148,7 +148,7 @@
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	web.WriteJSON(w, http.StatusOK, platform.VMList{VMs: s.VMs()})
+	web.WriteTagged(w, r, platform.VMList{VMs: s.VMs()})
 }
 
 func (s *Service) change(w http.ResponseWriter, r *http.Request) {
--- a/standin/web/web.go
+++ b/standin/web/web.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/platform"
@@ -21,6 +23,24 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// WriteTagged answers with a JSON body and its entity tag, or says that the body
+// with the tag of the request is still the current one.
+func WriteTagged(w http.ResponseWriter, r *http.Request, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
 // Decode decodes JSON and refuses unknown fields.
 func Decode(body io.Reader, into any) error {
 	decoder := json.NewDecoder(body)
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -79,12 +79,12 @@
 	return s.freeAt.Sub(now)
 }
 
-func (s *Service) models(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) models(w http.ResponseWriter, r *http.Request) {
 	if s.Faults.Get().Outage {
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	web.WriteJSON(w, http.StatusOK, s.settings.List)
+	web.WriteTagged(w, r, s.settings.List)
 }
 
 func (s *Service) weights(w http.ResponseWriter, r *http.Request) {
