--- a/watch/watch.go
+++ b/watch/watch.go
@@ -20,7 +20,7 @@
 	Watchers = 2
 	// MinGroups is the least number of groups of a pool that a node watches,
 	// if the pool has as many.
-	MinGroups = 6
+	MinGroups = 5
 )
 
 // Group is a set of VMs that are watched together.
@@ -79,12 +79,13 @@
 	return 0, max(1, len(sorted))
 }
 
-// window adds the groups of a node's window. Windows start at even distances
-// around the ring and overlap, so that every group has at least Watchers.
+// window adds the groups of a node's window. Each window reaches to the start of
+// the window of the node that is Watchers places further on, so that every group
+// has Watchers, and more where a pool is small.
 func window(out map[string]bool, groups []placed, index, count int) {
-	size := max(MinGroups, (Watchers*len(groups)+count-1)/count+1)
-	size = min(size, len(groups))
 	start := index * len(groups) / count
+	end := (index + Watchers) * len(groups) / count
+	size := min(max(MinGroups, end-start), len(groups))
 	for i := range size {
 		out[groups[(start+i)%len(groups)].id] = true
 	}
