--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -34,6 +34,15 @@
 	s.updateSharers()
 }
 
+// renew prolongs the eligibility of upstreams.
+func (s *Service) renew(m Renewed) {
+	for id, until := range m.FreshUntil {
+		if u, ok := s.upstreams[id]; ok {
+			u.candidate.FreshUntil = until
+		}
+	}
+}
+
 // sharers returns the number of nodes that use each upstream of a pool.
 func (s *Service) sharers(p *pool) float64 {
 	used := float64(len(p.members)) / float64(max(1, p.size))
