--- a/processtest/world_test.go
+++ b/processtest/world_test.go
@@ -119,7 +119,6 @@
 		AddReportEntry(n.name+" status", fmt.Sprintf("%+v", n.status()))
 		AddReportEntry(n.name+" counters", fmt.Sprint(n.counters()))
 	}
-	AddReportEntry("control", fmt.Sprintf("%+v", w.control()))
 	for _, v := range w.vms {
 		if r, ok := v.report(); ok {
 			AddReportEntry(v.name, fmt.Sprintf("%+v", r))
