Free rank 0 once a member of its replica went away

Cause: in a spec that stops a rank 1 VM with SIGTERM under load, rank 0 reported leaving for the whole wait of 60 s, though the replica was dissolved and 32 orders to leave were accepted; the replica was never formed again. The news that a member goes away set the same mark as an order to leave, and an order to leave did nothing once the mark was set. Ruled out: the controller, which dissolved the replica and ordered rank 0. Change: the news that a member goes away does what an order to leave does.

--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -52,7 +52,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.member.is(m.Replica, m.Generation) {
-		s.member.draining = true
+		s.leaveReplica()
 	}
 	web.WriteJSON(w, http.StatusOK, m)
 }
