--- a/health/health.go
+++ b/health/health.go
@@ -219,7 +219,6 @@
 	for _, name := range s.candidates(before) {
 		r, ok := s.replicas.Replica(name)
 		if !ok {
-			broken = append(broken, name)
 			continue
 		}
 		u, result := s.judge(now, r)
@@ -268,8 +267,9 @@
 	return slices.Sorted(maps.Keys(names))
 }
 
-// lostSince returns the replicas that were eligible before and are not now,
-// because they are broken or no longer live in the ledger.
+// lostSince returns the replicas that were eligible before and are broken or
+// replaced now. A replica that was dissolved while all its VMs were there gets
+// no new work, but finishes what it has.
 func lostSince(before, now map[string]Upstream, broken []string) []string {
 	var out []string
 	for _, name := range slices.Sorted(maps.Keys(before)) {
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -209,3 +209,22 @@
 		Expect(holder.Observations()[0].Report.State).To(Equal(platform.EngineReady))
 	})
 })
+
+var _ = Describe("a replica that is dissolved for a leaving VM", func() {
+	It("gets no new work, but its streams are not ended", func() {
+		f := newFleet(1, 2)
+		now := time.Unix(1000, 0)
+		s := f.service("n", nil, now)
+		s.Subscribe("router")
+		f.probe(s, now)
+		Expect(publish(s, now)).To(HaveLen(1))
+		r, _ := f.control.Replica("replica-0")
+		f.control.Apply(record.At(9, 0), record.Record{ID: "d", Dissolve: &record.Dissolution{
+			Term: f.control.Lease().Term, Replica: r.Name, Generation: r.Generation,
+		}})
+		effects := s.Handle(now, health.Suspected{Upstream: "nobody"})
+		Expect(effects).To(HaveLen(1))
+		Expect(broken(effects[0])).To(BeEmpty())
+		Expect(s.Eligible()).To(BeEmpty())
+	})
+})
