Do not quarantine streams beside a request that crashes two replicas

Cause: a long stream beside the request was in flight in both crashes, because its own second run shared a replica with the other's trial through another node; and a caller refused at once could send the request to a node that had not read of the crash yet. Ruled out: exclusive replicas for trials, which leave bystanders waiting when few replicas are left. Change: a request that had brought tokens is no suspect for its first crash; the refusal waits, up to a second, until the crash was read back.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -12,9 +12,7 @@
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
-	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/quarantine"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/router"
@@ -45,6 +43,8 @@
 	priority    int
 	firstToken  time.Duration
 	exclude     []string
+	// crashes counts the replicas that crashed while the request ran on them.
+	crashes int
 }
 
 // serveChat answers POST /v1/chat/completions.
@@ -174,7 +174,7 @@
 	failure = g.stream(ctx, u, timing)
 	g.settle(u, failure, timing)
 	if failure != nil {
-		g.afterFailure(ctx, u, failure, trial, attemptID)
+		g.afterFailure(ctx, u, failure, attemptEnd{id: attemptID, trial: trial, progressed: timing.firstToken > 0})
 		return failure
 	}
 	g.endTrial(trial, attemptID, record.TrialSurvived)
@@ -249,53 +249,6 @@
 	}
 }
 
-// checkSuspect asks quarantine whether the request may run.
-func (g *generation) checkSuspect(ctx context.Context, attemptID string) (trial bool, failure *verdict.Error) {
-	msg, failure := g.node.ask(ctx, quarantine.Name, func(id kernel.AskID) kernel.Message {
-		return quarantine.Check{Ask: id, Fingerprint: g.fingerprint, Attempt: attemptID}
-	})
-	if failure != nil {
-		return false, failure
-	}
-	switch m := msg.(type) {
-	case quarantine.TrialRun:
-		g.trace.add(api.TraceEvent{Step: "trial"})
-		return true, nil
-	case *verdict.Error:
-		return false, m
-	default:
-		return false, nil
-	}
-}
-
-// endTrial tells quarantine how a trial ended without a crash.
-func (g *generation) endTrial(trial bool, attemptID string, outcome record.TrialOutcome) {
-	if trial {
-		g.node.kernel.Post(quarantine.Name, quarantine.Ended{Fingerprint: g.fingerprint, Attempt: attemptID, Outcome: outcome})
-	}
-}
-
-// afterFailure learns from a failed attempt: the upstream is left out of the
-// next one, and a crash makes the request a suspect.
-func (g *generation) afterFailure(ctx context.Context, u balance.Upstream, failure *verdict.Error, trial bool, attemptID string) {
-	g.exclude = append(g.exclude, u.ID)
-	g.trace.add(api.TraceEvent{Step: "failed", Upstream: u.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail})
-	crashed := failure.Verdict != verdict.NotRun && ctx.Err() == nil && g.node.hasCrashed(u)
-	if crashed || failure.Verdict == verdict.NotRun {
-		g.node.suspectUpstream(u.ID, failure)
-	}
-	if !crashed {
-		g.endTrial(trial, attemptID, record.TrialNotRun)
-		return
-	}
-	report := quarantine.Crashed{Fingerprint: g.fingerprint, Replica: u.ID, Generation: record.Position(u.Generation)}
-	if trial {
-		report.Attempt = attemptID
-	}
-	g.node.stats.count("suspect.crash")
-	g.node.kernel.Post(quarantine.Name, report)
-}
-
 // stream reads one upstream's stream into the answer.
 func (g *generation) stream(ctx context.Context, u balance.Upstream, r *attemptTiming) *verdict.Error {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -26,6 +26,8 @@
 const (
 	// trialWait bounds the wait for the read-back of a trial's record.
 	trialWait = 2 * time.Second
+	// noteWait bounds the wait for the read-back of a crash.
+	noteWait = time.Second
 	// settleFor is how long crashes and ends of trials are appended again.
 	settleFor = time.Hour
 	// retryAfter is advised while a trial runs elsewhere.
@@ -48,7 +50,10 @@
 type TrialRun struct{}
 
 // Crashed reports that a replica crashed while a request was in flight on it.
+// The reply is Noted, after the log has told all nodes or could not in time: a
+// caller that is refused earlier sends the request to a node that knows nothing.
 type Crashed struct {
+	Ask         kernel.AskID
 	Fingerprint string
 	Replica     string
 	Generation  record.Position
@@ -56,6 +61,9 @@
 	Attempt string
 }
 
+// Noted answers Crashed.
+type Noted struct{}
+
 // Ended reports that a trial ended without a crash.
 type Ended struct {
 	Fingerprint string
@@ -76,6 +84,9 @@
 	Crashes     int             `json:"crashes"`
 }
 
+// noteOver is the timer that ends the wait for the read-back of a crash.
+type noteOver struct{ record string }
+
 // trialOver is the timer that ends the wait for a trial's read-back.
 type trialOver struct{ attempt string }
 
@@ -93,7 +104,10 @@
 	newID func() string
 	// waiting holds trials whose record was not read back yet.
 	waiting map[string]Check
-	local   localTable
+	// noting holds, by record identifier, who waits for a crash to be read
+	// back.
+	noting map[string]kernel.AskID
+	local  localTable
 }
 
 // Live reports whether a node was heard of lately.
@@ -101,7 +115,7 @@
 
 // New returns the service of a node.
 func New(node record.NodeID, log Log, live Live, newID func() string) *Service {
-	return &Service{node: node, log: log, live: live, newID: newID, waiting: map[string]Check{}, local: newLocalTable()}
+	return &Service{node: node, log: log, live: live, newID: newID, waiting: map[string]Check{}, noting: map[string]kernel.AskID{}, local: newLocalTable()}
 }
 
 // Name implements kernel.Service.
@@ -134,6 +148,8 @@
 		}
 	case trialOver:
 		return s.trialOver(m.attempt)
+	case noteOver:
+		return s.noted(m.record)
 	}
 	return nil
 }
@@ -204,15 +220,32 @@
 			Outcome:     record.TrialCrashed,
 		}}, now.Add(settleFor)))
 	}
-	return append(out, s.append(now, record.Record{Suspect: &record.Suspect{
-		Fingerprint: m.Fingerprint,
-		Replica:     m.Replica,
-		Generation:  m.Generation,
-	}}, now.Add(settleFor)))
+	id := s.newID()
+	s.noting[id] = m.Ask
+	return append(out,
+		s.append(now, record.Record{ID: id, Suspect: &record.Suspect{
+			Fingerprint: m.Fingerprint,
+			Replica:     m.Replica,
+			Generation:  m.Generation,
+		}}, now.Add(settleFor)),
+		kernel.SetTimer{To: Name, After: noteWait, Msg: noteOver{id}},
+	)
+}
+
+// noted answers the report of a crash.
+func (s *Service) noted(id string) []kernel.Effect {
+	ask, ok := s.noting[id]
+	if !ok {
+		return nil
+	}
+	delete(s.noting, id)
+	return reply(ask, Noted{})
 }
 
 func (s *Service) append(now time.Time, r record.Record, giveUp time.Time) kernel.Effect {
-	r.ID = s.newID()
+	if r.ID == "" {
+		r.ID = s.newID()
+	}
 	r.AtMillis = now.UnixMilli()
 	return kernel.Send{To: logfollow.Name, Msg: logfollow.Append{
 		Stream: record.StreamSuspects,
@@ -228,7 +261,7 @@
 		s.local.clear(end.Fingerprint)
 	}
 	if m.Record.Trial == nil {
-		return nil
+		return s.noted(m.Record.ID)
 	}
 	c, ok := s.waiting[m.Record.Trial.Attempt]
 	if !ok {
