--- a/operator/commands.go
+++ b/operator/commands.go
@@ -21,6 +21,8 @@
 
 // document is a document that was read and found valid.
 type document struct {
+	// name is the file's name as the operator gave it.
+	name string
 	// text is what is published: the file without the line of its base.
 	text   string
 	parsed *dynamic.Document
@@ -29,6 +31,16 @@
 	base int64
 }
 
+// argDocument reads and validates the document that the command's only argument
+// names.
+func (p *Program) argDocument(cmd *cli.Command) (document, error) {
+	name, err := onlyArg(cmd, "file")
+	if err != nil {
+		return document{}, err
+	}
+	return p.readDocument(name)
+}
+
 // readDocument reads and validates the document of a file.
 func (p *Program) readDocument(name string) (document, error) {
 	data, err := p.readFile(name)
@@ -40,7 +52,7 @@
 		return document{}, invalid(err)
 	}
 	base, text := splitBase(string(data))
-	return document{text: text, parsed: parsed, base: base}, nil
+	return document{name: name, text: text, parsed: parsed, base: base}, nil
 }
 
 // baseLine is the first line of what the targets command prints. A file that
@@ -88,17 +100,13 @@
 		Usage:     "check a document without publishing it",
 		ArgsUsage: "FILE",
 		Action: func(_ context.Context, cmd *cli.Command) error {
-			name, err := onlyArg(cmd, "file")
-			if err != nil {
-				return err
-			}
-			doc, err := p.readDocument(name)
+			doc, err := p.argDocument(cmd)
 			if err != nil {
 				return err
 			}
 			n := len(doc.parsed.Classes)
 			return p.printResult(cmd, ValidateResult{Valid: true, Classes: n},
-				fmt.Sprintf("%s is valid: %s\n", name, count(n, "class", "classes")))
+				fmt.Sprintf("%s is valid: %s\n", doc.name, count(n, "class", "classes")))
 		},
 	}
 }
@@ -117,11 +125,7 @@
 		Usage:     "show what publishing a document would change",
 		ArgsUsage: "FILE",
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			name, err := onlyArg(cmd, "file")
-			if err != nil {
-				return err
-			}
-			doc, err := p.readDocument(name)
+			doc, err := p.argDocument(cmd)
 			if err != nil {
 				return err
 			}
--- a/operator/publish.go
+++ b/operator/publish.go
@@ -48,15 +48,11 @@
 			&cli.DurationFlag{Name: flagWait, Value: defaultWait, Usage: "how long to wait until it is in force everywhere", Validator: validSpan},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			name, err := onlyArg(cmd, "file")
+			doc, err := p.argDocument(cmd)
 			if err != nil {
 				return err
 			}
-			doc, err := p.readDocument(name)
-			if err != nil {
-				return err
-			}
-			run := publication{program: p, client: p.client(cmd), cmd: cmd, file: name, doc: doc}
+			run := publication{program: p, client: p.client(cmd), cmd: cmd, file: doc.name, doc: doc}
 			return run.perform(ctx)
 		},
 	}
