--- a/answer/answer.go
+++ b/answer/answer.go
@@ -6,7 +6,7 @@
 // read and every token before it was delivered.
 package answer
 
-import "github.com/tamarackcleat/tamarackcleat/platform"
+import "github.com/tamarackcleat/tamarackcleat/port"
 
 // maxAhead bounds the chunks kept while an earlier one is missing.
 const maxAhead = 32
@@ -30,7 +30,7 @@
 	next      int
 	text      []byte
 	ahead     map[int]string
-	final     *platform.Chunk
+	final     *port.Chunk
 }
 
 // New returns the empty answer to a request.
@@ -70,7 +70,7 @@
 
 // Add takes a chunk. It returns the texts to deliver now and, if the chunk was
 // dropped, why.
-func (a *Answer) Add(c platform.Chunk) ([]string, Drop) {
+func (a *Answer) Add(c port.Chunk) ([]string, Drop) {
 	if c.RequestID != a.requestID {
 		return nil, DropForeign
 	}
@@ -85,7 +85,7 @@
 }
 
 // end takes a final chunk.
-func (a *Answer) end(c platform.Chunk) Drop {
+func (a *Answer) end(c port.Chunk) Drop {
 	if a.final != nil || c.Index < a.next {
 		return DropDuplicate
 	}
--- a/answer/answer_test.go
+++ b/answer/answer_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/answer"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 const id = "request-1"
@@ -20,12 +20,12 @@
 	RunSpecs(t, "answer")
 }
 
-func chunk(index int) platform.Chunk {
-	return platform.Chunk{RequestID: id, Index: index, Text: fmt.Sprintf("t%d ", index)}
+func chunk(index int) port.Chunk {
+	return port.Chunk{RequestID: id, Index: index, Text: fmt.Sprintf("t%d ", index)}
 }
 
-func final(tokens int) platform.Chunk {
-	return platform.Chunk{RequestID: id, Index: tokens, Final: true, Finish: "stop"}
+func final(tokens int) port.Chunk {
+	return port.Chunk{RequestID: id, Index: tokens, Final: true, Finish: "stop"}
 }
 
 // whole is the text of an answer of some tokens.
@@ -39,7 +39,7 @@
 
 var _ = Describe("Answer", func() {
 	DescribeTable("delivers in order and once",
-		func(chunks []platform.Chunk, text string, isWhole, gap bool) {
+		func(chunks []port.Chunk, text string, isWhole, gap bool) {
 			a := answer.New(id)
 			var delivered strings.Builder
 			for _, c := range chunks {
@@ -51,15 +51,15 @@
 			Expect(a.Whole()).To(Equal(isWhole))
 			Expect(a.Gap()).To(Equal(gap))
 		},
-		Entry("in order", []platform.Chunk{chunk(0), chunk(1), final(2)}, whole(2), true, false),
-		Entry("swapped", []platform.Chunk{chunk(1), chunk(0), final(2)}, whole(2), true, false),
-		Entry("duplicated", []platform.Chunk{chunk(0), chunk(0), chunk(1), final(2)}, whole(2), true, false),
-		Entry("final before the last token", []platform.Chunk{chunk(0), final(2), chunk(1)}, whole(2), true, false),
-		Entry("missing", []platform.Chunk{chunk(0), chunk(2), final(3)}, whole(1), false, true),
-		Entry("cut", []platform.Chunk{chunk(0), chunk(1)}, whole(2), false, false),
-		Entry("foreign", []platform.Chunk{chunk(0), {RequestID: "other", Index: 1, Text: "x"}, chunk(1), final(2)}, whole(2), true, false),
-		Entry("a foreign end", []platform.Chunk{chunk(0), {RequestID: "other", Index: 1, Final: true}}, whole(1), false, false),
-		Entry("empty", []platform.Chunk{final(0)}, "", true, false),
+		Entry("in order", []port.Chunk{chunk(0), chunk(1), final(2)}, whole(2), true, false),
+		Entry("swapped", []port.Chunk{chunk(1), chunk(0), final(2)}, whole(2), true, false),
+		Entry("duplicated", []port.Chunk{chunk(0), chunk(0), chunk(1), final(2)}, whole(2), true, false),
+		Entry("final before the last token", []port.Chunk{chunk(0), final(2), chunk(1)}, whole(2), true, false),
+		Entry("missing", []port.Chunk{chunk(0), chunk(2), final(3)}, whole(1), false, true),
+		Entry("cut", []port.Chunk{chunk(0), chunk(1)}, whole(2), false, false),
+		Entry("foreign", []port.Chunk{chunk(0), {RequestID: "other", Index: 1, Text: "x"}, chunk(1), final(2)}, whole(2), true, false),
+		Entry("a foreign end", []port.Chunk{chunk(0), {RequestID: "other", Index: 1, Final: true}}, whole(1), false, false),
+		Entry("empty", []port.Chunk{final(0)}, "", true, false),
 	)
 
 	It("is whole after any mangled streams, each resumed where the last one broke", func() {
@@ -91,7 +91,7 @@
 	case 1:
 		a.Add(c)
 	case 2:
-		a.Add(platform.Chunk{RequestID: "other", Index: i, Text: "foreign"})
+		a.Add(port.Chunk{RequestID: "other", Index: i, Text: "foreign"})
 	}
 	a.Add(c)
 }
--- a/balance/prefix/prefix.go
+++ b/balance/prefix/prefix.go
@@ -7,7 +7,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // MaxPerUpstream bounds the prefixes remembered of one upstream.
@@ -60,7 +60,7 @@
 // Apply takes an upstream's cache events. Another boot, or a gap in the
 // sequence, clears what is known of the upstream: a lost event may have been
 // the eviction of any of it. Apply reports whether there was a gap.
-func (x *Index) Apply(id, boot string, events []platform.CacheEvent) (gap bool) {
+func (x *Index) Apply(id, boot string, events []port.CacheEvent) (gap bool) {
 	c := x.of(id)
 	if c.boot != boot {
 		if c.boot != "" {
--- a/balance/prefix/prefix_test.go
+++ b/balance/prefix/prefix_test.go
@@ -5,18 +5,18 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/balance/prefix"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 var _ = Describe("Index", func() {
-	add := func(seq int64, hash uint64) platform.CacheEvent {
-		return platform.CacheEvent{Seq: seq, PrefixHash: hash}
+	add := func(seq int64, hash uint64) port.CacheEvent {
+		return port.CacheEvent{Seq: seq, PrefixHash: hash}
 	}
 	var index *prefix.Index
 	BeforeEach(func() {
 		index = prefix.NewIndex()
-		index.Apply("b", "boot", []platform.CacheEvent{add(1, 10), add(2, 20)})
-		index.Apply("a", "boot", []platform.CacheEvent{add(1, 10)})
+		index.Apply("b", "boot", []port.CacheEvent{add(1, 10), add(2, 20)})
+		index.Apply("a", "boot", []port.CacheEvent{add(1, 10)})
 	})
 
 	It("lists holders in order", func() {
@@ -24,17 +24,17 @@
 	})
 
 	DescribeTable("takes events of b",
-		func(boot string, events []platform.CacheEvent, gap bool, of10, of20 []string) {
+		func(boot string, events []port.CacheEvent, gap bool, of10, of20 []string) {
 			Expect(index.Apply("b", boot, events)).To(Equal(gap))
 			Expect(index.Holders(10)).To(BeEquivalentTo(of10))
 			Expect(index.Holders(20)).To(BeEquivalentTo(of20))
 		},
-		Entry("eviction", "boot", []platform.CacheEvent{{Seq: 3, PrefixHash: 10, Dropped: true}},
+		Entry("eviction", "boot", []port.CacheEvent{{Seq: 3, PrefixHash: 10, Dropped: true}},
 			false, []string{"a"}, []string{"b"}),
-		Entry("repeated events", "boot", []platform.CacheEvent{{Seq: 2, PrefixHash: 10, Dropped: true}},
+		Entry("repeated events", "boot", []port.CacheEvent{{Seq: 2, PrefixHash: 10, Dropped: true}},
 			false, []string{"a", "b"}, []string{"b"}),
-		Entry("gap", "boot", []platform.CacheEvent{add(9, 20)}, true, []string{"a"}, []string{"b"}),
-		Entry("restart", "other", []platform.CacheEvent{add(1, 20)}, false, []string{"a"}, []string{"b"}),
+		Entry("gap", "boot", []port.CacheEvent{add(9, 20)}, true, []string{"a"}, []string{"b"}),
+		Entry("restart", "other", []port.CacheEvent{add(1, 20)}, false, []string{"a"}, []string{"b"}),
 	)
 
 	It("bounds what it keeps of an upstream", func() {
--- a/bench/engine.go
+++ b/bench/engine.go
@@ -7,7 +7,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -89,7 +89,7 @@
 	version    uint64
 
 	cache    *simplelru.LRU[uint64, struct{}]
-	events   []platform.CacheEvent
+	events   []port.CacheEvent
 	eventSeq int64
 
 	// prefillTokens and cachedTokens count tokens of prompts processed and
@@ -117,7 +117,7 @@
 
 func (e *engine) publish(hash uint64, dropped bool) {
 	e.eventSeq++
-	e.events = append(e.events, platform.CacheEvent{Seq: e.eventSeq, PrefixHash: hash, Dropped: dropped})
+	e.events = append(e.events, port.CacheEvent{Seq: e.eventSeq, PrefixHash: hash, Dropped: dropped})
 }
 
 // load returns the requests that run and wait.
--- a/bench/formation/events.go
+++ b/bench/formation/events.go
@@ -5,7 +5,7 @@
 	"math"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // strike starts a fault and schedules its end.
@@ -33,7 +33,7 @@
 // kill takes a VM down; it comes back empty.
 func (r *run) kill(v *vm, lasts time.Duration) {
 	r.goDark(v)
-	v.state = platform.EngineIdle
+	v.state = port.EngineIdle
 	v.holds = ""
 	v.former = false
 	v.restarted = v.replica != nil && v.joined
@@ -92,7 +92,7 @@
 func (r *run) loadSpeeds() map[*vm]float64 {
 	speeds := map[*vm]float64{}
 	for _, v := range r.vms {
-		if v.state == platform.EngineLoading && v.dark == 0 {
+		if v.state == port.EngineLoading && v.dark == 0 {
 			speeds[v] = 0
 		}
 	}
@@ -123,7 +123,7 @@
 		if v.toLoad > 0 {
 			continue
 		}
-		v.state = platform.EngineReady
+		v.state = port.EngineReady
 		if v.replica != nil {
 			v.holds = v.replica.Model
 		}
--- a/bench/formation/fleet.go
+++ b/bench/formation/fleet.go
@@ -5,18 +5,18 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // vm is a fake engine VM.
 type vm struct {
-	vm     platform.VM
+	vm     port.VM
 	domain int
 	// dark counts the faults that put the VM out of reach.
 	dark int
 	// darkSince is when it went out of reach.
 	darkSince time.Duration
-	state     platform.EngineState
+	state     port.EngineState
 	replica   *replica
 	// former says that the VM still follows a replica that was dissolved
 	// while it was out of reach.
@@ -45,7 +45,7 @@
 // complete reports whether every member is up and ready.
 func (r *replica) complete() bool {
 	for _, v := range r.members {
-		if v.dark > 0 || !v.joined || v.vm.Leaving || v.state != platform.EngineReady {
+		if v.dark > 0 || !v.joined || v.vm.Leaving || v.state != port.EngineReady {
 			return false
 		}
 	}
@@ -58,14 +58,14 @@
 	for d, size := range f.Domains {
 		for i := range size {
 			vms = append(vms, &vm{
-				vm: platform.VM{
-					ID:     platform.VMID(fmt.Sprintf("d%02d-%03d", d, i)),
-					Kind:   platform.KindEngine,
+				vm: port.VM{
+					ID:     port.VMID(fmt.Sprintf("d%02d-%03d", d, i)),
+					Kind:   port.KindEngine,
 					Domain: fmt.Sprintf("d%02d", d),
 					Zone:   fmt.Sprintf("z%d", d%f.Zones),
 				},
 				domain: d,
-				state:  platform.EngineIdle,
+				state:  port.EngineIdle,
 			})
 		}
 	}
@@ -92,7 +92,7 @@
 func (v *vm) report() placement.VM {
 	o := placement.VM{
 		Restarted: v.restarted && v.replica != nil,
-		Report:    platform.Report{VM: v.vm.ID, State: v.state},
+		Report:    port.Report{VM: v.vm.ID, State: v.state},
 	}
 	if v.replica != nil && v.joined {
 		o.Report.Replica = v.replica.Name
--- a/bench/formation/formation.go
+++ b/bench/formation/formation.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Fleet is a fleet of engine VMs by fabric domain.
@@ -108,8 +108,8 @@
 )
 
 // models returns the models of the fake weight store.
-func models() []platform.Model {
-	return []platform.Model{
+func models() []port.Model {
+	return []port.Model{
 		{Name: modelDesk, VMsPerReplica: vmsPerReplica, WeightBytes: deskWeightBytes},
 		{Name: modelDraft, VMsPerReplica: vmsPerReplica, WeightBytes: draftWeightBytes},
 	}
--- a/bench/formation/run.go
+++ b/bench/formation/run.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -102,7 +102,7 @@
 // can become overdue.
 func (r *run) untilNextPlan() time.Duration {
 	for _, v := range r.vms {
-		if v.state == platform.EngineLoading {
+		if v.state == port.EngineLoading {
 			return planEvery
 		}
 	}
@@ -172,10 +172,10 @@
 	model := v.replica.Model
 	v.joined = true
 	if v.holds == model {
-		v.state = platform.EngineReady
+		v.state = port.EngineReady
 		return
 	}
-	v.state = platform.EngineLoading
+	v.state = port.EngineLoading
 	v.holds = ""
 	v.toLoad = float64(weight(model))
 }
@@ -210,9 +210,9 @@
 
 // avoidSlow leaves out members that are not ready while others are.
 func (r *run) avoidSlow(x *replica) {
-	ready := slices.ContainsFunc(x.members, func(v *vm) bool { return v.state == platform.EngineReady })
+	ready := slices.ContainsFunc(x.members, func(v *vm) bool { return v.state == port.EngineReady })
 	for _, v := range x.members {
-		if ready && v.state != platform.EngineReady {
+		if ready && v.state != port.EngineReady {
 			v.avoidUntil = r.now + avoidFor
 			r.schedule(v.avoidUntil, func() {})
 		}
@@ -221,13 +221,13 @@
 
 // leave makes a VM idle after it has finished its streams.
 func (r *run) leave(v *vm, after time.Duration) {
-	if v.state == platform.EngineIdle {
+	if v.state == port.EngineIdle {
 		return
 	}
-	v.state = platform.EngineLeaving
+	v.state = port.EngineLeaving
 	r.schedule(r.now+after, func() {
-		if v.state == platform.EngineLeaving {
-			v.state = platform.EngineIdle
+		if v.state == port.EngineLeaving {
+			v.state = port.EngineIdle
 		}
 	})
 }
@@ -255,7 +255,7 @@
 		case v.dark > 0:
 		case v.stranded():
 			r.result.Stranded += hours
-		case v.state == platform.EngineLoading:
+		case v.state == port.EngineLoading:
 			r.result.Loading += hours
 		case v.replica.cross:
 			r.result.Stranded += hours * (1 - r.result.CrossSpeed)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/configuration"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -65,7 +65,7 @@
 		now := w.complete()[0]
 		back.dark = false
 		Expect(inReplica(back.rep, old)).To(BeTrue(), "it still believes in the old generation")
-		Expect(w.run(time.Minute, func() bool { return back.rep.State == platform.EngineIdle })).To(BeTrue())
+		Expect(w.run(time.Minute, func() bool { return back.rep.State == port.EngineIdle })).To(BeTrue())
 		Expect(w.complete()).To(ConsistOf(now))
 	})
 
@@ -124,10 +124,10 @@
 		last := func() bool { return !first.svc.lease.valid(w.now.Add(2 * step)) }
 		Expect(w.run(time.Minute, last)).To(BeTrue())
 		spare := w.engines["a-9"]
-		spare.rep.Replica, spare.rep.Generation, spare.rep.State = "former", 1, platform.EngineReady
+		spare.rep.Replica, spare.rep.Generation, spare.rep.State = "former", 1, port.EngineReady
 		w.step()
 		Expect(first.traffic).To(HaveLen(1))
-		spare.rep.Replica, spare.rep.Generation, spare.rep.State = "", 0, platform.EngineIdle
+		spare.rep.Replica, spare.rep.Generation, spare.rep.State = "", 0, port.EngineIdle
 		Expect(w.run(time.Minute, w.serves(2))).To(BeTrue())
 		Expect(first.traffic).To(BeEmpty())
 		Expect(w.holder()).NotTo(Equal(first))
@@ -140,13 +140,13 @@
 		lead := w.engines[r.VMs[0]]
 		lead.streams = 3
 		w.engines[r.VMs[3]].vm.Leaving = true
-		Expect(w.run(time.Minute, func() bool { return lead.rep.State == platform.EngineLeaving })).To(BeTrue())
+		Expect(w.run(time.Minute, func() bool { return lead.rep.State == port.EngineLeaving })).To(BeTrue())
 		w.run(20*time.Second, func() bool { return false })
 		for _, id := range r.VMs[1:] {
-			Expect(w.engines[id].rep.State).To(Equal(platform.EngineReady), string(id))
+			Expect(w.engines[id].rep.State).To(Equal(port.EngineReady), string(id))
 		}
 		lead.streams = 0
-		Expect(w.run(time.Minute, func() bool { return w.engines[r.VMs[3]].rep.State == platform.EngineIdle })).To(BeTrue())
+		Expect(w.run(time.Minute, func() bool { return w.engines[r.VMs[3]].rep.State == port.EngineIdle })).To(BeTrue())
 	})
 
 	It("orders a VM to leave that reports itself leaving a dissolved replica without an order", func() {
@@ -154,10 +154,10 @@
 		r := w.complete()[0]
 		lead := w.engines[r.VMs[0]]
 		lead.streams = 1
-		lead.rep.State = platform.EngineLeaving
+		lead.rep.State = port.EngineLeaving
 		ordered := func() bool {
 			n := len(lead.orders)
-			return lead.orders[n-1].Verb == platform.OrderLeave
+			return lead.orders[n-1].Verb == port.OrderLeave
 		}
 		Expect(w.run(time.Minute, ordered)).To(BeTrue())
 		lead.streams = 0
@@ -178,7 +178,7 @@
 		settled(1, 2, 8)
 		before := w.complete()
 		all := w.engines
-		w.engines = map[platform.VMID]*engine{"a-1": all["a-1"]}
+		w.engines = map[port.VMID]*engine{"a-1": all["a-1"]}
 		w.run(time.Minute, func() bool { return false })
 		w.engines = all
 		Expect(w.complete()).To(Equal(before))
--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -8,7 +8,7 @@
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -32,14 +32,14 @@
 	shrunk      bool
 	shrunkSince time.Time
 	// firstSeen is when a VM was first listed.
-	firstSeen map[platform.VMID]time.Time
+	firstSeen map[port.VMID]time.Time
 	// joined holds the membership and boot in which a VM was last seen to
 	// follow the ledger.
-	joined map[platform.VMID]membership
+	joined map[port.VMID]membership
 	// restarted holds the generation whose membership a VM has lost.
-	restarted map[platform.VMID]record.Position
+	restarted map[port.VMID]record.Position
 	// avoidUntil holds VMs that failed to load.
-	avoidUntil map[platform.VMID]time.Time
+	avoidUntil map[port.VMID]time.Time
 }
 
 // membership is a VM's place in a replica during one boot.
@@ -50,10 +50,10 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		firstSeen:  map[platform.VMID]time.Time{},
-		joined:     map[platform.VMID]membership{},
-		restarted:  map[platform.VMID]record.Position{},
-		avoidUntil: map[platform.VMID]time.Time{},
+		firstSeen:  map[port.VMID]time.Time{},
+		joined:     map[port.VMID]membership{},
+		restarted:  map[port.VMID]record.Position{},
+		avoidUntil: map[port.VMID]time.Time{},
 	}
 }
 
@@ -83,7 +83,7 @@
 func listedEngines(all []health.Observation) []health.Observation {
 	var engines []health.Observation
 	for _, o := range all {
-		if o.Listed && o.VM.Kind == platform.KindEngine {
+		if o.Listed && o.VM.Kind == port.KindEngine {
 			engines = append(engines, o)
 		}
 	}
@@ -95,7 +95,7 @@
 
 // noteFirstSeen keeps the time at which each listed VM was first listed.
 func (f *fleetState) noteFirstSeen(now time.Time) {
-	firstSeen := make(map[platform.VMID]time.Time, len(f.vms))
+	firstSeen := make(map[port.VMID]time.Time, len(f.vms))
 	for _, o := range f.vms {
 		seen, ok := f.firstSeen[o.VM.ID]
 		if !ok {
@@ -127,8 +127,8 @@
 }
 
 // inReplica reports whether a report names a replica and its generation.
-func inReplica(rep platform.Report, r ledger.Replica) bool {
-	return rep.Replica == r.Name && rep.Generation == int64(r.Generation) && rep.State != platform.EngineIdle
+func inReplica(rep port.Report, r ledger.Replica) bool {
+	return rep.Replica == r.Name && rep.Generation == int64(r.Generation) && rep.State != port.EngineIdle
 }
 
 // liveness judges a VM by the age of its last report. A VM that never reported
@@ -183,7 +183,7 @@
 
 // hasRestarted reports whether a VM has lost its membership of the replica
 // that it belongs to by the ledger.
-func (f *fleetState) hasRestarted(id platform.VMID, control *ledger.Control) bool {
+func (f *fleetState) hasRestarted(id port.VMID, control *ledger.Control) bool {
 	name, owned := control.Owner(id)
 	if !owned {
 		return false
@@ -193,8 +193,8 @@
 }
 
 // find returns a VM of the last observation.
-func (f *fleetState) find(id platform.VMID) (health.Observation, bool) {
-	i, ok := slices.BinarySearchFunc(f.vms, id, func(o health.Observation, id platform.VMID) int {
+func (f *fleetState) find(id port.VMID) (health.Observation, bool) {
+	i, ok := slices.BinarySearchFunc(f.vms, id, func(o health.Observation, id port.VMID) int {
 		return strings.Compare(string(o.VM.ID), string(id))
 	})
 	if !ok {
@@ -206,10 +206,10 @@
 // avoidSlow leaves members out of new replicas that are not ready although
 // another member of the replica is.
 func (f *fleetState) avoidSlow(r ledger.Replica, now time.Time) {
-	var slow []platform.VMID
+	var slow []port.VMID
 	for _, id := range r.VMs {
 		o, ok := f.find(id)
-		if ok && inReplica(o.Report, r) && o.Report.State == platform.EngineReady {
+		if ok && inReplica(o.Report, r) && o.Report.State == port.EngineReady {
 			continue
 		}
 		slow = append(slow, id)
--- a/controller/messages.go
+++ b/controller/messages.go
@@ -23,7 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -35,10 +35,10 @@
 // end the request LongestOrder later at the latest.
 type SendOrder struct {
 	// VM and Address say whom to send to.
-	VM      platform.VMID
+	VM      port.VMID
 	Address string
 	// Order is the body.
-	Order platform.Order
+	Order port.Order
 	// NotAfter is the end of the lease under which the order is sent.
 	NotAfter time.Time
 }
@@ -50,7 +50,7 @@
 // OrderDone is the result of a SendOrder.
 type OrderDone struct {
 	// VM is the VM of the order.
-	VM platform.VMID
+	VM port.VMID
 	// Err is nil if the VM accepted the order, ErrStaleFencing if it refused
 	// its fencing number, and any other error if the order may have arrived.
 	Err error
--- a/controller/orders.go
+++ b/controller/orders.go
@@ -9,7 +9,7 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -23,7 +23,7 @@
 
 // orderState holds the orders of this node.
 type orderState struct {
-	sent     map[platform.VMID]*sentOrder
+	sent     map[port.VMID]*sentOrder
 	inFlight int
 	// formed holds when this node first saw a generation.
 	formed map[record.Position]time.Time
@@ -31,7 +31,7 @@
 
 // sentOrder is the last order to a VM.
 type sentOrder struct {
-	verb       platform.OrderVerb
+	verb       port.OrderVerb
 	generation int64
 	at         time.Time
 	inFlight   bool
@@ -80,7 +80,7 @@
 	for _, o := range s.fleet.vms {
 		r := o.Report
 		lost := s.fleet.liveness(o, now) == placement.Lost
-		if r.Replica != "" && r.Rank == 0 && r.State != platform.EngineIdle && !lost {
+		if r.Replica != "" && r.Rank == 0 && r.State != port.EngineIdle && !lost {
 			serving[place{r.Replica, r.Generation}] = true
 		}
 	}
@@ -89,7 +89,7 @@
 
 // dueOrder returns the order that would make a VM follow the ledger, false if
 // it follows already.
-func (s *Service) dueOrder(o health.Observation, serving map[place]bool) (platform.Order, bool) {
+func (s *Service) dueOrder(o health.Observation, serving map[place]bool) (port.Order, bool) {
 	if name, owned := s.Control.Owner(o.VM.ID); owned {
 		r, _ := s.Control.Replica(name)
 		return s.joinOrder(o, r)
@@ -99,16 +99,16 @@
 
 // joinOrder returns the order to join a replica. A member that lost its
 // membership is not asked again: the replica is to be dissolved.
-func (s *Service) joinOrder(o health.Observation, r ledger.Replica) (platform.Order, bool) {
+func (s *Service) joinOrder(o health.Observation, r ledger.Replica) (port.Order, bool) {
 	if inReplica(o.Report, r) || s.fleet.restarted[o.VM.ID] == r.Generation {
-		return platform.Order{}, false
+		return port.Order{}, false
 	}
 	members, ok := s.fleet.addresses(r.VMs)
 	if !ok || s.pending.dissolving(r.Name, r.Generation) {
-		return platform.Order{}, false
+		return port.Order{}, false
 	}
-	return platform.Order{
-		Verb:       platform.OrderJoin,
+	return port.Order{
+		Verb:       port.OrderJoin,
 		Replica:    r.Name,
 		Generation: int64(r.Generation),
 		Model:      r.Model,
@@ -117,7 +117,7 @@
 	}, true
 }
 
-func rankOf(r ledger.Replica, id platform.VMID) int {
+func rankOf(r ledger.Replica, id port.VMID) int {
 	for i, vm := range r.VMs {
 		if vm == id {
 			return i
@@ -128,13 +128,13 @@
 
 // leaveOrder returns the order to leave a replica that the ledger does not
 // have. Other ranks leave after rank 0, which carries the streams.
-func leaveOrder(r platform.Report, serving map[place]bool) (platform.Order, bool) {
-	member := r.Replica != "" && r.State != platform.EngineIdle
+func leaveOrder(r port.Report, serving map[place]bool) (port.Order, bool) {
+	member := r.Replica != "" && r.State != port.EngineIdle
 	if !member || (r.Rank != 0 && serving[place{r.Replica, r.Generation}]) {
-		return platform.Order{}, false
+		return port.Order{}, false
 	}
-	return platform.Order{
-		Verb:       platform.OrderLeave,
+	return port.Order{
+		Verb:       port.OrderLeave,
 		Replica:    r.Replica,
 		Generation: r.Generation,
 		Rank:       r.Rank,
@@ -142,7 +142,7 @@
 }
 
 // mayOrder reports whether an order may be sent now.
-func (s *Service) mayOrder(now time.Time, o health.Observation, order platform.Order) bool {
+func (s *Service) mayOrder(now time.Time, o health.Observation, order port.Order) bool {
 	if !o.VM.ChecksFencing && now.Before(s.lease.carelessFrom) {
 		s.count("order.held.former_lease")
 		return false
@@ -162,7 +162,7 @@
 	return !same || now.Sub(last.at) >= reorderAfter
 }
 
-func (s *Service) send(now time.Time, o health.Observation, order platform.Order) kernel.Effect {
+func (s *Service) send(now time.Time, o health.Observation, order port.Order) kernel.Effect {
 	s.count("order." + string(order.Verb))
 	s.orders.sent[o.VM.ID] = &sentOrder{
 		verb: order.Verb, generation: order.Generation, at: now, inFlight: true,
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -6,7 +6,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -160,7 +160,7 @@
 }
 
 // addresses returns the addresses of VMs, false if one is not listed.
-func (f *fleetState) addresses(ids []platform.VMID) ([]string, bool) {
+func (f *fleetState) addresses(ids []port.VMID) ([]string, bool) {
 	out := make([]string, len(ids))
 	for i, id := range ids {
 		o, ok := f.find(id)
--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	"pgregory.net/rapid"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // fault draws one change of what is broken.
-func (w *world) fault(t *rapid.T, ids []platform.VMID) {
+func (w *world) fault(t *rapid.T, ids []port.VMID) {
 	e := w.engines[rapid.SampledFrom(ids).Draw(t, "vm")]
 	n := rapid.SampledFrom(w.nodes).Draw(t, "node")
 	switch rapid.SampledFrom([]string{"dark", "back", "restart", "log", "twice", "pause", "resume", "cut log", "cut VMs", "domain"}).Draw(t, "fault") {
@@ -63,7 +63,7 @@
 	It("never orders a VM with an old generation and recovers in the end", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld(3, 5, 5, 4)
-			var ids []platform.VMID
+			var ids []port.VMID
 			for id, e := range w.engines {
 				ids = append(ids, id)
 				e.vm.ChecksFencing = id[2] == '1'
--- a/controller/service.go
+++ b/controller/service.go
@@ -13,7 +13,7 @@
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -62,7 +62,7 @@
 	// document is the configuration in force, models what the weight store
 	// serves.
 	document *dynamic.Document
-	models   platform.ModelList
+	models   port.ModelList
 	load     loadAverage
 	planner  *placement.Planner
 	pending  pendingRecords
@@ -81,7 +81,7 @@
 		Settings: s,
 		lease:    newLeaseState(),
 		fleet:    newFleetState(),
-		orders:   orderState{sent: map[platform.VMID]*sentOrder{}},
+		orders:   orderState{sent: map[port.VMID]*sentOrder{}},
 		pending:  newPendingRecords(),
 		planner:  placement.NewPlanner(s.Policy),
 	}
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -14,7 +14,7 @@
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -28,7 +28,7 @@
 	logDown bool
 	// twice appends each record twice, as after a lost answer.
 	twice   bool
-	engines map[platform.VMID]*engine
+	engines map[port.VMID]*engine
 	nodes   []*node
 	// loadTime is how long an engine loads.
 	loadTime time.Duration
@@ -38,14 +38,14 @@
 
 // engine is a fake engine VM.
 type engine struct {
-	vm      platform.VM
-	rep     platform.Report
+	vm      port.VM
+	rep     port.Report
 	dark    bool
 	readyAt time.Time
 	highest int64
 	// streams is the number of streams in flight at rank 0.
 	streams int
-	orders  []platform.Order
+	orders  []port.Order
 }
 
 // node is an entry node with its own ledger.
@@ -64,7 +64,7 @@
 	traffic    []flight
 	sent       []SendOrder
 	replies    []kernel.Message
-	lastSeen   map[platform.VMID]health.Observation
+	lastSeen   map[port.VMID]health.Observation
 	caughtUp   bool
 }
 
@@ -80,19 +80,19 @@
 func newWorld(nodes int, domains ...int) *world {
 	w := &world{
 		now:      time.Unix(1_000_000, 0),
-		engines:  map[platform.VMID]*engine{},
+		engines:  map[port.VMID]*engine{},
 		loadTime: 2 * time.Second,
 	}
 	for d, size := range domains {
 		name := string(rune('a' + d))
 		for i := range size {
-			id := platform.VMID(fmt.Sprintf("%s-%d", name, i+1))
+			id := port.VMID(fmt.Sprintf("%s-%d", name, i+1))
 			w.engines[id] = &engine{
-				vm: platform.VM{
-					ID: id, Kind: platform.KindEngine, Address: string(id),
+				vm: port.VM{
+					ID: id, Kind: port.KindEngine, Address: string(id),
 					Domain: name, Zone: fmt.Sprint("z", d%3), ChecksFencing: true,
 				},
-				rep: platform.Report{VM: id, Boot: "1", State: platform.EngineIdle},
+				rep: port.Report{VM: id, Boot: "1", State: port.EngineIdle},
 			}
 		}
 	}
@@ -103,15 +103,15 @@
 }
 
 var (
-	testModels = platform.ModelList{
-		Models:         []platform.Model{{Name: "draft", VMsPerReplica: 4, WeightBytes: 1 << 30}},
+	testModels = port.ModelList{
+		Models:         []port.Model{{Name: "draft", VMsPerReplica: 4, WeightBytes: 1 << 30}},
 		BytesPerSecond: 1 << 30,
 	}
 	testDocument = &dynamic.Document{Classes: []dynamic.Class{{Name: "drafting", Kind: dynamic.KindGenerate, Model: "draft"}}}
 )
 
 func (w *world) addNode() *node {
-	n := &node{control: ledger.NewControl(), lastSeen: map[platform.VMID]health.Observation{}, caughtUp: true}
+	n := &node{control: ledger.NewControl(), lastSeen: map[port.VMID]health.Observation{}, caughtUp: true}
 	id := len(w.nodes) + 1
 	ids := 0
 	n.svc = New(Settings{
@@ -226,7 +226,7 @@
 }
 
 // obey is the engine's part of an order.
-func (w *world) obey(e *engine, o platform.Order) error {
+func (w *world) obey(e *engine, o port.Order) error {
 	if e.dark {
 		return fmt.Errorf("no answer")
 	}
@@ -238,12 +238,12 @@
 	}
 	e.highest = max(e.highest, o.Generation)
 	e.orders = append(e.orders, o)
-	if o.Verb == platform.OrderLeave {
-		e.rep.State = platform.EngineLeaving
+	if o.Verb == port.OrderLeave {
+		e.rep.State = port.EngineLeaving
 		return nil
 	}
 	e.rep.Replica, e.rep.Generation, e.rep.Rank = o.Replica, o.Generation, o.Rank
-	e.rep.State, e.rep.Model = platform.EngineLoading, o.Model
+	e.rep.State, e.rep.Model = port.EngineLoading, o.Model
 	e.readyAt = w.now.Add(w.loadTime)
 	return nil
 }
@@ -251,19 +251,19 @@
 func (w *world) stepEngines() {
 	for _, e := range w.engines {
 		switch {
-		case e.rep.State == platform.EngineLoading && !w.now.Before(e.readyAt):
-			e.rep.State = platform.EngineReady
+		case e.rep.State == port.EngineLoading && !w.now.Before(e.readyAt):
+			e.rep.State = port.EngineReady
 			e.rep.HeldWeights = []string{e.rep.Model}
-		case e.rep.State == platform.EngineLeaving && e.streams == 0:
-			e.rep.State, e.rep.Replica, e.rep.Generation, e.rep.Rank = platform.EngineIdle, "", 0, 0
+		case e.rep.State == port.EngineLeaving && e.streams == 0:
+			e.rep.State, e.rep.Replica, e.rep.Generation, e.rep.Rank = port.EngineIdle, "", 0, 0
 		}
 	}
 }
 
 // restart makes an engine forget everything, as a new process.
-func (w *world) restart(id platform.VMID) {
+func (w *world) restart(id port.VMID) {
 	e := w.engines[id]
-	e.rep = platform.Report{VM: id, Boot: e.rep.Boot + "+", State: platform.EngineIdle}
+	e.rep = port.Report{VM: id, Boot: e.rep.Boot + "+", State: port.EngineIdle}
 	e.highest = 0
 }
 
@@ -290,9 +290,9 @@
 		control.Apply(record.At(int64(i), 0), r)
 	}
 	return slices.DeleteFunc(control.Replicas(), func(r ledger.Replica) bool {
-		return slices.ContainsFunc(r.VMs, func(id platform.VMID) bool {
+		return slices.ContainsFunc(r.VMs, func(id port.VMID) bool {
 			e := w.engines[id]
-			return e.dark || e.rep.State != platform.EngineReady || !inReplica(e.rep, r)
+			return e.dark || e.rep.State != port.EngineReady || !inReplica(e.rep, r)
 		})
 	})
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -14,7 +14,7 @@
 	"github.com/tamarackcleat/tamarackcleat/calls"
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/router"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
@@ -221,7 +221,7 @@
 		return nil, "", failure
 	}
 	started := time.Now()
-	answer, err := c.node.upstream.Call(ctx, u.Address, platform.CallRequest{
+	answer, err := c.node.upstream.Call(ctx, u.Address, port.CallRequest{
 		RequestID: c.id,
 		Class:     c.class.Name,
 		Key:       c.key,
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -12,7 +12,7 @@
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/router"
@@ -228,7 +228,7 @@
 	if trial {
 		exclude = append(g.node.trials.upstreams(), exclude...)
 	}
-	return g.pick(ctx, g.class.Model, exclude, platform.PrefixHashes(g.prompt))
+	return g.pick(ctx, g.class.Model, exclude, port.PrefixHashes(g.prompt))
 }
 
 // settle tells the router how the attempt ended.
@@ -256,7 +256,7 @@
 	release := g.node.flights.add(u.ID, cancel)
 	defer release()
 	g.answer.Restart()
-	s, err := g.node.upstream.Generate(ctx, u.Address, platform.GenerateRequest{
+	s, err := g.node.upstream.Generate(ctx, u.Address, port.GenerateRequest{
 		RequestID:  g.id,
 		Replica:    u.ID,
 		Generation: u.Generation,
@@ -290,7 +290,7 @@
 
 // chunkReader gives chunks.
 type chunkReader interface {
-	Next() (platform.Chunk, error)
+	Next() (port.Chunk, error)
 }
 
 // read takes chunks until the answer is whole.
@@ -319,7 +319,7 @@
 }
 
 // take adds a chunk to the answer and passes on what became deliverable.
-func (g *generation) take(chunk platform.Chunk) *verdict.Error {
+func (g *generation) take(chunk port.Chunk) *verdict.Error {
 	texts, drop := g.answer.Add(chunk)
 	if drop != answer.DropNone {
 		g.node.stats.count(string(drop))
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/config/static"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
@@ -35,8 +35,8 @@
 	log     *logservice.Service
 	vms     *vmlist.Service
 	list    *httptest.Server
-	engines map[platform.VMID]*engine.Service
-	servers map[platform.VMID]*httptest.Server
+	engines map[port.VMID]*engine.Service
+	servers map[port.VMID]*httptest.Server
 	plain   *plainservice.Service
 	nodes   []*running
 	urls    static.Platform
@@ -57,11 +57,11 @@
 	c := &cluster{
 		log:     logservice.New(logSettings),
 		vms:     vmlist.New(listSettings),
-		engines: map[platform.VMID]*engine.Service{},
-		servers: map[platform.VMID]*httptest.Server{},
+		engines: map[port.VMID]*engine.Service{},
+		servers: map[port.VMID]*httptest.Server{},
 	}
-	weights := weightstore.New(weightstore.Settings{Clock: time.Now, List: platform.ModelList{
-		Models:         []platform.Model{{Name: "draft-70b", VMsPerReplica: 2, WeightBytes: 1 << 20}},
+	weights := weightstore.New(weightstore.Settings{Clock: time.Now, List: port.ModelList{
+		Models:         []port.Model{{Name: "draft-70b", VMsPerReplica: 2, WeightBytes: 1 << 20}},
 		BytesPerSecond: 1 << 30,
 	}})
 	c.list = c.serve(c.vms)
@@ -79,9 +79,9 @@
 }
 
 // register puts a VM on the VM list.
-func (c *cluster) register(vm platform.VM) { c.change(vmlist.Register, vm) }
+func (c *cluster) register(vm port.VM) { c.change(vmlist.Register, vm) }
 
-func (c *cluster) change(verb vmlist.ChangeVerb, vm platform.VM) {
+func (c *cluster) change(verb vmlist.ChangeVerb, vm port.VM) {
 	body, err := json.Marshal(vmlist.Change{Verb: verb, VM: vm})
 	Expect(err).NotTo(HaveOccurred())
 	resp, err := http.Post(c.list.URL+"/v1/vms", "application/json", bytes.NewReader(body))
@@ -93,7 +93,7 @@
 // addEngines adds engine VMs to a fabric domain.
 func (c *cluster) addEngines(domain string, count int) {
 	for i := range count {
-		vm := platform.VM{ID: platform.VMID(fmt.Sprintf("%s-%d", domain, i)), Kind: platform.KindEngine, Zone: "a", Domain: domain, Accelerators: 8, ChecksFencing: true}
+		vm := port.VM{ID: port.VMID(fmt.Sprintf("%s-%d", domain, i)), Kind: port.KindEngine, Zone: "a", Domain: domain, Accelerators: 8, ChecksFencing: true}
 		e := engine.New(engine.DefaultSettings(vm.ID))
 		s := c.serve(e)
 		vm.Address = strings.TrimPrefix(s.URL, "http://")
@@ -105,9 +105,9 @@
 
 // addPlain adds the VM of a plain service.
 func (c *cluster) addPlain(service string) {
-	c.plain = plainservice.New(plainservice.DefaultSettings(platform.VMID(service + "-0")))
+	c.plain = plainservice.New(plainservice.DefaultSettings(port.VMID(service + "-0")))
 	s := c.serve(c.plain)
-	c.register(platform.VM{ID: platform.VMID(service + "-0"), Kind: platform.KindPlain, Zone: "a", Service: service, Address: strings.TrimPrefix(s.URL, "http://")})
+	c.register(port.VM{ID: port.VMID(service + "-0"), Kind: port.KindPlain, Zone: "a", Service: service, Address: strings.TrimPrefix(s.URL, "http://")})
 }
 
 // freeAddress returns a loopback address that nothing listens on.
@@ -127,7 +127,7 @@
 	r := &running{Node: n, url: "http://" + address, stop: cancel, done: make(chan error, 1)}
 	go func() { r.done <- n.Run(ctx) }()
 	DeferCleanup(cancel)
-	c.register(platform.VM{ID: platform.VMID(n.id), Kind: platform.KindEntry, Zone: "a", Address: address})
+	c.register(port.VM{ID: port.VMID(n.id), Kind: port.KindEntry, Zone: "a", Address: address})
 	c.nodes = append(c.nodes, r)
 	return r
 }
--- a/entry/drivers.go
+++ b/entry/drivers.go
@@ -11,8 +11,8 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/peers"
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 )
 
 const (
@@ -36,7 +36,7 @@
 // logDriver performs the effects of the log service.
 type logDriver struct {
 	ctx  context.Context
-	log  platform.Log
+	log  port.Log
 	post post
 }
 
@@ -70,8 +70,8 @@
 // healthDriver performs the effects of health checking.
 type healthDriver struct {
 	ctx       context.Context
-	inventory *platformhttp.Inventory
-	upstream  *platformhttp.Upstream
+	inventory *porthttp.Inventory
+	upstream  *porthttp.Upstream
 	post      post
 }
 
@@ -94,7 +94,7 @@
 	vms, err := d.inventory.VMs(ctx)
 	models, modelsErr := d.inventory.Models(ctx)
 	if modelsErr != nil {
-		models = platform.ModelList{}
+		models = port.ModelList{}
 	}
 	d.post(health.Name, health.InventoryDone{VMs: vms, Models: models, Err: err})
 }
@@ -109,7 +109,7 @@
 // orderDriver performs the orders of the controller.
 type orderDriver struct {
 	ctx      context.Context
-	upstream *platformhttp.Upstream
+	upstream *porthttp.Upstream
 	post     post
 }
 
@@ -136,7 +136,7 @@
 		return errLeaseOver
 	}
 	err := d.upstream.Order(ctx, e.Address, e.Order)
-	if errors.Is(err, platformhttp.ErrStaleFencing) {
+	if errors.Is(err, porthttp.ErrStaleFencing) {
 		return controller.ErrStaleFencing
 	}
 	return err
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
 	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
@@ -85,8 +85,8 @@
 }
 
 // leads lists the rank 0 VMs of the replicas that serve.
-func (c *cluster) leads() []platform.VMID {
-	var out []platform.VMID
+func (c *cluster) leads() []port.VMID {
+	var out []port.VMID
 	c.nodes[0].read(GinkgoT().Context(), func(time.Time) {
 		for _, r := range c.nodes[0].log.Ledgers().Control.Replicas() {
 			out = append(out, r.VMs[0])
@@ -118,7 +118,7 @@
 
 	It("stop work on a replica whose other VM is missing, and finish it elsewhere", func() {
 		c := serving(2)
-		var member platform.VMID
+		var member port.VMID
 		c.nodes[0].read(GinkgoT().Context(), func(time.Time) {
 			member = c.nodes[0].log.Ledgers().Control.Replicas()[0].VMs[1]
 		})
@@ -133,7 +133,7 @@
 		c := serving(2)
 		lead := c.leads()[0]
 		wrong := c.ask(8, 200, func() {
-			c.change(vmlist.Leave, platform.VM{ID: lead})
+			c.change(vmlist.Leave, port.VM{ID: lead})
 		})
 		Expect(wrong).To(BeEmpty())
 		Eventually(func() bool {
@@ -227,8 +227,8 @@
 })
 
 // boots reads the boot of every engine VM.
-func (c *cluster) boots() map[platform.VMID]string {
-	out := map[platform.VMID]string{}
+func (c *cluster) boots() map[port.VMID]string {
+	out := map[port.VMID]string{}
 	for id, e := range c.engines {
 		out[id] = e.Report().Boot
 	}
@@ -236,7 +236,7 @@
 }
 
 // crashes counts the engine VMs that started anew.
-func (c *cluster) crashes(before map[platform.VMID]string) int {
+func (c *cluster) crashes(before map[port.VMID]string) int {
 	n := 0
 	for id, boot := range c.boots() {
 		if boot != before[id] {
--- a/entry/node.go
+++ b/entry/node.go
@@ -34,7 +34,7 @@
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/peers"
 	"github.com/tamarackcleat/tamarackcleat/placement"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/retry"
@@ -67,7 +67,7 @@
 	configuration *configuration.Service
 	quarantine    *quarantine.Service
 
-	upstream   *platformhttp.Upstream
+	upstream   *porthttp.Upstream
 	peerClient *peerClient
 	flights    *flights
 	trials     *trials
@@ -87,8 +87,8 @@
 		logger:     logger.With("node", string(id)),
 		registry:   metrics.NewRegistry(),
 		kernel:     kernel.NewNode(time.Now),
-		upstream:   platformhttp.NewUpstream(nil),
-		peerClient: &peerClient{client: platformhttp.NewHTTPClient()},
+		upstream:   porthttp.NewUpstream(nil),
+		peerClient: &peerClient{client: porthttp.NewHTTPClient()},
 		flights:    newFlights(),
 		trials:     newTrials(),
 		traces:     newTraces(id),
@@ -177,12 +177,12 @@
 
 // bind connects the services' effects to the outside.
 func (n *Node) bind(ctx context.Context) {
-	client := platformhttp.NewHTTPClient()
+	client := porthttp.NewHTTPClient()
 	p := n.settings.Platform
-	n.kernel.Bind(&logDriver{ctx: ctx, log: platformhttp.NewLog(p.Log, client), post: n.kernel.Post})
+	n.kernel.Bind(&logDriver{ctx: ctx, log: porthttp.NewLog(p.Log, client), post: n.kernel.Post})
 	n.kernel.Bind(&healthDriver{
 		ctx:       ctx,
-		inventory: platformhttp.NewInventory(p.VMs, p.Weights, client),
+		inventory: porthttp.NewInventory(p.VMs, p.Weights, client),
 		upstream:  n.upstream,
 		post:      n.kernel.Post,
 	})
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -14,7 +14,7 @@
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
@@ -180,7 +180,7 @@
 func stranded(vms []health.Observation, control *ledger.Control) int {
 	count := 0
 	for _, o := range vms {
-		if _, owned := control.Owner(o.VM.ID); o.Listed && o.VM.Kind == platform.KindEngine && !owned {
+		if _, owned := control.Owner(o.VM.ID); o.Listed && o.VM.Kind == port.KindEngine && !owned {
 			count += o.VM.Accelerators
 		}
 	}
--- a/failuretest/world_test.go
+++ b/failuretest/world_test.go
@@ -11,7 +11,7 @@
 	"github.com/tamarackcleat/tamarackcleat/configuration"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
@@ -21,7 +21,7 @@
 
 // fakeLog is the platform's log in memory.
 type fakeLog struct {
-	entries   map[string][]platform.Entry
+	entries   map[string][]port.Entry
 	first     map[string]int64
 	outage    bool
 	retention time.Duration
@@ -29,7 +29,7 @@
 
 func newFakeLog() *fakeLog {
 	return &fakeLog{
-		entries:   map[string][]platform.Entry{},
+		entries:   map[string][]port.Entry{},
 		first:     map[string]int64{},
 		retention: 24 * time.Hour,
 	}
@@ -37,14 +37,14 @@
 
 func (l *fakeLog) append(stream string, data []byte) int64 {
 	offset := l.first[stream] + int64(len(l.entries[stream]))
-	l.entries[stream] = append(l.entries[stream], platform.Entry{Offset: offset, Data: data})
+	l.entries[stream] = append(l.entries[stream], port.Entry{Offset: offset, Data: data})
 	return offset
 }
 
-func (l *fakeLog) read(stream string, from int64) platform.ReadResult {
+func (l *fakeLog) read(stream string, from int64) port.ReadResult {
 	first := l.first[stream]
 	all := l.entries[stream]
-	res := platform.ReadResult{First: first, Next: first + int64(len(all)), RetentionMillis: l.retention.Milliseconds()}
+	res := port.ReadResult{First: first, Next: first + int64(len(all)), RetentionMillis: l.retention.Milliseconds()}
 	if from >= first && from <= res.Next {
 		res.Entries = all[from-first:]
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -8,7 +8,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -19,7 +19,7 @@
 	// Replica returns a live replica by name.
 	Replica(name string) (ledger.Replica, bool)
 	// Owner returns the live replica that a VM belongs to.
-	Owner(vm platform.VMID) (string, bool)
+	Owner(vm port.VMID) (string, bool)
 }
 
 // vmState is what the service knows of one VM.
@@ -38,8 +38,8 @@
 type Service struct {
 	replicas    Replicas
 	rng         *rand.Rand
-	vms         map[platform.VMID]*vmState
-	models      platform.ModelList
+	vms         map[port.VMID]*vmState
+	models      port.ModelList
 	subscribers []string
 	observers   []string
 	// eligible holds the replicas of the latest publication.
@@ -52,7 +52,7 @@
 	observedSince time.Time
 	assigned      map[string]bool
 	// probing holds the VMs of this node's share and those just left.
-	probing map[platform.VMID]*vmState
+	probing map[port.VMID]*vmState
 	// seq counts the changes of the VMs in this node's share.
 	seq    int64
 	remote map[record.NodeID]*remoteShare
@@ -70,12 +70,12 @@
 		self:     self,
 		nodes:    nodes,
 		observes: observes,
-		probing:  map[platform.VMID]*vmState{},
+		probing:  map[port.VMID]*vmState{},
 		assigned: map[string]bool{},
 		remote:   map[record.NodeID]*remoteShare{},
 		replicas: replicas,
 		rng:      rng,
-		vms:      map[platform.VMID]*vmState{},
+		vms:      map[port.VMID]*vmState{},
 		eligible: map[string]Upstream{},
 	}
 }
@@ -154,7 +154,7 @@
 	}
 }
 
-func (s *Service) probe(now time.Time, vm platform.VMID) []kernel.Effect {
+func (s *Service) probe(now time.Time, vm port.VMID) []kernel.Effect {
 	st, ok := s.vms[vm]
 	if !ok {
 		return nil
@@ -187,9 +187,9 @@
 }
 
 // serving returns the eligible upstream whose requests the VM takes.
-func (s *Service) serving(vm platform.VMID) (string, bool) {
+func (s *Service) serving(vm port.VMID) (string, bool) {
 	st := s.vms[vm]
-	if st.VM.Kind == platform.KindPlain {
+	if st.VM.Kind == port.KindPlain {
 		return string(vm), true
 	}
 	u, ok := s.eligible[st.Report.Replica]
@@ -198,7 +198,7 @@
 
 // suspect takes an upstream out until its VMs have reported again.
 func (s *Service) suspect(upstream string) {
-	if st, ok := s.vms[platform.VMID(upstream)]; ok {
+	if st, ok := s.vms[port.VMID(upstream)]; ok {
 		st.suspected = true
 		return
 	}
@@ -320,7 +320,7 @@
 		if st.HeardAt.Before(oldest) {
 			oldest = st.HeardAt
 		}
-		if st.VM.Leaving || st.Report.State == platform.EngineLeaving || st.suspected {
+		if st.VM.Leaving || st.Report.State == port.EngineLeaving || st.suspected {
 			result = leaving
 		}
 	}
@@ -341,7 +341,7 @@
 // the replica.
 func (s *Service) member(now time.Time, st *vmState, r ledger.Replica) bool {
 	fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
-	working := st.Report.State == platform.EngineReady || st.Report.State == platform.EngineLeaving
+	working := st.Report.State == port.EngineReady || st.Report.State == port.EngineLeaving
 	obeys := st.Report.Replica == r.Name && st.Report.Generation == int64(r.Generation)
 	return fresh && working && obeys
 }
@@ -350,8 +350,8 @@
 func (s *Service) addPlain(now time.Time) {
 	for id, st := range s.probing {
 		fresh := !st.HeardAt.IsZero() && now.Sub(st.HeardAt) <= FreshFor
-		ready := st.Report.State == platform.EngineReady && !st.VM.Leaving && !st.suspected
-		if st.VM.Kind != platform.KindPlain || !fresh || !ready {
+		ready := st.Report.State == port.EngineReady && !st.VM.Leaving && !st.suspected
+		if st.VM.Kind != port.KindPlain || !fresh || !ready {
 			continue
 		}
 		s.eligible[string(id)] = Upstream{
@@ -409,4 +409,4 @@
 }
 
 // Models returns the weight store's models as last read.
-func (s *Service) Models() platform.ModelList { return s.models }
+func (s *Service) Models() port.ModelList { return s.models }
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -12,7 +12,7 @@
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -24,26 +24,26 @@
 // fleet is a control ledger with replicas and the VMs' own reports.
 type fleet struct {
 	control *ledger.Control
-	vms     []platform.VM
-	reports map[platform.VMID]platform.Report
+	vms     []port.VM
+	reports map[port.VMID]port.Report
 }
 
 func newFleet(replicas, vmsPerReplica int) *fleet {
-	f := &fleet{control: ledger.NewControl(), reports: map[platform.VMID]platform.Report{}}
+	f := &fleet{control: ledger.NewControl(), reports: map[port.VMID]port.Report{}}
 	term := record.At(0, 0)
 	f.control.Apply(term, record.Record{ID: "lease", Lease: &record.LeaseClaim{Holder: "n", TTLMillis: 6000}})
 	for r := range replicas {
-		var members []platform.VMID
+		var members []port.VMID
 		for v := range vmsPerReplica {
-			id := platform.VMID(fmt.Sprintf("vm-%d-%d", r, v))
+			id := port.VMID(fmt.Sprintf("vm-%d-%d", r, v))
 			members = append(members, id)
-			f.vms = append(f.vms, platform.VM{ID: id, Kind: platform.KindEngine, Address: string(id) + ":1"})
+			f.vms = append(f.vms, port.VM{ID: id, Kind: port.KindEngine, Address: string(id) + ":1"})
 		}
 		name := fmt.Sprintf("replica-%d", r)
 		pos := record.At(int64(r+1), 0)
 		f.control.Apply(pos, record.Record{ID: name, Form: &record.Formation{Term: term, Replica: name, Model: "m", VMs: members}})
 		for rank, id := range members {
-			f.reports[id] = platform.Report{VM: id, State: platform.EngineReady, Replica: name, Generation: int64(pos), Rank: rank, Model: "m", Slots: 8}
+			f.reports[id] = port.Report{VM: id, State: port.EngineReady, Replica: name, Generation: int64(pos), Rank: rank, Model: "m", Slots: 8}
 		}
 	}
 	return f
@@ -52,12 +52,12 @@
 // service returns the service of a node among others, told of all VMs.
 func (f *fleet) service(self string, nodes []string, now time.Time) *health.Service {
 	s := health.New(record.NodeID(self), func(time.Time) []string { return nodes }, func(time.Time) bool { return true }, f.control, rand.New(rand.NewPCG(1, 1)))
-	s.Handle(now, health.InventoryDone{VMs: f.vms, Models: platform.ModelList{Models: []platform.Model{{Name: "m"}}}})
+	s.Handle(now, health.InventoryDone{VMs: f.vms, Models: port.ModelList{Models: []port.Model{{Name: "m"}}}})
 	return s
 }
 
 // probe lets every VM answer a probe except those named.
-func (f *fleet) probe(s *health.Service, now time.Time, silent ...platform.VMID) {
+func (f *fleet) probe(s *health.Service, now time.Time, silent ...port.VMID) {
 	for _, vm := range f.vms {
 		skip := false
 		for _, id := range silent {
@@ -83,7 +83,7 @@
 	start := time.Unix(1000, 0)
 
 	DescribeTable("needs every VM's fresh report of the ledger's replica and generation",
-		func(change func(r *platform.Report, vm *platform.VM), want int) {
+		func(change func(r *port.Report, vm *port.VM), want int) {
 			f := newFleet(1, 2)
 			r := f.reports[f.vms[1].ID]
 			change(&r, &f.vms[1])
@@ -92,13 +92,13 @@
 			f.probe(s, start)
 			Expect(publish(s, start)).To(HaveLen(want))
 		},
-		Entry("all well", func(*platform.Report, *platform.VM) {}, 1),
-		Entry("a stale generation", func(r *platform.Report, _ *platform.VM) { r.Generation-- }, 0),
-		Entry("another replica", func(r *platform.Report, _ *platform.VM) { r.Replica = "other" }, 0),
-		Entry("still loading", func(r *platform.Report, _ *platform.VM) { r.State = platform.EngineLoading }, 0),
-		Entry("leaving by its report", func(r *platform.Report, _ *platform.VM) { r.State = platform.EngineLeaving }, 0),
-		Entry("leaving by the list", func(_ *platform.Report, vm *platform.VM) { vm.Leaving = true }, 0),
-		Entry("a report of another VM", func(r *platform.Report, _ *platform.VM) { r.VM = "other" }, 0),
+		Entry("all well", func(*port.Report, *port.VM) {}, 1),
+		Entry("a stale generation", func(r *port.Report, _ *port.VM) { r.Generation-- }, 0),
+		Entry("another replica", func(r *port.Report, _ *port.VM) { r.Replica = "other" }, 0),
+		Entry("still loading", func(r *port.Report, _ *port.VM) { r.State = port.EngineLoading }, 0),
+		Entry("leaving by its report", func(r *port.Report, _ *port.VM) { r.State = port.EngineLeaving }, 0),
+		Entry("leaving by the list", func(_ *port.Report, vm *port.VM) { vm.Leaving = true }, 0),
+		Entry("a report of another VM", func(r *port.Report, _ *port.VM) { r.VM = "other" }, 0),
 	)
 
 	It("ends when a VM falls silent, and tells that the replica broke", func() {
@@ -198,15 +198,15 @@
 		nodes := []string{"n1", "n2", "n3"}
 		begun := time.Unix(1000, 0)
 		holder := f.service("n1", nodes, begun)
-		share := func(seq int64, state platform.EngineState) health.ShareReport {
+		share := func(seq int64, state port.EngineState) health.ShareReport {
 			return health.ShareReport{Seq: seq, VMs: []health.VMStatus{{VM: vm, Alive: true, State: state}}}
 		}
-		holder.Merge(begun, "n3", share(1, platform.EngineIdle))
+		holder.Merge(begun, "n3", share(1, port.EngineIdle))
 		at := func(ms int) time.Time { return begun.Add(10*time.Second + time.Duration(ms)*time.Millisecond) }
 		holder.Merge(at(0), "n3", health.ShareReport{Base: 1, Seq: 1})
-		holder.Merge(at(300), "n2", share(1, platform.EngineReady))
+		holder.Merge(at(300), "n2", share(1, port.EngineReady))
 		holder.Merge(at(800), "n3", health.ShareReport{Base: 1, Seq: 1})
-		Expect(holder.Observations()[0].Report.State).To(Equal(platform.EngineReady))
+		Expect(holder.Observations()[0].Report.State).To(Equal(port.EngineReady))
 	})
 })
 
--- a/health/messages.go
+++ b/health/messages.go
@@ -15,7 +15,7 @@
 import (
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Name is the service's registered name.
@@ -39,14 +39,14 @@
 
 // InventoryDone is the result of a FetchInventory.
 type InventoryDone struct {
-	VMs    []platform.VM
-	Models platform.ModelList
+	VMs    []port.VM
+	Models port.ModelList
 	Err    error
 }
 
 // Probe is the effect that asks a VM for its report.
 type Probe struct {
-	VM      platform.VMID
+	VM      port.VMID
 	Address string
 	// AskedAt goes back in Probed.
 	AskedAt time.Time
@@ -54,11 +54,11 @@
 
 // Probed is the result of a Probe.
 type Probed struct {
-	VM platform.VMID
+	VM port.VMID
 	// AskedAt is the time of the Probe: what the report says was true then
 	// or later.
 	AskedAt time.Time
-	Report  platform.Report
+	Report  port.Report
 	Err     error
 }
 
@@ -86,7 +86,7 @@
 	// Slots is the size of the continuous batch.
 	Slots int
 	// Report is the latest report of the VM at Address.
-	Report platform.Report
+	Report port.Report
 	// FreshUntil is when the first report behind the judgement expires.
 	FreshUntil time.Time
 }
@@ -103,7 +103,7 @@
 // LoadSeen tells subscribers the lagging load of an eligible upstream.
 type LoadSeen struct {
 	ID     string
-	Report platform.Report
+	Report port.Report
 }
 
 // Renewed tells subscribers until when eligible upstreams may take work. A
@@ -114,23 +114,23 @@
 
 // Observation is what is known of one VM.
 type Observation struct {
-	VM platform.VM
+	VM port.VM
 	// Listed says that the VM list holds the VM.
 	Listed bool
 	// Report is the latest report and HeardAt its time; zero if none came.
-	Report  platform.Report
+	Report  port.Report
 	HeardAt time.Time
 }
 
 // Observed tells the controller all VMs and models.
 type Observed struct {
 	VMs    []Observation
-	Models platform.ModelList
+	Models port.ModelList
 }
 
 type (
 	inventoryTick struct{}
-	probeTick     struct{ vm platform.VMID }
+	probeTick     struct{ vm port.VMID }
 	publishTick   struct{}
 	assignTick    struct{}
 )
--- a/health/share.go
+++ b/health/share.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/watch"
 )
@@ -26,13 +26,13 @@
 
 // VMStatus is what a node tells the lease holder of a VM in its share.
 type VMStatus struct {
-	VM platform.VMID `json:"vm"`
+	VM port.VMID `json:"vm"`
 	// Gone says that the VM left the node's share.
 	Gone bool `json:"gone,omitempty"`
 	// Alive says that the VM has reported lately.
 	Alive       bool                 `json:"alive,omitempty"`
 	Boot        string               `json:"boot,omitempty"`
-	State       platform.EngineState `json:"state,omitempty"`
+	State       port.EngineState `json:"state,omitempty"`
 	Replica     string               `json:"replica,omitempty"`
 	Generation  int64                `json:"generation,omitempty"`
 	Rank        int                  `json:"rank,omitempty"`
@@ -57,7 +57,7 @@
 type remoteShare struct {
 	seq     int64
 	heardAt time.Time
-	vms     map[platform.VMID]toldStatus
+	vms     map[port.VMID]toldStatus
 }
 
 // toldStatus is a status with the time at which it was told.
@@ -95,9 +95,9 @@
 			continue
 		}
 		switch st.VM.Kind {
-		case platform.KindPlain:
+		case port.KindPlain:
 			out = append(out, watch.Group{ID: string(id), Pool: "plain " + st.VM.Service})
-		case platform.KindEngine:
+		case port.KindEngine:
 			if _, owned := s.replicas.Owner(id); !owned {
 				out = append(out, watch.Group{ID: string(id), Pool: idlePool})
 			}
@@ -126,7 +126,7 @@
 		counts[key{r.Model, false}]++
 	}
 	for _, st := range s.vms {
-		if st.Listed && st.VM.Kind == platform.KindPlain {
+		if st.Listed && st.VM.Kind == port.KindPlain {
 			counts[key{st.VM.Service, true}]++
 		}
 	}
@@ -139,7 +139,7 @@
 
 // mine reports whether a VM is in this node's share.
 func (s *Service) mine(st *vmState) bool {
-	if st.VM.Kind == platform.KindEntry {
+	if st.VM.Kind == port.KindEntry {
 		return false
 	}
 	if owner, ok := s.replicas.Owner(st.VM.ID); ok {
@@ -165,7 +165,7 @@
 }
 
 // statusOf describes a VM for the lease holder.
-func statusOf(now time.Time, id platform.VMID, st *vmState) VMStatus {
+func statusOf(now time.Time, id port.VMID, st *vmState) VMStatus {
 	if !st.probing {
 		return VMStatus{VM: id, Gone: true}
 	}
@@ -201,7 +201,7 @@
 func (s *Service) Merge(now time.Time, from record.NodeID, r ShareReport) int64 {
 	share, ok := s.remote[from]
 	if r.Base == 0 || !ok {
-		share = &remoteShare{vms: map[platform.VMID]toldStatus{}}
+		share = &remoteShare{vms: map[port.VMID]toldStatus{}}
 		s.remote[from] = share
 	}
 	if r.Base != share.seq {
@@ -266,8 +266,8 @@
 }
 
 // report returns a status as the report of the VM, without its load.
-func (v VMStatus) report() platform.Report {
-	r := platform.Report{
+func (v VMStatus) report() port.Report {
+	r := port.Report{
 		VM:          v.VM,
 		Boot:        v.Boot,
 		State:       v.State,
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -52,9 +52,9 @@
 	term := record.At(0, 0)
 	c.Apply(term, record.Record{ID: "lease", Lease: &record.LeaseClaim{Holder: "n", TTLMillis: 5000}})
 	for i := range replicas {
-		vms := make([]platform.VMID, 8)
+		vms := make([]port.VMID, 8)
 		for v := range vms {
-			vms[v] = platform.VMID(fmt.Sprintf("vm-%06d", 8*i+v))
+			vms[v] = port.VMID(fmt.Sprintf("vm-%06d", 8*i+v))
 		}
 		c.Apply(record.At(int64(i+1), 0), record.Record{ID: fmt.Sprintf("f%d", i), Form: &record.Formation{
 			Term: term, Replica: fmt.Sprintf("replica-%06d", i), Model: "draft-70b", VMs: vms,
--- a/ledger/control.go
+++ b/ledger/control.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -22,7 +22,7 @@
 	// Model is the model it serves.
 	Model string `json:"model"`
 	// VMs holds its members by rank.
-	VMs []platform.VMID `json:"vms"`
+	VMs []port.VMID `json:"vms"`
 }
 
 // Lease is the control lease of the control ledger.
@@ -47,7 +47,7 @@
 type Control struct {
 	lease    Lease
 	replicas map[string]Replica
-	owner    map[platform.VMID]string
+	owner    map[port.VMID]string
 	// seen holds the record identifiers of the current term. Records of
 	// older terms are rejected for their term.
 	seen map[string]bool
@@ -87,7 +87,7 @@
 }
 
 // Owner returns the live replica that a VM belongs to.
-func (c *Control) Owner(vm platform.VMID) (string, bool) {
+func (c *Control) Owner(vm port.VMID) (string, bool) {
 	name, ok := c.owner[vm]
 	return name, ok
 }
@@ -168,7 +168,7 @@
 	if f.Replica == "" || f.Model == "" || len(f.VMs) == 0 {
 		return false
 	}
-	distinct := map[platform.VMID]bool{}
+	distinct := map[port.VMID]bool{}
 	for _, vm := range f.VMs {
 		distinct[vm] = true
 	}
@@ -224,6 +224,6 @@
 func (c *Control) Reset() {
 	c.lease = Lease{}
 	c.replicas = map[string]Replica{}
-	c.owner = map[platform.VMID]string{}
+	c.owner = map[port.VMID]string{}
 	c.seen = map[string]bool{}
 }
--- a/logfollow/appender.go
+++ b/logfollow/appender.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -104,7 +104,7 @@
 		if err == nil {
 			p.answered = true
 		}
-		if errors.Is(err, platform.ErrNotAppended) || errors.Is(err, platform.ErrRateLimited) {
+		if errors.Is(err, port.ErrNotAppended) || errors.Is(err, port.ErrRateLimited) {
 			p.sent = p.answered
 		}
 	}
--- a/logfollow/follower.go
+++ b/logfollow/follower.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -24,7 +24,7 @@
 	reachedHead bool
 	// rebuildFrom is the first offset in buffer while there is no base.
 	rebuildFrom int64
-	buffer      []platform.Entry
+	buffer      []port.Entry
 	// checkpointSeen says that a checkpoint was read since the last look.
 	checkpointSeen bool
 	// retentionMillis is what the log said last.
@@ -41,7 +41,7 @@
 }
 
 // take handles a read from offset next.
-func (f *follower) take(res platform.ReadResult) step {
+func (f *follower) take(res port.ReadResult) step {
 	f.retentionMillis = res.RetentionMillis
 	f.atHead = false
 	if res.Next < f.next {
@@ -83,7 +83,7 @@
 }
 
 // entry applies one entry, or buffers it while there is no base.
-func (f *follower) entry(e platform.Entry, out *step) {
+func (f *follower) entry(e port.Entry, out *step) {
 	g, err := record.Decode(e.Data)
 	if err != nil {
 		f.malformed++
--- a/logfollow/messages.go
+++ b/logfollow/messages.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -35,7 +35,7 @@
 type ReadDone struct {
 	Stream string
 	From   int64
-	Result platform.ReadResult
+	Result port.ReadResult
 	Err    error
 }
 
@@ -48,7 +48,7 @@
 // AppendDone is the result of an AppendEntry.
 type AppendDone struct {
 	Stream string
-	Result platform.AppendResult
+	Result port.AppendResult
 	Err    error
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -16,7 +16,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
@@ -182,7 +182,7 @@
 func (s *Service) addresses() []string {
 	found := map[string]bool{}
 	for _, o := range s.vms.Observations() {
-		if o.VM.Kind == platform.KindEntry && o.Listed {
+		if o.VM.Kind == port.KindEntry && o.Listed {
 			found[o.VM.Address] = true
 		}
 	}
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -12,7 +12,7 @@
 // replicas of 8 VMs.
 func bigFleet(vms int) Input {
 	in := Input{
-		Models: []platform.Model{
+		Models: []port.Model{
 			{Name: "desk", VMsPerReplica: 8, WeightBytes: 1 << 30},
 			{Name: "draft", VMsPerReplica: 8, WeightBytes: 1 << 30},
 		},
@@ -23,11 +23,11 @@
 		Now: start,
 	}
 	for i := range vms {
-		id := platform.VMID(fmt.Sprintf("vm-%06d", i))
+		id := port.VMID(fmt.Sprintf("vm-%06d", i))
 		in.VMs = append(in.VMs, VM{
-			VM:       platform.VM{ID: id, Domain: fmt.Sprintf("d-%05d", i/32), Zone: fmt.Sprint("z", i/32%8)},
+			VM:       port.VM{ID: id, Domain: fmt.Sprintf("d-%05d", i/32), Zone: fmt.Sprint("z", i/32%8)},
 			Liveness: Live,
-			Report:   platform.Report{VM: id, State: platform.EngineIdle},
+			Report:   port.Report{VM: id, State: port.EngineIdle},
 		})
 	}
 	return in
@@ -35,7 +35,7 @@
 
 // carryOut makes the plan's replicas live and their members ready.
 func carryOut(in *Input, actions []Action) {
-	index := map[platform.VMID]int{}
+	index := map[port.VMID]int{}
 	for i, v := range in.VMs {
 		index[v.ID] = i
 	}
@@ -44,7 +44,7 @@
 		in.Replicas = append(in.Replicas, Replica{Name: f.Replica, Generation: g, Model: f.Model, VMs: f.VMs, FormedAt: start})
 		for _, id := range f.VMs {
 			r := &in.VMs[index[id]].Report
-			r.State, r.Replica, r.Generation = platform.EngineReady, f.Replica, int64(g)
+			r.State, r.Replica, r.Generation = port.EngineReady, f.Replica, int64(g)
 			r.HeldWeights = []string{f.Model}
 		}
 	}
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -5,7 +5,7 @@
 	"container/heap"
 	"strings"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // candidates orders the domains that can host one more replica of a model. The
@@ -13,7 +13,7 @@
 // among many domains costs a step in a heap.
 type candidates struct {
 	run   *run
-	model platform.Model
+	model port.Model
 	heap  scoreHeap
 	// spread says that the first replicas of the model are still to be put
 	// into different domains and zones.
@@ -34,7 +34,7 @@
 	left int
 }
 
-func newCandidates(r *run, m platform.Model) *candidates {
+func newCandidates(r *run, m port.Model) *candidates {
 	c := &candidates{run: r, model: m}
 	c.rebuild()
 	return c
--- a/placement/desired.go
+++ b/placement/desired.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // MinReplicas is the number of replicas that keep a model available while one
@@ -24,7 +24,7 @@
 // names gets at least MinReplicas, the models of urgent classes first; what
 // the VMs allow beyond that is shared by load. Without any load the VMs are
 // shared evenly.
-func Desired(doc *dynamic.Document, models []platform.Model, load Load, vmCount int) []Demand {
+func Desired(doc *dynamic.Document, models []port.Model, load Load, vmCount int) []Demand {
 	named := namedModels(doc, models)
 	left := vmCount
 	for i := range named {
@@ -59,7 +59,7 @@
 
 // namedModels returns a demand of zero replicas for each known model that a
 // class names, urgent ones first, then by name.
-func namedModels(doc *dynamic.Document, models []platform.Model) []sizedDemand {
+func namedModels(doc *dynamic.Document, models []port.Model) []sizedDemand {
 	if doc == nil {
 		return nil
 	}
--- a/placement/form.go
+++ b/placement/form.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strconv"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // formWanted forms replicas: first every model up to its minimum, then to what
@@ -90,7 +90,7 @@
 
 // storeAllows reports whether the weight store can serve the members' loads
 // within the load window, next to the loads that run already.
-func (r *run) storeAllows(m platform.Model, members []*vmNode) bool {
+func (r *run) storeAllows(m port.Model, members []*vmNode) bool {
 	bytes := bytesToLoad(m, members)
 	if r.policy.LoadWindow <= 0 || r.storeRate <= 0 || bytes == 0 || r.loading == 0 {
 		return true
@@ -99,7 +99,7 @@
 	return r.loading+bytes <= window
 }
 
-func bytesToLoad(m platform.Model, members []*vmNode) int64 {
+func bytesToLoad(m port.Model, members []*vmNode) int64 {
 	var bytes int64
 	for _, v := range members {
 		if !v.Holds(m.Name) {
@@ -110,8 +110,8 @@
 }
 
 // add records a new replica in the plan and in the index.
-func (r *run) add(m platform.Model, members []*vmNode) {
-	ids := make([]platform.VMID, len(members))
+func (r *run) add(m port.Model, members []*vmNode) {
+	ids := make([]port.VMID, len(members))
 	for i, v := range members {
 		ids[i] = v.ID
 	}
@@ -145,7 +145,7 @@
 
 // pick chooses the members in a domain: VMs that hold the weights, then VMs
 // that hold none, then those that hold other models' weights.
-func (r *run) pick(d *domainNode, m platform.Model) []*vmNode {
+func (r *run) pick(d *domainNode, m port.Model) []*vmNode {
 	chosen := slices.Clone(d.free)
 	if r.policy.HoldersFirst {
 		slices.SortStableFunc(chosen, func(a, b *vmNode) int {
@@ -169,7 +169,7 @@
 
 // acrossDomains chooses members from the domains of the zone with the most
 // free VMs, the fullest domains first so that few are involved.
-func (r *run) acrossDomains(m platform.Model) []*vmNode {
+func (r *run) acrossDomains(m port.Model) []*vmNode {
 	byZone := map[string][]*domainNode{}
 	count := map[string]int{}
 	best := ""
--- a/placement/index.go
+++ b/placement/index.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // vmNode is a VM in the planner's index.
@@ -90,7 +90,7 @@
 }
 
 // RemoveVM forgets a VM that is no longer listed.
-func (p *Planner) RemoveVM(id platform.VMID) {
+func (p *Planner) RemoveVM(id port.VMID) {
 	v, ok := p.vms[id]
 	if !ok {
 		return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,7 +14,7 @@
 	"slices"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -33,7 +33,7 @@
 
 // VM is an engine VM as the planner sees it.
 type VM struct {
-	platform.VM
+	port.VM
 	// Liveness is what health checking knows of the VM.
 	Liveness Liveness
 	// Restarted says that the VM restarted after it had joined the replica
@@ -42,7 +42,7 @@
 	// Avoid says that the VM lately failed to load while its peers did not.
 	Avoid bool
 	// Report is the VM's last report.
-	Report platform.Report
+	Report port.Report
 }
 
 // Holds reports whether the weights of a model are on the VM.
@@ -52,13 +52,13 @@
 
 // usable reports whether the VM can join a new replica now.
 func (v *VM) usable() bool {
-	return v.Liveness == Live && !v.Leaving && !v.Avoid && v.Report.State == platform.EngineIdle
+	return v.Liveness == Live && !v.Leaving && !v.Avoid && v.Report.State == port.EngineIdle
 }
 
 // settling reports whether the VM still finishes former work, after which it
 // can join a new replica.
 func (v *VM) settling() bool {
-	return v.Liveness == Live && !v.Leaving && !v.Avoid && v.Report.State != platform.EngineIdle
+	return v.Liveness == Live && !v.Leaving && !v.Avoid && v.Report.State != port.EngineIdle
 }
 
 // Replica is a replica that is live by the ledger, or pending.
@@ -70,7 +70,7 @@
 	// Model is the model that it serves.
 	Model string
 	// VMs holds its members by rank.
-	VMs []platform.VMID
+	VMs []port.VMID
 	// FormedAt is when the planner's node learned of the formation.
 	FormedAt time.Time
 	// Pending says that the formation was sent but not read back yet.
@@ -103,7 +103,7 @@
 	// Replicas holds live and pending replicas.
 	Replicas []Replica
 	// Models describes the models that the weight store can serve.
-	Models []platform.Model
+	Models []port.Model
 	// StoreBytesPerSecond is the rate limit of the weight store.
 	StoreBytesPerSecond int64
 	// Desired holds the demands in order of priority.
@@ -122,7 +122,7 @@
 	// Model is the model to serve.
 	Model string
 	// VMs holds the members by rank.
-	VMs []platform.VMID
+	VMs []port.VMID
 }
 
 // Dissolve asks for the end of a replica.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -21,11 +21,11 @@
 	for d, size := range sizes {
 		domain := string(rune('a' + d))
 		for i := range size {
-			id := platform.VMID(fmt.Sprintf("%s-%d", domain, i+1))
+			id := port.VMID(fmt.Sprintf("%s-%d", domain, i+1))
 			vms = append(vms, VM{
-				VM:       platform.VM{ID: id, Kind: platform.KindEngine, Domain: domain, Zone: fmt.Sprint("z", d%3)},
+				VM:       port.VM{ID: id, Kind: port.KindEngine, Domain: domain, Zone: fmt.Sprint("z", d%3)},
 				Liveness: Live,
-				Report:   platform.Report{VM: id, State: platform.EngineIdle},
+				Report:   port.Report{VM: id, State: port.EngineIdle},
 			})
 		}
 	}
@@ -33,25 +33,25 @@
 }
 
 var (
-	draft = platform.Model{Name: "draft", VMsPerReplica: 4, WeightBytes: 40 << 30}
-	desk  = platform.Model{Name: "desk", VMsPerReplica: 4, WeightBytes: 10 << 30}
+	draft = port.Model{Name: "draft", VMsPerReplica: 4, WeightBytes: 40 << 30}
+	desk  = port.Model{Name: "desk", VMsPerReplica: 4, WeightBytes: 10 << 30}
 )
 
 func input(vms []VM, desired ...Demand) Input {
-	return Input{VMs: vms, Models: []platform.Model{draft, desk}, Desired: desired, Now: start}
+	return Input{VMs: vms, Models: []port.Model{draft, desk}, Desired: desired, Now: start}
 }
 
 // join makes VMs ready members of a new live replica of the input.
-func join(in *Input, name, model string, ids ...platform.VMID) {
+func join(in *Input, name, model string, ids ...port.VMID) {
 	g := record.Position(len(in.Replicas) + 1)
 	in.Replicas = append(in.Replicas, Replica{Name: name, Generation: g, Model: model, VMs: ids, FormedAt: start})
 	for _, id := range ids {
 		r := &find(in, id).Report
-		r.State, r.Replica, r.Generation, r.HeldWeights = platform.EngineReady, name, int64(g), []string{model}
+		r.State, r.Replica, r.Generation, r.HeldWeights = port.EngineReady, name, int64(g), []string{model}
 	}
 }
 
-func find(in *Input, id platform.VMID) *VM {
+func find(in *Input, id port.VMID) *VM {
 	for i := range in.VMs {
 		if in.VMs[i].ID == id {
 			return &in.VMs[i]
@@ -93,7 +93,7 @@
 		in := input(fleet(9, 9, 9), Demand{Model: "desk", Min: 2, Want: 2, Max: 2}, Demand{Model: "draft", Min: 2, Want: 4, Max: 4})
 		got := forms(Plan(in, DefaultPolicy()))
 		Expect(got).To(HaveLen(6))
-		used := map[platform.VMID]bool{}
+		used := map[port.VMID]bool{}
 		for _, f := range got {
 			Expect(domainsOf(f)).To(HaveLen(1))
 			for _, id := range f.VMs {
@@ -124,7 +124,7 @@
 		Entry("is lost", func(v *VM) { v.Liveness = Lost }, CauseMissing),
 		Entry("restarted", func(v *VM) { v.Restarted = true }, CauseRestarted),
 		Entry("is leaving by the list", func(v *VM) { v.Leaving = true }, CauseLeaving),
-		Entry("is leaving by its own report", func(v *VM) { v.Report.State = platform.EngineLeaving }, CauseLeaving),
+		Entry("is leaving by its own report", func(v *VM) { v.Report.State = port.EngineLeaving }, CauseLeaving),
 	)
 
 	It("leaves a replica with a suspected member alone and does not use the VM elsewhere", func() {
@@ -137,16 +137,16 @@
 
 	It("repairs with the survivors that hold the weights and one spare", func() {
 		in := input(fleet(8), Demand{Model: "draft", Min: 1, Want: 1, Max: 1})
-		for _, id := range []platform.VMID{"a-6", "a-7", "a-8"} {
+		for _, id := range []port.VMID{"a-6", "a-7", "a-8"} {
 			find(&in, id).Report.HeldWeights = []string{"draft"}
 		}
 		Expect(forms(Plan(in, DefaultPolicy()))[0].VMs).To(ConsistOf(
-			platform.VMID("a-6"), platform.VMID("a-7"), platform.VMID("a-8"), platform.VMID("a-1")))
+			port.VMID("a-6"), port.VMID("a-7"), port.VMID("a-8"), port.VMID("a-1")))
 	})
 
 	It("never reuses a VM that still finishes the streams of its former replica", func() {
 		in := input(fleet(4), Demand{Model: "draft", Min: 1, Want: 1, Max: 1})
-		find(&in, "a-1").Report.State = platform.EngineReady
+		find(&in, "a-1").Report.State = port.EngineReady
 		Expect(Plan(in, DefaultPolicy())).To(BeEmpty())
 	})
 
@@ -159,7 +159,7 @@
 	It("takes a replica from a model above its need for one below its minimum, one at a time", func() {
 		in := input(fleet(4, 4, 4), Demand{Model: "desk", Min: 1, Want: 1, Max: 1}, Demand{Model: "draft", Min: 1, Want: 2, Max: 3})
 		for i, d := range []string{"a", "b", "c"} {
-			id := func(n int) platform.VMID { return platform.VMID(fmt.Sprint(d, "-", n)) }
+			id := func(n int) port.VMID { return port.VMID(fmt.Sprint(d, "-", n)) }
 			join(&in, fmt.Sprint("draft-", i+1), "draft", id(1), id(2), id(3), id(4))
 		}
 		got := dissolves(Plan(in, DefaultPolicy()))
@@ -197,7 +197,7 @@
 		{Name: "desk", Kind: dynamic.KindGenerate, Model: "desk", Targets: dynamic.Targets{AnsweredWithin: dynamic.Duration(5 * time.Second)}},
 		{Name: "booking", Kind: dynamic.KindCall, Service: "booking"},
 	}}
-	models := []platform.Model{draft, desk, {Name: "unused", VMsPerReplica: 4}}
+	models := []port.Model{draft, desk, {Name: "unused", VMsPerReplica: 4}}
 
 	DescribeTable("shares the VMs", func(vms int, load Load, want ...Demand) {
 		Expect(Desired(doc, models, load, vms)).To(Equal(want))
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Planner keeps an index of VMs and replicas by fabric domain, so that a plan
@@ -13,12 +13,12 @@
 // domains with free VMs, not to the fleet.
 type Planner struct {
 	policy    Policy
-	models    map[string]platform.Model
+	models    map[string]port.Model
 	storeRate int64
 	desired   []Demand
 
-	vms      map[platform.VMID]*vmNode
-	memberOf map[platform.VMID]string
+	vms      map[port.VMID]*vmNode
+	memberOf map[port.VMID]string
 	domains  map[string]*domainNode
 	withFree map[string]*domainNode
 	replicas map[string]*replicaNode
@@ -62,9 +62,9 @@
 func NewPlanner(policy Policy) *Planner {
 	return &Planner{
 		policy:     policy,
-		models:     map[string]platform.Model{},
-		vms:        map[platform.VMID]*vmNode{},
-		memberOf:   map[platform.VMID]string{},
+		models:     map[string]port.Model{},
+		vms:        map[port.VMID]*vmNode{},
+		memberOf:   map[port.VMID]string{},
 		domains:    map[string]*domainNode{},
 		withFree:   map[string]*domainNode{},
 		replicas:   map[string]*replicaNode{},
@@ -216,7 +216,7 @@
 	case v.Restarted:
 		return CauseRestarted
 	case p.policy.WaitForGone:
-	case v.Leaving || v.Report.State == platform.EngineLeaving && v.inCurrentReplica():
+	case v.Leaving || v.Report.State == port.EngineLeaving && v.inCurrentReplica():
 		return CauseLeaving
 	}
 	return ""
@@ -231,7 +231,7 @@
 
 // memberReady reports whether the VM is a working member of the replica.
 func (v *vmNode) memberReady(n *replicaNode) bool {
-	return v.Report.State == platform.EngineReady &&
+	return v.Report.State == port.EngineReady &&
 		v.Report.Replica == n.Name && v.Report.Generation == int64(n.Generation)
 }
 
--- a/placement/planner_test.go
+++ b/placement/planner_test.go
@@ -8,7 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -24,7 +24,7 @@
 		v.Liveness = Live
 	case 3:
 		v.Restarted = true
-		v.Report = platform.Report{VM: v.ID, State: platform.EngineIdle}
+		v.Report = port.Report{VM: v.ID, State: port.EngineIdle}
 	case 4:
 		v.Leaving = !v.Leaving
 	case 5:
@@ -33,7 +33,7 @@
 		}
 	case 6:
 		if v.Report.Replica == "" {
-			v.Report.State = platform.EngineIdle
+			v.Report.State = port.EngineIdle
 		}
 	}
 }
@@ -49,7 +49,7 @@
 		in.Replicas = slices.Delete(in.Replicas, i, i+1)
 		for j := range in.VMs {
 			if in.VMs[j].Report.Replica == d.Replica {
-				in.VMs[j].Report.State, in.VMs[j].Report.Replica = platform.EngineIdle, ""
+				in.VMs[j].Report.State, in.VMs[j].Report.Replica = port.EngineIdle, ""
 			}
 		}
 	}
@@ -58,8 +58,8 @@
 		in.Replicas = append(in.Replicas, Replica{Name: f.Replica, Generation: *next, Model: f.Model, VMs: f.VMs, FormedAt: in.Now})
 		for j := range in.VMs {
 			if slices.Contains(f.VMs, in.VMs[j].ID) {
-				in.VMs[j].Report = platform.Report{
-					VM: in.VMs[j].ID, State: platform.EngineReady, Replica: f.Replica,
+				in.VMs[j].Report = port.Report{
+					VM: in.VMs[j].ID, State: port.EngineReady, Replica: f.Replica,
 					Generation: int64(*next), HeldWeights: []string{f.Model},
 				}
 			}
@@ -69,7 +69,7 @@
 
 // checkForms fails if a formation uses a VM that it must not use.
 func checkForms(t *rapid.T, in *Input, got []Form) {
-	owner := map[platform.VMID]string{}
+	owner := map[port.VMID]string{}
 	for _, r := range in.Replicas {
 		for _, id := range r.VMs {
 			owner[id] = r.Name
@@ -83,7 +83,7 @@
 			}
 			owner[id] = f.Replica
 			v := find(in, id)
-			if v.Liveness != Live || v.Leaving || v.Report.State != platform.EngineIdle {
+			if v.Liveness != Live || v.Leaving || v.Report.State != port.EngineIdle {
 				t.Fatalf("%s is used while %+v", id, v)
 			}
 			domains[v.Domain] = true
--- a/placement/sync.go
+++ b/placement/sync.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Sync makes the index equal to an input. What did not change costs a
@@ -71,9 +71,9 @@
 }
 
 // SetModels replaces what is known of the weight store.
-func (p *Planner) SetModels(models []platform.Model, storeBytesPerSecond int64) {
+func (p *Planner) SetModels(models []port.Model, storeBytesPerSecond int64) {
 	p.storeRate = storeBytesPerSecond
-	byName := make(map[string]platform.Model, len(models))
+	byName := make(map[string]port.Model, len(models))
 	for _, m := range models {
 		byName[m.Name] = m
 	}
--- a/platform/platform.go
+++ b/port/port.go
@@ -1,7 +1,7 @@
-// Package platform describes the outside systems: the append-only log, the VM
+// Package port describes the outside systems: the append-only log, the VM
 // list, the weight store, model engines and plain services, as the project
 // meets them over HTTP with JSON.
-package platform
+package port
 
 import (
 	"context"
--- a/platform/platformhttp/doc.go
+++ b/port/porthttp/doc.go
@@ -1,4 +1,4 @@
-// Package platformhttp holds the HTTP clients of the outside systems: the log,
+// Package porthttp holds the HTTP clients of the outside systems: the log,
 // the VM list, the weight store, model engines and plain services.
 //
 // The guarantee: every failed request to an upstream carries a verdict, and the
@@ -9,4 +9,4 @@
 // Answer streams are decoded by the go-sse library with a bound on the size of
 // an event; this package adds the rule that a stream without its final chunk
 // was cut off.
-package platformhttp
+package porthttp
--- a/platform/platformhttp/fake_test.go
+++ b/port/porthttp/fake_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package porthttp_test
 
 import (
 	"bufio"
--- a/platform/platformhttp/fuzz_test.go
+++ b/port/porthttp/fuzz_test.go
@@ -1,4 +1,4 @@
-package platformhttp
+package porthttp
 
 import (
 	"errors"
--- a/platform/platformhttp/inventory.go
+++ b/port/porthttp/inventory.go
@@ -1,4 +1,4 @@
-package platformhttp
+package porthttp
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // maxInventoryBytes bounds a VM list or a model list.
@@ -20,8 +20,8 @@
 // Its methods are safe for concurrent use.
 type Inventory struct {
 	client *http.Client
-	vms    *cached[platform.VMList]
-	models *cached[platform.ModelList]
+	vms    *cached[port.VMList]
+	models *cached[port.ModelList]
 }
 
 // NewInventory returns a client of the VM list and the weight store at their
@@ -29,19 +29,19 @@
 func NewInventory(vmListURL, weightStoreURL string, client *http.Client) *Inventory {
 	return &Inventory{
 		client: withoutRedirects(client),
-		vms:    &cached[platform.VMList]{url: strings.TrimRight(vmListURL, "/") + "/v1/vms"},
-		models: &cached[platform.ModelList]{url: strings.TrimRight(weightStoreURL, "/") + "/v1/models"},
+		vms:    &cached[port.VMList]{url: strings.TrimRight(vmListURL, "/") + "/v1/vms"},
+		models: &cached[port.ModelList]{url: strings.TrimRight(weightStoreURL, "/") + "/v1/models"},
 	}
 }
 
 // VMs returns the platform's lagging list of live and leaving VMs.
-func (i *Inventory) VMs(ctx context.Context) ([]platform.VM, error) {
+func (i *Inventory) VMs(ctx context.Context) ([]port.VM, error) {
 	list, err := i.vms.get(ctx, i.client)
 	return list.VMs, errors.Wrap(err, "reading the VM list")
 }
 
 // Models returns the models that the weight store can serve.
-func (i *Inventory) Models(ctx context.Context) (platform.ModelList, error) {
+func (i *Inventory) Models(ctx context.Context) (port.ModelList, error) {
 	list, err := i.models.get(ctx, i.client)
 	return list, errors.Wrap(err, "reading the models")
 }
--- a/platform/platformhttp/log.go
+++ b/port/porthttp/log.go
@@ -1,4 +1,4 @@
-package platformhttp
+package porthttp
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Bounds of the log client.
@@ -29,7 +29,7 @@
 	readTimeout = 20 * time.Second
 )
 
-// Log is a platform.Log over HTTP.
+// Log is a port.Log over HTTP.
 type Log struct {
 	base   string
 	client *http.Client
@@ -41,26 +41,26 @@
 	return &Log{base: strings.TrimRight(base, "/"), client: withoutRedirects(client)}
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ port.Log = (*Log)(nil)
 
 // entriesURL returns the URL of a stream's entries.
 func (l *Log) entriesURL(stream string) string {
 	return l.base + "/v1/streams/" + url.PathEscape(stream) + "/entries"
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, stream string, data []byte) (platform.AppendResult, error) {
+// Append implements port.Log.
+func (l *Log) Append(ctx context.Context, stream string, data []byte) (port.AppendResult, error) {
 	var trace connTrace
 	req, err := postRequest(trace.attach(ctx), l.entriesURL(stream), bytes.NewReader(data), len(data))
 	if err != nil {
-		return platform.AppendResult{}, errors.Wrapf(platform.ErrNotAppended, "%v", err)
+		return port.AppendResult{}, errors.Wrapf(port.ErrNotAppended, "%v", err)
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
 		if trace.neverConnected(err) {
-			return platform.AppendResult{}, errors.Wrapf(platform.ErrNotAppended, "%v", err)
+			return port.AppendResult{}, errors.Wrapf(port.ErrNotAppended, "%v", err)
 		}
-		return platform.AppendResult{}, errors.Wrap(err, "append with unknown effect")
+		return port.AppendResult{}, errors.Wrap(err, "append with unknown effect")
 	}
 	defer resp.Body.Close()
 	return appendAnswer(resp)
@@ -72,54 +72,54 @@
 }
 
 // appendAnswer interprets the answer to an append.
-func appendAnswer(resp *http.Response) (platform.AppendResult, error) {
+func appendAnswer(resp *http.Response) (port.AppendResult, error) {
 	if resp.StatusCode == http.StatusTooManyRequests {
-		return platform.AppendResult{}, errors.Wrap(platform.ErrRateLimited, "append")
+		return port.AppendResult{}, errors.Wrap(port.ErrRateLimited, "append")
 	}
 	data, err := readAll(resp.Body, maxSmallBytes)
 	if err != nil {
-		return platform.AppendResult{}, errors.Wrap(err, "append with unknown effect")
+		return port.AppendResult{}, errors.Wrap(err, "append with unknown effect")
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		var body notAppended
 		if json.Unmarshal(data, &body) == nil && body.Appended != nil && !*body.Appended {
-			return platform.AppendResult{}, errors.Wrap(platform.ErrNotAppended, "refused by the log")
+			return port.AppendResult{}, errors.Wrap(port.ErrNotAppended, "refused by the log")
 		}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return platform.AppendResult{}, errors.Newf("append with unknown effect: status %d", resp.StatusCode)
+		return port.AppendResult{}, errors.Newf("append with unknown effect: status %d", resp.StatusCode)
 	}
 	return decodeAppendResult(data)
 }
 
 // decodeAppendResult parses the answer to a successful append.
-func decodeAppendResult(data []byte) (platform.AppendResult, error) {
+func decodeAppendResult(data []byte) (port.AppendResult, error) {
 	var body struct {
 		Offset *int64 `json:"offset"`
 	}
 	if err := json.Unmarshal(data, &body); err != nil {
-		return platform.AppendResult{}, errors.Wrap(err, "append with unknown effect")
+		return port.AppendResult{}, errors.Wrap(err, "append with unknown effect")
 	}
 	if body.Offset == nil || *body.Offset < 0 {
-		return platform.AppendResult{}, errors.New("append with unknown effect: no offset in the answer")
+		return port.AppendResult{}, errors.New("append with unknown effect: no offset in the answer")
 	}
-	return platform.AppendResult{Offset: *body.Offset}, nil
+	return port.AppendResult{Offset: *body.Offset}, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) (platform.ReadResult, error) {
+// Read implements port.Log.
+func (l *Log) Read(ctx context.Context, stream string, from int64, wait time.Duration) (port.ReadResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	query := url.Values{}
 	query.Set("from", strconv.FormatInt(from, 10))
 	query.Set("max", strconv.Itoa(readEntries))
 	query.Set("wait_ms", strconv.FormatInt(readWait(ctx, wait).Milliseconds(), 10))
-	var result platform.ReadResult
+	var result port.ReadResult
 	if err := getJSON(ctx, l.client, l.entriesURL(stream)+"?"+query.Encode(), maxReadBytes, &result); err != nil {
-		return platform.ReadResult{}, errors.Wrapf(err, "reading stream %s", stream)
+		return port.ReadResult{}, errors.Wrapf(err, "reading stream %s", stream)
 	}
 	if err := checkRead(result, from); err != nil {
-		return platform.ReadResult{}, errors.Wrapf(err, "reading stream %s", stream)
+		return port.ReadResult{}, errors.Wrapf(err, "reading stream %s", stream)
 	}
 	return result, nil
 }
@@ -135,7 +135,7 @@
 
 // checkRead refuses an answer whose entries are not consecutive from the
 // offset that was asked for.
-func checkRead(r platform.ReadResult, from int64) error {
+func checkRead(r port.ReadResult, from int64) error {
 	if r.First < 0 || r.Next < r.First {
 		return errors.Newf("answer with first %d and next %d", r.First, r.Next)
 	}
--- a/platform/platformhttp/log_test.go
+++ b/port/porthttp/log_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package porthttp_test
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 )
 
 // errUnknown stands for any append error that leaves the effect open.
@@ -19,10 +19,10 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, platform.ErrRateLimited):
-		return platform.ErrRateLimited
-	case errors.Is(err, platform.ErrNotAppended):
-		return platform.ErrNotAppended
+	case errors.Is(err, port.ErrRateLimited):
+		return port.ErrRateLimited
+	case errors.Is(err, port.ErrNotAppended):
+		return port.ErrNotAppended
 	}
 	return errUnknown
 }
@@ -31,7 +31,7 @@
 	ctx := context.Background()
 
 	DescribeTable("tells the effect of an append", func(address func() string, want error) {
-		_, err := platformhttp.NewLog("http://"+address(), nil).Append(ctx, "s", []byte(`{}`))
+		_, err := porthttp.NewLog("http://"+address(), nil).Append(ctx, "s", []byte(`{}`))
 		if want == nil {
 			Expect(err).NotTo(HaveOccurred())
 			return
@@ -39,9 +39,9 @@
 		Expect(effect(err)).To(Equal(want))
 	},
 		Entry("appended", serving(answer(200, "application/json", `{"offset":0}`)), nil),
-		Entry("rate limit", serving(answer(429, "application/json", `{}`)), platform.ErrRateLimited),
-		Entry("refused dial", closedPort, platform.ErrNotAppended),
-		Entry("refused by word", serving(answer(503, "application/json", `{"appended":false}`)), platform.ErrNotAppended),
+		Entry("rate limit", serving(answer(429, "application/json", `{}`)), port.ErrRateLimited),
+		Entry("refused dial", closedPort, port.ErrNotAppended),
+		Entry("refused by word", serving(answer(503, "application/json", `{"appended":false}`)), port.ErrNotAppended),
 		Entry("503 without word", serving(answer(503, "application/json", `{}`)), errUnknown),
 		Entry("503 that says appended", serving(answer(503, "application/json", `{"appended":true}`)), errUnknown),
 		Entry("500 with word", serving(answer(500, "application/json", `{"appended":false}`)), errUnknown),
@@ -53,7 +53,7 @@
 
 	It("appends once when a reused connection breaks", func() {
 		address, requests := breakSecond("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":0}")
-		log := platformhttp.NewLog("http://"+address, nil)
+		log := porthttp.NewLog("http://"+address, nil)
 		_, err := log.Append(ctx, "s", []byte(`{}`))
 		Expect(err).NotTo(HaveOccurred())
 		_, err = log.Append(ctx, "s", []byte(`{}`))
@@ -63,7 +63,7 @@
 
 	DescribeTable("checks what it reads", func(body string, good bool) {
 		address, _ := serve(answer(200, "application/json", body))
-		result, err := platformhttp.NewLog("http://"+address, nil).Read(ctx, "s", 2, 0)
+		result, err := porthttp.NewLog("http://"+address, nil).Read(ctx, "s", 2, 0)
 		Expect(err == nil).To(Equal(good))
 		if good {
 			Expect(result.Next).To(BeEquivalentTo(4))
@@ -80,7 +80,7 @@
 
 	It("reads the inventory", func() {
 		address, _ := serve(answer(200, "application/json", `{"vms":[{"id":"a"}],"models":[{"name":"m"}],"bytes_per_second":5}`))
-		inventory := platformhttp.NewInventory("http://"+address, "http://"+address+"/", nil)
+		inventory := porthttp.NewInventory("http://"+address, "http://"+address+"/", nil)
 		vms, err := inventory.VMs(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(vms).To(HaveLen(1))
--- a/platform/platformhttp/stream.go
+++ b/port/porthttp/stream.go
@@ -1,4 +1,4 @@
-package platformhttp
+package porthttp
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Bounds of answer streams.
@@ -53,16 +53,16 @@
 // late, repeated or missing, and the caller checks them. At the end of the body
 // the error is io.EOF if the request's own final chunk was seen, and a
 // *verdict.Error (MayHaveRun, upstream_lost) otherwise.
-func (s *Stream) Next() (platform.Chunk, error) {
+func (s *Stream) Next() (port.Chunk, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ended != nil {
-		return platform.Chunk{}, s.ended
+		return port.Chunk{}, s.ended
 	}
 	chunk, err := s.decode()
 	if err != nil {
 		s.ended = err
-		return platform.Chunk{}, err
+		return port.Chunk{}, err
 	}
 	if chunk.Final && chunk.RequestID == s.requestID {
 		s.final = true
@@ -71,32 +71,32 @@
 }
 
 // decode reads one event and turns it into a chunk.
-func (s *Stream) decode() (platform.Chunk, error) {
+func (s *Stream) decode() (port.Chunk, error) {
 	event, err, ok := s.next()
 	if !ok && s.final {
-		return platform.Chunk{}, io.EOF
+		return port.Chunk{}, io.EOF
 	}
 	if !ok {
-		return platform.Chunk{}, lost("the stream ended before its final chunk")
+		return port.Chunk{}, lost("the stream ended before its final chunk")
 	}
 	if err != nil {
-		return platform.Chunk{}, lost("reading the stream: %v", err)
+		return port.Chunk{}, lost("reading the stream: %v", err)
 	}
 	chunk, err := decodeChunk(event.Data)
 	if err != nil {
-		return platform.Chunk{}, lost("%v", err)
+		return port.Chunk{}, lost("%v", err)
 	}
 	return chunk, nil
 }
 
 // decodeChunk parses the data of one event.
-func decodeChunk(data string) (platform.Chunk, error) {
-	var chunk platform.Chunk
+func decodeChunk(data string) (port.Chunk, error) {
+	var chunk port.Chunk
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return platform.Chunk{}, errors.Mark(errors.Wrap(err, "chunk"), errIncompleteChunk)
+		return port.Chunk{}, errors.Mark(errors.Wrap(err, "chunk"), errIncompleteChunk)
 	}
 	if chunk.RequestID == "" || chunk.Index < 0 {
-		return platform.Chunk{}, errors.Wrap(errIncompleteChunk, "no request id or a negative index")
+		return port.Chunk{}, errors.Wrap(errIncompleteChunk, "no request id or a negative index")
 	}
 	return chunk, nil
 }
--- a/platform/platformhttp/stream_test.go
+++ b/port/porthttp/stream_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package porthttp_test
 
 import (
 	"context"
@@ -11,8 +11,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 )
 
 // event returns one chunk as a server-sent event.
@@ -23,9 +23,9 @@
 var _ = Describe("an answer stream", func() {
 	ctx := context.Background()
 
-	open := func(body string) *platformhttp.Stream {
+	open := func(body string) *porthttp.Stream {
 		address, _ := serve(answer(200, "text/event-stream", body))
-		stream, err := platformhttp.NewUpstream(nil).Generate(ctx, address, platform.GenerateRequest{RequestID: "r1"})
+		stream, err := porthttp.NewUpstream(nil).Generate(ctx, address, port.GenerateRequest{RequestID: "r1"})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(stream.Close)
 		return stream
@@ -60,7 +60,7 @@
 			<-r.Context().Done()
 			close(gone)
 		})
-		stream, err := platformhttp.NewUpstream(nil).Generate(ctx, address, platform.GenerateRequest{RequestID: "r1"})
+		stream, err := porthttp.NewUpstream(nil).Generate(ctx, address, port.GenerateRequest{RequestID: "r1"})
 		Expect(err).NotTo(HaveOccurred())
 		_, err = stream.Next()
 		Expect(err).NotTo(HaveOccurred())
@@ -77,7 +77,7 @@
 
 	It("refuses an answer of another content type", func() {
 		address, _ := serve(answer(200, "text/html", event("r1", 0, true)))
-		_, err := platformhttp.NewUpstream(nil).Generate(ctx, address, platform.GenerateRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(nil).Generate(ctx, address, port.GenerateRequest{RequestID: "r1"})
 		Expect(err).To(mayHaveRun)
 	})
 })
--- a/platform/platformhttp/suite_test.go
+++ b/port/porthttp/suite_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package porthttp_test
 
 import (
 	"testing"
@@ -9,5 +9,5 @@
 
 func TestPlatformHTTP(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "platformhttp")
+	RunSpecs(t, "porthttp")
 }
--- a/platform/platformhttp/upstream.go
+++ b/port/porthttp/upstream.go
@@ -1,4 +1,4 @@
-package platformhttp
+package porthttp
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -44,22 +44,22 @@
 }
 
 // Report returns a VM's own report.
-func (u *Upstream) Report(ctx context.Context, address string) (platform.Report, error) {
-	var report platform.Report
+func (u *Upstream) Report(ctx context.Context, address string) (port.Report, error) {
+	var report port.Report
 	err := u.get(ctx, address, "/v1/report", maxReportBytes, &report)
 	return report, err
 }
 
 // CacheEvents returns the cache events of an engine after a sequence number.
-func (u *Upstream) CacheEvents(ctx context.Context, address string, after int64) (platform.CacheEvents, error) {
-	var events platform.CacheEvents
+func (u *Upstream) CacheEvents(ctx context.Context, address string, after int64) (port.CacheEvents, error) {
+	var events port.CacheEvents
 	path := "/v1/cache-events?after=" + strconv.FormatInt(after, 10)
 	err := u.get(ctx, address, path, maxCacheEventsBytes, &events)
 	return events, err
 }
 
 // Order gives an engine VM an order. A stale generation is ErrStaleFencing.
-func (u *Upstream) Order(ctx context.Context, address string, order platform.Order) error {
+func (u *Upstream) Order(ctx context.Context, address string, order port.Order) error {
 	resp, err := u.post(ctx, address, "/v1/order", order)
 	if err != nil {
 		return err
@@ -77,7 +77,7 @@
 
 // Cancel ends a request on an engine. Canceling an unknown request succeeds.
 func (u *Upstream) Cancel(ctx context.Context, address, requestID string) error {
-	resp, err := u.post(ctx, address, "/v1/cancel", platform.CancelRequest{RequestID: requestID})
+	resp, err := u.post(ctx, address, "/v1/cancel", port.CancelRequest{RequestID: requestID})
 	if err != nil {
 		return err
 	}
@@ -91,7 +91,7 @@
 
 // Generate starts a generation on the rank 0 VM of a replica. The stream ends
 // with the context or with Close, whichever comes first.
-func (u *Upstream) Generate(ctx context.Context, address string, req platform.GenerateRequest) (*Stream, error) {
+func (u *Upstream) Generate(ctx context.Context, address string, req port.GenerateRequest) (*Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	resp, err := u.post(ctx, address, "/v1/generate", req)
 	if err != nil {
@@ -114,26 +114,26 @@
 
 // Call runs a call on a plain service's VM. An answer to another request is
 // never passed on.
-func (u *Upstream) Call(ctx context.Context, address string, req platform.CallRequest) (platform.CallResponse, error) {
+func (u *Upstream) Call(ctx context.Context, address string, req port.CallRequest) (port.CallResponse, error) {
 	resp, err := u.post(ctx, address, "/v1/call", req)
 	if err != nil {
-		return platform.CallResponse{}, err
+		return port.CallResponse{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		_, failure := refused(resp)
-		return platform.CallResponse{}, failure
+		return port.CallResponse{}, failure
 	}
 	data, err := readAll(resp.Body, maxCallAnswerBytes)
 	if err != nil {
-		return platform.CallResponse{}, lost("%v", err)
+		return port.CallResponse{}, lost("%v", err)
 	}
-	var answer platform.CallResponse
+	var answer port.CallResponse
 	if err := json.Unmarshal(data, &answer); err != nil {
-		return platform.CallResponse{}, lost("the answer can't be decoded: %v", err)
+		return port.CallResponse{}, lost("the answer can't be decoded: %v", err)
 	}
 	if answer.RequestID != req.RequestID {
-		return platform.CallResponse{}, lost("the answer belongs to another request")
+		return port.CallResponse{}, lost("the answer belongs to another request")
 	}
 	return answer, nil
 }
@@ -181,14 +181,14 @@
 
 // refused interprets an answer that is not a success. Only an upstream's own
 // word in one of the agreed statuses proves that the request did not run.
-func refused(resp *http.Response) (platform.Refusal, *verdict.Error) {
+func refused(resp *http.Response) (port.Refusal, *verdict.Error) {
 	data, err := readAll(resp.Body, maxSmallBytes)
 	if err != nil {
-		return platform.Refusal{}, lost("status %d: %v", resp.StatusCode, err)
+		return port.Refusal{}, lost("status %d: %v", resp.StatusCode, err)
 	}
-	var refusal platform.Refusal
+	var refusal port.Refusal
 	if json.Unmarshal(data, &refusal) != nil || !refusal.NotRun || !mayRefuse(resp.StatusCode) {
-		return platform.Refusal{}, lost("status %d without a refusal", resp.StatusCode)
+		return port.Refusal{}, lost("status %d without a refusal", resp.StatusCode)
 	}
 	reason := verdict.ReasonUpstreamRefused
 	if resp.StatusCode == http.StatusTooManyRequests {
--- a/platform/platformhttp/upstream_test.go
+++ b/port/porthttp/upstream_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package porthttp_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -41,13 +41,13 @@
 
 	DescribeTable("by what happened to the connection or the answer",
 		func(address func() string, want types.GomegaMatcher) {
-			upstream := platformhttp.NewUpstream(nil)
+			upstream := porthttp.NewUpstream(nil)
 			to := address()
-			_, err := upstream.Call(ctx, to, platform.CallRequest{RequestID: "r1"})
+			_, err := upstream.Call(ctx, to, port.CallRequest{RequestID: "r1"})
 			Expect(err).To(want)
-			_, err = upstream.Generate(ctx, to, platform.GenerateRequest{RequestID: "r1"})
+			_, err = upstream.Generate(ctx, to, port.GenerateRequest{RequestID: "r1"})
 			Expect(err).To(want)
-			Expect(upstream.Order(ctx, to, platform.Order{Verb: platform.OrderJoin})).To(want)
+			Expect(upstream.Order(ctx, to, port.Order{Verb: port.OrderJoin})).To(want)
 		},
 		Entry("refused dial", closedPort, notConnected),
 		Entry("closed before a byte was read", acceptAndClose, mayHaveRun),
@@ -64,8 +64,8 @@
 	)
 
 	DescribeTable("a call's answer that must not reach the caller", func(body string) {
-		_, err := platformhttp.NewUpstream(nil).Call(ctx, serving(answer(200, "application/json", body))(),
-			platform.CallRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(nil).Call(ctx, serving(answer(200, "application/json", body))(),
+			port.CallRequest{RequestID: "r1"})
 		Expect(err).To(mayHaveRun)
 	},
 		Entry("foreign", `{"request_id":"r2","body":{}}`),
@@ -76,10 +76,10 @@
 	It("never sends a request twice when a reused connection breaks", func() {
 		address, requests := breakSecond("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
 			"Content-Length: 29\r\n\r\n{\"request_id\":\"r1\",\"body\":{}}")
-		upstream := platformhttp.NewUpstream(nil)
-		_, err := upstream.Call(ctx, address, platform.CallRequest{RequestID: "r1"})
+		upstream := porthttp.NewUpstream(nil)
+		_, err := upstream.Call(ctx, address, port.CallRequest{RequestID: "r1"})
 		Expect(err).NotTo(HaveOccurred())
-		_, err = upstream.Call(ctx, address, platform.CallRequest{RequestID: "r2"})
+		_, err = upstream.Call(ctx, address, port.CallRequest{RequestID: "r2"})
 		Expect(err).To(mayHaveRun)
 		Expect(requests.Load()).To(BeEquivalentTo(2))
 	})
@@ -89,7 +89,7 @@
 		from, _ := serve(func(w http.ResponseWriter, r *http.Request) {
 			http.Redirect(w, r, "http://"+target, http.StatusTemporaryRedirect)
 		})
-		_, err := platformhttp.NewUpstream(nil).Call(ctx, from, platform.CallRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(nil).Call(ctx, from, port.CallRequest{RequestID: "r1"})
 		Expect(err).To(mayHaveRun)
 		Expect(reached.Load()).To(BeZero())
 	})
@@ -98,7 +98,7 @@
 		client := &http.Client{Transport: roundTripper(func(*http.Request) (*http.Response, error) {
 			return nil, errors.New("cut")
 		})}
-		_, err := platformhttp.NewUpstream(client).Call(ctx, "127.0.0.1:1", platform.CallRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(client).Call(ctx, "127.0.0.1:1", port.CallRequest{RequestID: "r1"})
 		Expect(err).To(mayHaveRun)
 	})
 
@@ -106,7 +106,7 @@
 		ended, cancel := context.WithCancel(ctx)
 		cancel()
 		address, requests := serve(answer(200, "application/json", `{}`))
-		_, err := platformhttp.NewUpstream(nil).Call(ended, address, platform.CallRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(nil).Call(ended, address, port.CallRequest{RequestID: "r1"})
 		Expect(err).To(HaveOccurred())
 		Expect(requests.Load()).To(BeZero())
 	})
@@ -116,20 +116,20 @@
 			w.Header().Set("Retry-After", "3")
 			answer(429, "application/json", refusal)(w, r)
 		})
-		_, err := platformhttp.NewUpstream(nil).Call(ctx, address, platform.CallRequest{RequestID: "r1"})
+		_, err := porthttp.NewUpstream(nil).Call(ctx, address, port.CallRequest{RequestID: "r1"})
 		Expect(verdict.From(err).RetryAfter.Seconds()).To(BeEquivalentTo(3))
 	})
 
 	It("types a stale fencing number", func() {
 		address, _ := serve(answer(409, "application/json", `{"not_run":true,"reason":"stale_fencing_number"}`))
-		err := platformhttp.NewUpstream(nil).Order(ctx, address, platform.Order{Verb: platform.OrderJoin})
-		Expect(errors.Is(err, platformhttp.ErrStaleFencing)).To(BeTrue())
+		err := porthttp.NewUpstream(nil).Order(ctx, address, port.Order{Verb: port.OrderJoin})
+		Expect(errors.Is(err, porthttp.ErrStaleFencing)).To(BeTrue())
 		Expect(err).To(notRun)
 	})
 
 	It("reads reports and cache events", func() {
 		address, _ := serve(answer(200, "application/json", `{"vm":"a","boot":"b","events":[{"seq":4}]}`))
-		upstream := platformhttp.NewUpstream(nil)
+		upstream := porthttp.NewUpstream(nil)
 		report, err := upstream.Report(ctx, address)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(report.VM).To(BeEquivalentTo("a"))
--- a/platform/prefix.go
+++ b/port/prefix.go
@@ -1,4 +1,4 @@
-package platform
+package port
 
 import "github.com/cespare/xxhash/v2"
 
--- a/processtest/watch_test.go
+++ b/processtest/watch_test.go
@@ -11,13 +11,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
 // membership is what a VM reported about its replica.
 type membership struct {
-	vm         platform.VMID
+	vm         port.VMID
 	replica    string
 	generation int64
 }
@@ -59,7 +59,7 @@
 func (w *reportWatch) look(ctx context.Context, v *vm) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	var r platform.Report
+	var r port.Report
 	code, err := askWithin(ctx, http.MethodGet, "http://"+v.address+"/v1/report", nil, nil, &r)
 	if err != nil || code != http.StatusOK || r.Replica == "" {
 		return
@@ -112,7 +112,7 @@
 			h.formed[membership{id, r.Form.Replica, int64(pos)}] = true
 		}
 	}
-	owner := map[platform.VMID]string{}
+	owner := map[port.VMID]string{}
 	for _, live := range control.Replicas() {
 		for _, id := range live.VMs {
 			if other, taken := owner[id]; taken {
@@ -124,11 +124,11 @@
 }
 
 // entries reads a stream of the log.
-func (w *world) entries(stream string) []platform.Entry {
+func (w *world) entries(stream string) []port.Entry {
 	GinkgoHelper()
-	var all []platform.Entry
+	var all []port.Entry
 	for {
-		var part platform.ReadResult
+		var part port.ReadResult
 		url := fmt.Sprintf("http://%s/v1/streams/%s/entries?from=%d&max=1024", w.logAddress, stream, len(all))
 		_, err := ask(http.MethodGet, url, nil, &part)
 		Expect(err).NotTo(HaveOccurred())
@@ -170,7 +170,7 @@
 	if len(live) != count {
 		return fmt.Sprintf("%d live replicas", len(live))
 	}
-	byID := map[platform.VMID]*vm{}
+	byID := map[port.VMID]*vm{}
 	for _, v := range w.vms {
 		byID[v.id] = v
 	}
@@ -178,7 +178,7 @@
 		for rank, id := range replica.VMs {
 			r, ok := byID[id].report()
 			if !ok || r.Replica != replica.Name || r.Generation != int64(replica.Generation) ||
-				r.Rank != rank || r.State != platform.EngineReady {
+				r.Rank != rank || r.State != port.EngineReady {
 				return fmt.Sprintf("%s reports %+v, the log says %+v", id, r, replica)
 			}
 		}
--- a/processtest/world_test.go
+++ b/processtest/world_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/api"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
 	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
 )
@@ -60,7 +60,7 @@
 // vm is an engine VM.
 type vm struct {
 	*process
-	id      platform.VMID
+	id      port.VMID
 	address string
 	domain  int
 }
@@ -154,7 +154,7 @@
 			id, address := fmt.Sprintf("engine-%d-%d", d, i), freeAddress()
 			p := w.standin(id, "engine", "--listen", address, "--id", id, "--list", list, "--weights", weights,
 				"--domain", fmt.Sprintf("domain-%d", d), "--zone", fmt.Sprintf("zone-%d", d))
-			w.vms = append(w.vms, &vm{process: p, id: platform.VMID(id), address: address, domain: d})
+			w.vms = append(w.vms, &vm{process: p, id: port.VMID(id), address: address, domain: d})
 		}
 	}
 	w.plainAddress = freeAddress()
@@ -178,7 +178,7 @@
 `, n.address, n.inbound.address(), zone, n.toLog.address(), w.listAddress, w.weightsAt)
 	Expect(os.WriteFile(settings, []byte(text), 0o600)).To(Succeed())
 	n.process = newProcess(w.dir, name, binaries.daemon, "--settings", settings).start()
-	line := platform.VM{ID: platform.VMID(name), Kind: platform.KindEntry, Address: n.inbound.address(), Zone: zone}
+	line := port.VM{ID: port.VMID(name), Kind: port.KindEntry, Address: n.inbound.address(), Zone: zone}
 	code, err := ask(http.MethodPost, "http://"+w.listAddress+"/v1/vms", vmlist.Change{Verb: vmlist.Register, VM: line}, nil)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(code).To(Equal(http.StatusOK))
@@ -314,8 +314,8 @@
 }
 
 // report returns a VM's report; false if it does not answer.
-func (v *vm) report() (platform.Report, bool) {
-	var r platform.Report
+func (v *vm) report() (port.Report, bool) {
+	var r port.Report
 	code, err := ask(http.MethodGet, "http://"+v.address+"/v1/report", nil, &r)
 	return r, err == nil && code == http.StatusOK
 }
@@ -326,7 +326,7 @@
 	var members []*vm
 	Eventually(func() []*vm {
 		for _, v := range w.vms {
-			if r, ok := v.report(); ok && r.Rank == 0 && r.State == platform.EngineReady && r.Running > 0 {
+			if r, ok := v.report(); ok && r.Rank == 0 && r.State == port.EngineReady && r.Running > 0 {
 				members = w.members(r)
 			}
 		}
@@ -336,7 +336,7 @@
 }
 
 // members returns the VMs in the replica of a report by rank.
-func (w *world) members(of platform.Report) []*vm {
+func (w *world) members(of port.Report) []*vm {
 	found := make([]*vm, vmsPerReplica)
 	for _, v := range w.vms {
 		if r, ok := v.report(); ok && r.Replica == of.Replica && r.Generation == of.Generation {
--- a/prooftest/follower_test.go
+++ b/prooftest/follower_test.go
@@ -12,7 +12,7 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -32,7 +32,7 @@
 	name    string
 	state   func(*logfollow.Ledgers) ledger.Ledger
 	written []record.Record
-	entries []platform.Entry
+	entries []port.Entry
 	first   int64
 	h       history
 	readers []*reader
@@ -55,7 +55,7 @@
 		return err
 	}
 	offset := int64(len(s.entries))
-	s.entries = append(s.entries, platform.Entry{Offset: offset, Data: data})
+	s.entries = append(s.entries, port.Entry{Offset: offset, Data: data})
 	for i, r := range g.Records {
 		if r.Checkpoint == nil {
 			s.h = append(s.h, placed{pos: record.At(offset, i), rec: r})
@@ -105,7 +105,7 @@
 }
 
 func (s *stream) malformed(*rapid.T) {
-	s.entries = append(s.entries, platform.Entry{Offset: int64(len(s.entries)), Data: []byte(`{"records":[]}`)})
+	s.entries = append(s.entries, port.Entry{Offset: int64(len(s.entries)), Data: []byte(`{"records":[]}`)})
 }
 
 // checkpoint takes a reader's snapshot, or appends one that was taken before.
@@ -148,8 +148,8 @@
 }
 
 // answer is what the log says to a read.
-func (s *stream) answer(from int64, most int) platform.ReadResult {
-	res := platform.ReadResult{First: s.first, Next: int64(len(s.entries)), RetentionMillis: time.Hour.Milliseconds()}
+func (s *stream) answer(from int64, most int) port.ReadResult {
+	res := port.ReadResult{First: s.first, Next: int64(len(s.entries)), RetentionMillis: time.Hour.Milliseconds()}
 	if from >= s.first && from <= res.Next {
 		rest := s.entries[from:]
 		res.Entries = rest[:min(most, len(rest))]
--- a/prooftest/freshness_test.go
+++ b/prooftest/freshness_test.go
@@ -12,14 +12,14 @@
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
 // member is a VM of the one replica, with the times at which it left and
 // joined the replica in turn. It starts outside.
 type member struct {
-	id      platform.VMID
+	id      port.VMID
 	changed []time.Time
 }
 
@@ -32,9 +32,9 @@
 
 // asked is a probe on its way; the VM has answered it if report is set.
 type asked struct {
-	vm     platform.VMID
+	vm     port.VMID
 	at     time.Time
-	report *platform.Report
+	report *port.Report
 }
 
 // watch is a health service, the VMs of one replica and the probes between.
@@ -55,13 +55,13 @@
 	control := ledger.NewControl()
 	term := record.At(0, 0)
 	control.Apply(term, record.Record{ID: "lease", Lease: &record.LeaseClaim{Holder: "n"}})
-	form := &record.Formation{Term: term, Replica: "r", Model: "m", VMs: []platform.VMID{"v1", "v2"}}
+	form := &record.Formation{Term: term, Replica: "r", Model: "m", VMs: []port.VMID{"v1", "v2"}}
 	control.Apply(w.generation, record.Record{ID: "form", Form: form})
 	w.service = health.New("n", func(time.Time) []string { return nil }, func(time.Time) bool { return true }, control, rand.New(rand.NewPCG(1, 1)))
-	inventory := health.InventoryDone{Models: platform.ModelList{Models: []platform.Model{{Name: "m"}}}}
+	inventory := health.InventoryDone{Models: port.ModelList{Models: []port.Model{{Name: "m"}}}}
 	for _, id := range form.VMs {
 		w.members = append(w.members, &member{id: id})
-		inventory.VMs = append(inventory.VMs, platform.VM{ID: id, Kind: platform.KindEngine, Address: string(id)})
+		inventory.VMs = append(inventory.VMs, port.VM{ID: id, Kind: port.KindEngine, Address: string(id)})
 	}
 	w.perform(w.service.Start(w.now))
 	w.handle(inventory)
@@ -96,10 +96,10 @@
 	if p.report != nil {
 		return
 	}
-	p.report = &platform.Report{VM: p.vm, State: platform.EngineIdle}
+	p.report = &port.Report{VM: p.vm, State: port.EngineIdle}
 	for _, m := range w.members {
 		if m.id == p.vm && m.joined() {
-			p.report = &platform.Report{VM: p.vm, State: platform.EngineReady, Replica: "r", Generation: int64(w.generation), Model: "m", Slots: 8}
+			p.report = &port.Report{VM: p.vm, State: port.EngineReady, Replica: "r", Generation: int64(w.generation), Model: "m", Slots: 8}
 		}
 	}
 }
--- a/prooftest/ledger_test.go
+++ b/prooftest/ledger_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -149,7 +149,7 @@
 type controlLedger interface {
 	Lease() ledger.Lease
 	Replicas() []ledger.Replica
-	Owner(platform.VMID) (string, bool)
+	Owner(port.VMID) (string, bool)
 }
 
 func controlSubject() subject {
@@ -192,8 +192,8 @@
 	return rapid.SampledFrom([]string{"r1", "r2", "r3"}).Draw(t, "replica")
 }
 
-func vms(t *rapid.T) []platform.VMID {
-	return rapid.SliceOfN(rapid.SampledFrom([]platform.VMID{"v1", "v2", "v3", "v4"}), 1, 2).Draw(t, "VMs")
+func vms(t *rapid.T) []port.VMID {
+	return rapid.SliceOfN(rapid.SampledFrom([]port.VMID{"v1", "v2", "v3", "v4"}), 1, 2).Draw(t, "VMs")
 }
 
 func controlDiffers(l ledger.Ledger, h history, accepted []bool) string {
--- a/prooftest/naive_test.go
+++ b/prooftest/naive_test.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/tamarackcleat/tamarackcleat/ledger"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -121,7 +121,7 @@
 		}
 	}
 	for _, l := range live {
-		shares := slices.ContainsFunc(l.VMs, func(vm platform.VMID) bool { return slices.Contains(f.VMs, vm) })
+		shares := slices.ContainsFunc(l.VMs, func(vm port.VMID) bool { return slices.Contains(f.VMs, vm) })
 		if shares || l.Name == f.Replica {
 			return false
 		}
--- a/prooftest/world_test.go
+++ b/prooftest/world_test.go
@@ -13,7 +13,7 @@
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
@@ -22,7 +22,7 @@
 
 // kept is one stream of the fake log.
 type kept struct {
-	entries []platform.Entry
+	entries []port.Entry
 	times   []time.Time
 	first   int64
 }
@@ -181,7 +181,7 @@
 	}
 	a.landed = true
 	s := w.streams[a.effect.Stream]
-	s.entries = append(s.entries, platform.Entry{Offset: int64(len(s.entries)), Data: a.effect.Data})
+	s.entries = append(s.entries, port.Entry{Offset: int64(len(s.entries)), Data: a.effect.Data})
 	s.times = append(s.times, w.now)
 	g, err := record.Decode(a.effect.Data)
 	if err != nil {
@@ -218,7 +218,7 @@
 	for _, r := range reads {
 		s := w.streams[r.Stream]
 		done := logfollow.ReadDone{Stream: r.Stream, From: r.From}
-		done.Result = platform.ReadResult{First: s.first, Next: int64(len(s.entries)), RetentionMillis: retention.Milliseconds()}
+		done.Result = port.ReadResult{First: s.first, Next: int64(len(s.entries)), RetentionMillis: retention.Milliseconds()}
 		switch {
 		case w.outage:
 			done.Err = errBad
--- a/record/record.go
+++ b/record/record.go
@@ -13,7 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Streams of the log. Claims are spread over CallShards streams.
@@ -121,7 +121,7 @@
 	// Model is the model to serve.
 	Model string `json:"model"`
 	// VMs holds the members by rank.
-	VMs []platform.VMID `json:"vms"`
+	VMs []port.VMID `json:"vms"`
 }
 
 // Dissolution ends a replica. It is valid if Term is the current term and the
--- a/router/messages.go
+++ b/router/messages.go
@@ -5,7 +5,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // UpstreamsChanged replaces the set of eligible upstreams.
@@ -104,5 +104,5 @@
 	// Boot changes when the upstream's process restarts.
 	Boot string
 	// Events holds the events in order.
-	Events []platform.CacheEvent
+	Events []port.CacheEvent
 }
--- a/router/router_bench_test.go
+++ b/router/router_bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/router"
 )
 
@@ -32,7 +32,7 @@
 	s.Handle(start, router.UpstreamsChanged{Upstreams: fleetOf(n)})
 	for i, u := range fleetOf(n) {
 		s.Handle(start, router.LoadReported{ID: u.ID, Running: i % 50, LoadAt: start})
-		s.Handle(start, router.CacheEvents{ID: u.ID, Boot: "b", Events: []platform.CacheEvent{
+		s.Handle(start, router.CacheEvents{ID: u.ID, Boot: "b", Events: []port.CacheEvent{
 			{Seq: 1, PrefixHash: uint64(i % 8)}, {Seq: 2, PrefixHash: 100 + uint64(i)},
 		}})
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/router"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
@@ -92,7 +92,7 @@
 	It("prefers the upstream that holds the prompt's prefix", func() {
 		s.Handle(start, router.UpstreamsChanged{Upstreams: upstreams(50)})
 		s.Handle(start, router.CacheEvents{ID: "r7", Boot: "b",
-			Events: []platform.CacheEvent{{Seq: 1, PrefixHash: 99}}})
+			Events: []port.CacheEvent{{Seq: 1, PrefixHash: 99}}})
 		p := router.Pick{PrefixHashes: []uint64{1, 99}, ExpectedWork: time.Second, ExpectedPrefill: time.Second}
 		Expect(pick(s, start, p)).To(Equal("r7"))
 	})
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -14,8 +14,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/callers"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
@@ -99,9 +99,9 @@
 		DeferCleanup(server.Close)
 		DeferCleanup(vm.Close)
 		address := strings.TrimPrefix(server.URL, "http://")
-		Expect(platformhttp.NewUpstream(nil).Order(context.Background(), address,
-			platform.Order{Verb: platform.OrderJoin, Replica: "r", Generation: 1, Model: "m"})).To(Succeed())
-		Eventually(vm.Report).Should(HaveField("State", platform.EngineReady))
+		Expect(porthttp.NewUpstream(nil).Order(context.Background(), address,
+			port.Order{Verb: port.OrderJoin, Replica: "r", Generation: 1, Model: "m"})).To(Succeed())
+		Eventually(vm.Report).Should(HaveField("State", port.EngineReady))
 		entry := httptest.NewServer(streaming(func(e []string) []string { return e }))
 		DeferCleanup(entry.Close)
 		results := callers.Run(context.Background(), callers.Settings{
--- a/standin/callers/direct.go
+++ b/standin/callers/direct.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 )
 
@@ -17,7 +17,7 @@
 const directSuffix = " (direct)"
 
 // upstream reaches engine VMs without an entry node.
-var upstream = platformhttp.NewUpstream(nil)
+var upstream = porthttp.NewUpstream(nil)
 
 // sendDirect sends a request to the rank 0 VM of a replica, to tell what the
 // entry nodes add to the time of an answer.
@@ -37,7 +37,7 @@
 	}
 	prompt := engine.Topic(name, k.Tokens)
 	started := time.Now()
-	stream, err := upstream.Generate(ctx, address, platform.GenerateRequest{
+	stream, err := upstream.Generate(ctx, address, port.GenerateRequest{
 		RequestID:  name,
 		Replica:    report.Replica,
 		Generation: report.Generation,
@@ -55,7 +55,7 @@
 }
 
 // readChunks compares a stream of chunks with the whole answer.
-func readChunks(stream *platformhttp.Stream, want string, started time.Time) outcome {
+func readChunks(stream *porthttp.Stream, want string, started time.Time) outcome {
 	var got strings.Builder
 	var o outcome
 	for {
--- a/standin/command.go
+++ b/standin/command.go
@@ -17,7 +17,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/callers"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
@@ -102,12 +102,12 @@
 }
 
 // modelList parses the models and the rate of the weight store.
-func modelList(models []string, rate string) (platform.ModelList, error) {
+func modelList(models []string, rate string) (port.ModelList, error) {
 	perSecond, err := humanize.ParseBytes(rate)
 	if err != nil {
-		return platform.ModelList{}, errors.Wrapf(err, "rate %q", rate)
+		return port.ModelList{}, errors.Wrapf(err, "rate %q", rate)
 	}
-	list := platform.ModelList{BytesPerSecond: int64(perSecond)}
+	list := port.ModelList{BytesPerSecond: int64(perSecond)}
 	for _, text := range models {
 		name, rest, _ := strings.Cut(text, "=")
 		vms, size, ok := strings.Cut(rest, ":")
@@ -116,7 +116,7 @@
 		if !ok || countErr != nil || sizeErr != nil {
 			return list, errors.Newf("model %q is not NAME=VMS:SIZE", text)
 		}
-		list.Models = append(list.Models, platform.Model{Name: name, VMsPerReplica: count, WeightBytes: int64(bytes)})
+		list.Models = append(list.Models, port.Model{Name: name, VMsPerReplica: count, WeightBytes: int64(bytes)})
 	}
 	return list, nil
 }
@@ -143,20 +143,20 @@
 
 // runEngines runs one engine VM or many.
 func runEngines(ctx context.Context, c *cli.Command) error {
-	host, port, err := net.SplitHostPort(c.String("listen"))
+	host, base, err := net.SplitHostPort(c.String("listen"))
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	first, err := strconv.Atoi(port)
+	first, err := strconv.Atoi(base)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	count := c.Int("count")
 	group, ctx := errgroup.WithContext(ctx)
 	for i := range count {
-		vm := platform.VM{
-			ID:            platform.VMID(c.String("id")),
-			Kind:          platform.KindEngine,
+		vm := port.VM{
+			ID:            port.VMID(c.String("id")),
+			Kind:          port.KindEngine,
 			Address:       net.JoinHostPort(host, portAfter(first, i)),
 			Zone:          c.String("zone"),
 			Domain:        c.String("domain"),
@@ -164,7 +164,7 @@
 			ChecksFencing: !c.Bool("ignore-fencing"),
 		}
 		if count > 1 {
-			vm.ID = platform.VMID(fmt.Sprintf("%s-%d", vm.ID, i))
+			vm.ID = port.VMID(fmt.Sprintf("%s-%d", vm.ID, i))
 			vm.Domain = fmt.Sprintf("%s-%d", vm.Domain, i/c.Int("domain-size"))
 		}
 		group.Go(func() error { return runEngine(ctx, c, vm, count == 1) })
@@ -183,7 +183,7 @@
 
 // runEngine registers an engine VM and serves it. An engine that is alone in
 // its process crashes with it.
-func runEngine(ctx context.Context, c *cli.Command, vm platform.VM, alone bool) error {
+func runEngine(ctx context.Context, c *cli.Command, vm port.VM, alone bool) error {
 	s := engine.DefaultSettings(vm.ID)
 	s.ChecksFencing = vm.ChecksFencing
 	s.WeightStore = c.String("weights")
@@ -199,7 +199,7 @@
 
 // runVM puts a VM on the list with the address on which it listens, and serves
 // it.
-func runVM(ctx context.Context, list string, vm platform.VM, h leaver) error {
+func runVM(ctx context.Context, list string, vm port.VM, h leaver) error {
 	l, err := listen(vm.Address)
 	if err != nil {
 		return err
@@ -220,9 +220,9 @@
 			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service", Required: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			vm := platform.VM{
-				ID:      platform.VMID(c.String("id")),
-				Kind:    platform.KindPlain,
+			vm := port.VM{
+				ID:      port.VMID(c.String("id")),
+				Kind:    port.KindPlain,
 				Address: c.String("listen"),
 				Zone:    c.String("zone"),
 				Service: c.String("service"),
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -8,7 +8,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
 
@@ -34,7 +34,7 @@
 // delayedEvent is a cache event with the time at which it is published.
 type delayedEvent struct {
 	at    time.Time
-	event platform.CacheEvent
+	event port.CacheEvent
 }
 
 func newCache(limit int, lag time.Duration) *cache {
@@ -56,7 +56,7 @@
 // use caches the prefixes of a prompt and returns the number of its blocks
 // that were cached before and the number of all its blocks.
 func (c *cache) use(now time.Time, prompt string, loseEvery int) (cached, blocks int) {
-	hashes := platform.PrefixHashes(prompt)
+	hashes := port.PrefixHashes(prompt)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, hash := range hashes {
@@ -66,16 +66,16 @@
 		}
 		c.dropped = c.dropped[:0]
 		c.prefixes.Add(hash, struct{}{})
-		c.publish(now, platform.CacheEvent{PrefixHash: hash}, loseEvery)
+		c.publish(now, port.CacheEvent{PrefixHash: hash}, loseEvery)
 		for _, old := range c.dropped {
-			c.publish(now, platform.CacheEvent{PrefixHash: old, Dropped: true}, loseEvery)
+			c.publish(now, port.CacheEvent{PrefixHash: old, Dropped: true}, loseEvery)
 		}
 	}
 	return cached, len(hashes)
 }
 
 // publish queues an event unless it is one that gets lost.
-func (c *cache) publish(now time.Time, e platform.CacheEvent, loseEvery int) {
+func (c *cache) publish(now time.Time, e port.CacheEvent, loseEvery int) {
 	c.seq++
 	e.Seq = c.seq
 	if hits(c.seq, loseEvery) {
@@ -88,10 +88,10 @@
 }
 
 // after returns the published events with a higher sequence number.
-func (c *cache) after(now time.Time, seq int64) []platform.CacheEvent {
+func (c *cache) after(now time.Time, seq int64) []port.CacheEvent {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := []platform.CacheEvent{}
+	out := []port.CacheEvent{}
 	for _, d := range c.events {
 		if d.event.Seq > seq && !d.at.After(now) {
 			out = append(out, d.event)
@@ -110,5 +110,5 @@
 	s.mu.Lock()
 	boot := s.boot
 	s.mu.Unlock()
-	web.WriteJSON(w, http.StatusOK, platform.CacheEvents{Boot: boot, Events: events})
+	web.WriteJSON(w, http.StatusOK, port.CacheEvents{Boot: boot, Events: events})
 }
--- a/standin/engine/chunks.go
+++ b/standin/engine/chunks.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // errCut means that a fault cuts the stream off here.
@@ -29,7 +29,7 @@
 	faults  func() Faults
 	counter *chunkCounter
 	// held is a chunk that goes out after its successor.
-	held *platform.Chunk
+	held *port.Chunk
 	sent int
 	// breakAfter is the number of chunks after which broken is returned.
 	breakAfter int
@@ -59,7 +59,7 @@
 }
 
 // send sends a chunk, spoiled if a fault switch says so.
-func (cw *chunkWriter) send(c platform.Chunk) error {
+func (cw *chunkWriter) send(c port.Chunk) error {
 	if cw.broken != nil && cw.sent >= cw.breakAfter {
 		return cw.broken
 	}
@@ -73,12 +73,12 @@
 }
 
 // spoil returns what goes out in place of a chunk.
-func (cw *chunkWriter) spoil(c platform.Chunk) []platform.Chunk {
+func (cw *chunkWriter) spoil(c port.Chunk) []port.Chunk {
 	f := cw.faults()
 	n := cw.counter.n.Add(1)
-	var out []platform.Chunk
+	var out []port.Chunk
 	if hits(n, f.ForeignEvery) {
-		out = append(out, platform.Chunk{RequestID: foreignRequestID, Index: c.Index, Text: "foreign "})
+		out = append(out, port.Chunk{RequestID: foreignRequestID, Index: c.Index, Text: "foreign "})
 	}
 	switch {
 	case hits(n, f.DropEvery):
@@ -98,7 +98,7 @@
 }
 
 // write sends one chunk as a server-sent event.
-func (cw *chunkWriter) write(c platform.Chunk) error {
+func (cw *chunkWriter) write(c port.Chunk) error {
 	data, err := json.Marshal(c)
 	if err != nil {
 		return errors.Wrap(err, "encoding a chunk")
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -13,8 +13,8 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -22,7 +22,7 @@
 // Settings of an engine VM.
 type Settings struct {
 	// VM names the VM.
-	VM platform.VMID
+	VM port.VMID
 	// ChecksFencing makes the engine refuse orders with an old generation.
 	ChecksFencing bool
 	// Slots is the size of the continuous batch.
@@ -57,7 +57,7 @@
 }
 
 // DefaultSettings returns the settings of a fast engine with a small batch.
-func DefaultSettings(vm platform.VMID) Settings {
+func DefaultSettings(vm port.VMID) Settings {
 	return Settings{
 		VM:            vm,
 		ChecksFencing: true,
@@ -80,7 +80,7 @@
 	Faults *fault.Switches[Faults]
 
 	settings Settings
-	upstream *platformhttp.Upstream
+	upstream *porthttp.Upstream
 	router   *mux.Router
 	batch    *batch
 	cache    *cache
@@ -100,7 +100,7 @@
 	s := &Service{
 		Faults:   fault.New[Faults](),
 		settings: settings,
-		upstream: platformhttp.NewUpstream(nil),
+		upstream: porthttp.NewUpstream(nil),
 		router:   mux.NewRouter(),
 		batch:    newBatch(settings.Slots, settings.MaxQueue),
 		cache:    newCache(settings.CachePrefixes, settings.CacheLag),
@@ -158,7 +158,7 @@
 }
 
 // Report returns the VM's report with its lagging load figures.
-func (s *Service) Report() platform.Report {
+func (s *Service) Report() port.Report {
 	sample := s.load.at(s.settings.Clock())
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/engine/fixture_test.go
+++ b/standin/engine/fixture_test.go
@@ -12,8 +12,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 )
 
@@ -37,13 +37,13 @@
 type vm struct {
 	service  *engine.Service
 	address  string
-	upstream *platformhttp.Upstream
+	upstream *porthttp.Upstream
 	clock    *atomic.Int64
 	stop     func()
 }
 
 // start runs an engine VM for the length of one spec.
-func start(id platform.VMID, change func(*engine.Settings)) *vm {
+func start(id port.VMID, change func(*engine.Settings)) *vm {
 	clock := &atomic.Int64{}
 	settings := engine.Settings{
 		VM: id, ChecksFencing: true, Slots: 2, MaxQueue: 2, LoadLag: time.Second,
@@ -61,7 +61,7 @@
 	return &vm{
 		service:  service,
 		address:  strings.TrimPrefix(server.URL, "http://"),
-		upstream: platformhttp.NewUpstream(nil),
+		upstream: porthttp.NewUpstream(nil),
 		clock:    clock,
 		stop:     server.CloseClientConnections,
 	}
@@ -71,8 +71,8 @@
 func unchanged(*engine.Settings) {}
 
 // order returns an order about the test's replica.
-func order(verb platform.OrderVerb, generation int64, rank int, members ...*vm) platform.Order {
-	o := platform.Order{Verb: verb, Replica: testReplica, Generation: generation, Model: "m", Rank: rank}
+func order(verb port.OrderVerb, generation int64, rank int, members ...*vm) port.Order {
+	o := port.Order{Verb: verb, Replica: testReplica, Generation: generation, Model: "m", Rank: rank}
 	for _, m := range members {
 		o.Members = append(o.Members, m.address)
 	}
@@ -84,28 +84,28 @@
 	GinkgoHelper()
 	for rank, m := range members {
 		Expect(m.upstream.Order(context.Background(), m.address,
-			order(platform.OrderJoin, testGeneration, rank, members...))).To(Succeed())
+			order(port.OrderJoin, testGeneration, rank, members...))).To(Succeed())
 	}
 	for _, m := range members {
-		Eventually(m.service.Report).Should(HaveField("State", platform.EngineReady))
+		Eventually(m.service.Report).Should(HaveField("State", port.EngineReady))
 	}
 }
 
 // ask returns a request to the test's replica.
-func ask(prompt string) platform.GenerateRequest {
-	return platform.GenerateRequest{
+func ask(prompt string) port.GenerateRequest {
+	return port.GenerateRequest{
 		RequestID: "q1", Replica: testReplica, Generation: testGeneration, Prompt: prompt, MaxTokens: 1000, Seed: 7,
 	}
 }
 
 // generate sends a request and returns all chunks and the end of the stream.
-func (m *vm) generate(req platform.GenerateRequest) ([]platform.Chunk, error) {
+func (m *vm) generate(req port.GenerateRequest) ([]port.Chunk, error) {
 	stream, err := m.upstream.Generate(guarded(), m.address, req)
 	if err != nil {
 		return nil, err
 	}
 	defer stream.Close()
-	var chunks []platform.Chunk
+	var chunks []port.Chunk
 	for {
 		chunk, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -119,7 +119,7 @@
 }
 
 // textOf joins the texts of chunks.
-func textOf(chunks []platform.Chunk) string {
+func textOf(chunks []port.Chunk) string {
 	var b strings.Builder
 	for _, c := range chunks {
 		b.WriteString(c.Text)
@@ -128,7 +128,7 @@
 }
 
 // open starts a request that stalls after one chunk.
-func (m *vm) open(req platform.GenerateRequest) *platformhttp.Stream {
+func (m *vm) open(req port.GenerateRequest) *porthttp.Stream {
 	GinkgoHelper()
 	Expect(m.service.Faults.Set(`{"stall_next":1,"break_after":1}`)).To(Succeed())
 	stream, err := m.upstream.Generate(guarded(), m.address, req)
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -6,12 +6,12 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
 
-// Values of platform.Refusal.Reason.
+// Values of port.Refusal.Reason.
 const (
 	refusedGeneration = "wrong_generation"
 	refusedNotReady   = "not_ready"
@@ -22,7 +22,7 @@
 )
 
 func (s *Service) generate(w http.ResponseWriter, r *http.Request) {
-	var req platform.GenerateRequest
+	var req port.GenerateRequest
 	if !web.ReadJSON(w, r, &req) {
 		return
 	}
@@ -45,7 +45,7 @@
 }
 
 // validResume reports whether a request resumes the answer that it got.
-func validResume(req platform.GenerateRequest, a Answer) bool {
+func validResume(req port.GenerateRequest, a Answer) bool {
 	if req.ResumeFrom < 0 || req.ResumeFrom > a.Tokens {
 		return false
 	}
@@ -64,7 +64,7 @@
 }
 
 // admit registers a request if the VM is rank 0 of its replica and takes work.
-func (s *Service) admit(ctx context.Context, req platform.GenerateRequest) (context.Context, func(), string) {
+func (s *Service) admit(ctx context.Context, req port.GenerateRequest) (context.Context, func(), string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if refusal := s.member.refusal(req.Replica, req.Generation); refusal != "" {
@@ -75,7 +75,7 @@
 }
 
 // serve runs an admitted request in a slot of the batch.
-func (s *Service) serve(ctx context.Context, w http.ResponseWriter, req platform.GenerateRequest, a Answer) {
+func (s *Service) serve(ctx context.Context, w http.ResponseWriter, req port.GenerateRequest, a Answer) {
 	defer s.noteLoad()
 	if err := s.enter(ctx, req.Priority); err != nil {
 		if errors.Is(err, errBusy) {
@@ -106,7 +106,7 @@
 }
 
 // stream sends the answer from the position that the caller has reached.
-func (s *Service) stream(ctx context.Context, cw *chunkWriter, req platform.GenerateRequest, a Answer) error {
+func (s *Service) stream(ctx context.Context, cw *chunkWriter, req port.GenerateRequest, a Answer) error {
 	cached, blocks := s.cache.use(s.settings.Clock(), req.Prompt, s.Faults.Get().LoseCacheEvery)
 	prefill := s.settings.FirstToken
 	for range blocks - cached {
@@ -118,9 +118,9 @@
 			return context.Cause(ctx)
 		}
 		wait = s.settings.BetweenTokens
-		chunk := platform.Chunk{RequestID: req.RequestID, Index: i, Text: a.Token(i)}
+		chunk := port.Chunk{RequestID: req.RequestID, Index: i, Text: a.Token(i)}
 		if i == req.ResumeFrom {
-			chunk.CachedTokens = cached * platform.PrefixBlockBytes / bytesPerToken
+			chunk.CachedTokens = cached * port.PrefixBlockBytes / bytesPerToken
 		}
 		if err := cw.send(chunk); err != nil {
 			return err
@@ -129,11 +129,11 @@
 	if !s.sleep(ctx, 0) {
 		return context.Cause(ctx)
 	}
-	return cw.send(platform.Chunk{RequestID: req.RequestID, Index: a.Tokens, Final: true, Finish: a.Finish})
+	return cw.send(port.Chunk{RequestID: req.RequestID, Index: a.Tokens, Final: true, Finish: a.Finish})
 }
 
 func (s *Service) cancel(w http.ResponseWriter, r *http.Request) {
-	var req platform.CancelRequest
+	var req port.CancelRequest
 	if !web.ReadJSON(w, r, &req) {
 		return
 	}
--- a/standin/engine/generate_test.go
+++ b/standin/engine/generate_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
@@ -31,7 +31,7 @@
 		chunks, err := m.generate(req)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(textOf(chunks)).To(Equal(expected.Text(expected.Tokens)))
-		Expect(chunks[len(chunks)-1]).To(Equal(platform.Chunk{
+		Expect(chunks[len(chunks)-1]).To(Equal(port.Chunk{
 			RequestID: "q1", Index: expected.Tokens, Final: true, Finish: expected.Finish,
 		}))
 		if tokens > 0 {
@@ -70,16 +70,16 @@
 		}
 	})
 
-	DescribeTable("are refused as not run", func(change func(*platform.GenerateRequest)) {
+	DescribeTable("are refused as not run", func(change func(*port.GenerateRequest)) {
 		req := ask("p")
 		change(&req)
 		_, err := m.generate(req)
 		Expect(reason(err)).To(Equal(verdict.NotRun))
 	},
-		Entry("another replica", func(r *platform.GenerateRequest) { r.Replica = "r2" }),
-		Entry("another generation", func(r *platform.GenerateRequest) { r.Generation++ }),
-		Entry("a wrong prefix", func(r *platform.GenerateRequest) { r.ResumeFrom, r.Prefix = 2, "wrong" }),
-		Entry("a position beyond the end", func(r *platform.GenerateRequest) { r.ResumeFrom = 5000 }),
+		Entry("another replica", func(r *port.GenerateRequest) { r.Replica = "r2" }),
+		Entry("another generation", func(r *port.GenerateRequest) { r.Generation++ }),
+		Entry("a wrong prefix", func(r *port.GenerateRequest) { r.ResumeFrom, r.Prefix = 2, "wrong" }),
+		Entry("a position beyond the end", func(r *port.GenerateRequest) { r.ResumeFrom = 5000 }),
 	)
 
 	It("take slots by priority and refuse what does not fit the queue", func() {
@@ -165,7 +165,7 @@
 		Expect(reason(err)).To(Equal(verdict.MayHaveRun))
 		after := m.service.Report()
 		Expect(after.Boot).NotTo(Equal(before.Boot))
-		Expect(after.State).To(Equal(platform.EngineIdle))
+		Expect(after.State).To(Equal(port.EngineIdle))
 		Expect(after.HeldWeights).To(BeEmpty())
 	})
 
@@ -183,8 +183,8 @@
 
 	It("publish cached prefixes late, within limits and with gaps", func() {
 		Expect(m.service.Faults.Set(`{"lose_cache_every":2}`)).To(Succeed())
-		prompt := strings.Repeat("x", 3*platform.PrefixBlockBytes)
-		hashes := platform.PrefixHashes(prompt)
+		prompt := strings.Repeat("x", 3*port.PrefixBlockBytes)
+		hashes := port.PrefixHashes(prompt)
 		chunks, err := m.generate(ask(prompt))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(chunks[0].CachedTokens).To(BeZero())
@@ -194,7 +194,7 @@
 		m.clock.Add(int64(time.Second))
 		events, err = m.upstream.CacheEvents(ctx, m.address, 0)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(events.Events).To(Equal([]platform.CacheEvent{
+		Expect(events.Events).To(Equal([]port.CacheEvent{
 			{Seq: 1, PrefixHash: hashes[0]}, {Seq: 3, PrefixHash: hashes[2]},
 		}))
 		chunks, err = m.generate(ask(prompt + "and more"))
@@ -202,7 +202,7 @@
 		Expect(chunks[0].CachedTokens).To(BeNumerically(">", 0))
 		Expect(m.service.Faults.Set(`{"lose_cache_every":0}`)).To(Succeed())
 		for i := range 2 {
-			_, err := m.generate(ask(strings.Repeat(fmt.Sprint(i), 2*platform.PrefixBlockBytes)))
+			_, err := m.generate(ask(strings.Repeat(fmt.Sprint(i), 2*port.PrefixBlockBytes)))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		m.clock.Add(int64(time.Second))
--- a/standin/engine/group.go
+++ b/standin/engine/group.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -99,7 +99,7 @@
 
 // awaitMembers waits until all other members obey the same order and returns
 // their boots by address.
-func (s *Service) awaitMembers(ctx context.Context, o platform.Order) (map[string]string, bool) {
+func (s *Service) awaitMembers(ctx context.Context, o port.Order) (map[string]string, bool) {
 	boots := map[string]string{}
 	for _, address := range otherMembers(o) {
 		for boots[address] == "" {
@@ -117,10 +117,10 @@
 }
 
 // otherMembers returns the addresses of all members but rank 0.
-func otherMembers(o platform.Order) []string { return o.Members[min(1, len(o.Members)):] }
+func otherMembers(o port.Order) []string { return o.Members[min(1, len(o.Members)):] }
 
 // checkMembers frees rank 0 and cuts its streams when a member is missing.
-func (s *Service) checkMembers(ctx context.Context, o platform.Order, boots map[string]string) {
+func (s *Service) checkMembers(ctx context.Context, o port.Order, boots map[string]string) {
 	failures := map[string]int{}
 	for fault.Sleep(ctx, s.settings.MemberCheck) {
 		for _, address := range otherMembers(o) {
@@ -139,14 +139,14 @@
 }
 
 // memberLost frees the VM from the order's replica and cuts its streams.
-func (s *Service) memberLost(o platform.Order) {
+func (s *Service) memberLost(o port.Order) {
 	if s.freeFrom(o.Replica, o.Generation) {
 		s.running.cutAll(errMemberLost)
 	}
 }
 
 // memberBoot returns the boot of a member that obeys the same order.
-func (s *Service) memberBoot(ctx context.Context, address string, o platform.Order) (string, error) {
+func (s *Service) memberBoot(ctx context.Context, address string, o port.Order) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, groupTimeout)
 	defer cancel()
 	report, err := s.upstream.Report(ctx, address)
--- a/standin/engine/member.go
+++ b/standin/engine/member.go
@@ -4,7 +4,7 @@
 	"context"
 	"slices"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // maxHeldWeights is the number of models whose weights a VM holds.
@@ -13,7 +13,7 @@
 // membership is what the VM knows of its replica. The service's mutex guards
 // it.
 type membership struct {
-	state      platform.EngineState
+	state      port.EngineState
 	replica    string
 	generation int64
 	model      string
@@ -33,16 +33,16 @@
 }
 
 func newMembership() membership {
-	return membership{state: platform.EngineIdle, cancel: func() {}}
+	return membership{state: port.EngineIdle, cancel: func() {}}
 }
 
 // report returns the part of a report that the membership decides.
-func (m *membership) report() platform.Report {
+func (m *membership) report() port.Report {
 	state := m.state
 	if m.leaving || m.draining {
-		state = platform.EngineLeaving
+		state = port.EngineLeaving
 	}
-	return platform.Report{
+	return port.Report{
 		State:       state,
 		Replica:     m.replica,
 		Generation:  m.generation,
@@ -58,11 +58,11 @@
 	switch {
 	case m.leaving || m.draining:
 		return refusedLeaving
-	case m.state == platform.EngineIdle:
+	case m.state == port.EngineIdle:
 		return refusedNotReady
 	case m.replica != replica || m.generation != generation:
 		return refusedGeneration
-	case m.state != platform.EngineReady || m.rank != 0:
+	case m.state != port.EngineReady || m.rank != 0:
 		return refusedNotReady
 	}
 	return ""
@@ -70,14 +70,14 @@
 
 // is reports whether the VM is in a replica of a generation.
 func (m *membership) is(replica string, generation int64) bool {
-	return m.state != platform.EngineIdle && m.replica == replica && m.generation == generation
+	return m.state != port.EngineIdle && m.replica == replica && m.generation == generation
 }
 
 // join makes the VM a loading member of the order's replica.
-func (m *membership) join(o platform.Order, cancel context.CancelFunc) {
+func (m *membership) join(o port.Order, cancel context.CancelFunc) {
 	m.cancel()
 	m.cancel = cancel
-	m.state = platform.EngineLoading
+	m.state = port.EngineLoading
 	m.replica = o.Replica
 	m.generation = o.Generation
 	m.model = o.Model
@@ -88,7 +88,7 @@
 
 // loaded makes the VM a working member.
 func (m *membership) loaded() {
-	m.state = platform.EngineReady
+	m.state = port.EngineReady
 	m.held = slices.DeleteFunc(m.held, func(name string) bool { return name == m.model })
 	m.held = slices.Insert(m.held, 0, m.model)
 	m.held = m.held[:min(len(m.held), maxHeldWeights)]
@@ -99,7 +99,7 @@
 func (m *membership) free() {
 	m.cancel()
 	*m = membership{
-		state:   platform.EngineIdle,
+		state:   port.EngineIdle,
 		highest: m.highest,
 		held:    m.held,
 		leaving: m.leaving,
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -14,7 +14,7 @@
 const weightRetry = 200 * time.Millisecond
 
 func (s *Service) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.Order
+	var o port.Order
 	if !web.ReadJSON(w, r, &o) {
 		return
 	}
@@ -26,7 +26,7 @@
 }
 
 // obey carries out an order or returns why it does not.
-func (s *Service) obey(o platform.Order) string {
+func (s *Service) obey(o port.Order) string {
 	checks := s.settings.ChecksFencing && !s.Faults.Get().IgnoreFencing
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -37,11 +37,11 @@
 		return refusedLeaving
 	}
 	s.member.highest = max(s.member.highest, o.Generation)
-	if o.Verb == platform.OrderJoin {
+	if o.Verb == port.OrderJoin {
 		s.join(o)
 		return ""
 	}
-	foreign := s.member.state != platform.EngineIdle && !s.member.is(o.Replica, o.Generation)
+	foreign := s.member.state != port.EngineIdle && !s.member.is(o.Replica, o.Generation)
 	if checks && foreign {
 		return refusedGeneration
 	}
@@ -50,7 +50,7 @@
 }
 
 // join starts loading for a replica. A repeated order changes nothing.
-func (s *Service) join(o platform.Order) {
+func (s *Service) join(o port.Order) {
 	if s.member.is(o.Replica, o.Generation) {
 		return
 	}
@@ -62,7 +62,7 @@
 
 // leaveReplica refuses new requests and frees the VM once its streams ended.
 func (s *Service) leaveReplica() {
-	if s.member.state == platform.EngineIdle || s.member.draining {
+	if s.member.state == port.EngineIdle || s.member.draining {
 		return
 	}
 	s.member.draining = true
@@ -88,7 +88,7 @@
 }
 
 // loadWeights loads the order's model and makes the VM a working member.
-func (s *Service) loadWeights(ctx context.Context, o platform.Order) {
+func (s *Service) loadWeights(ctx context.Context, o port.Order) {
 	if !s.holds(o.Model) && !s.transfer(ctx, o.Model) {
 		return
 	}
@@ -106,7 +106,7 @@
 }
 
 // finishLoading makes the VM a working member unless another order came.
-func (s *Service) finishLoading(o platform.Order) bool {
+func (s *Service) finishLoading(o port.Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.member.is(o.Replica, o.Generation) {
--- a/standin/engine/order_test.go
+++ b/standin/engine/order_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/weightstore"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
@@ -19,14 +19,14 @@
 var _ = Describe("an engine's orders", func() {
 	ctx := context.Background()
 
-	give := func(m *vm, o platform.Order) error { return m.upstream.Order(ctx, m.address, o) }
+	give := func(m *vm, o port.Order) error { return m.upstream.Order(ctx, m.address, o) }
 
 	DescribeTable("carry a fencing number", func(checks bool, faults string, refused bool) {
 		m := start("vm-1", func(s *engine.Settings) { s.ChecksFencing = checks })
 		Expect(m.service.Faults.Set(faults)).To(Succeed())
-		Expect(give(m, order(platform.OrderJoin, 5, 0, m))).To(Succeed())
-		err := give(m, order(platform.OrderJoin, 4, 0, m))
-		Expect(errors.Is(err, platformhttp.ErrStaleFencing)).To(Equal(refused))
+		Expect(give(m, order(port.OrderJoin, 5, 0, m))).To(Succeed())
+		err := give(m, order(port.OrderJoin, 4, 0, m))
+		Expect(errors.Is(err, porthttp.ErrStaleFencing)).To(Equal(refused))
 		want := int64(4)
 		if refused {
 			want = 5
@@ -42,12 +42,12 @@
 		m := start("vm-1", unchanged)
 		join(m)
 		stream := m.open(ask("p"))
-		Expect(give(m, order(platform.OrderJoin, testGeneration, 0, m))).To(Succeed())
-		Expect(m.service.Report().State).To(Equal(platform.EngineReady))
+		Expect(give(m, order(port.OrderJoin, testGeneration, 0, m))).To(Succeed())
+		Expect(m.service.Report().State).To(Equal(port.EngineReady))
 		stream.Close()
-		Expect(give(m, order(platform.OrderLeave, testGeneration, 0))).To(Succeed())
-		Eventually(m.service.Report).Should(HaveField("State", platform.EngineIdle))
-		Expect(give(m, order(platform.OrderLeave, testGeneration, 0))).To(Succeed())
+		Expect(give(m, order(port.OrderLeave, testGeneration, 0))).To(Succeed())
+		Eventually(m.service.Report).Should(HaveField("State", port.EngineIdle))
+		Expect(give(m, order(port.OrderLeave, testGeneration, 0))).To(Succeed())
 		Expect(m.service.Report().HeldWeights).To(Equal([]string{"m"}))
 	})
 
@@ -55,19 +55,19 @@
 		m := start("vm-1", unchanged)
 		join(m)
 		m.open(ask("p"))
-		Expect(give(m, order(platform.OrderLeave, testGeneration, 0))).To(Succeed())
-		Expect(m.service.Report()).To(And(HaveField("State", platform.EngineLeaving), HaveField("Replica", testReplica)))
+		Expect(give(m, order(port.OrderLeave, testGeneration, 0))).To(Succeed())
+		Expect(m.service.Report()).To(And(HaveField("State", port.EngineLeaving), HaveField("Replica", testReplica)))
 		_, err := m.generate(ask("p"))
 		Expect(verdict.From(err).Verdict).To(Equal(verdict.NotRun))
 		Expect(m.upstream.Cancel(ctx, m.address, "q1")).To(Succeed())
-		Eventually(m.service.Report).Should(HaveField("State", platform.EngineIdle))
+		Eventually(m.service.Report).Should(HaveField("State", port.EngineIdle))
 	})
 
 	It("cut the streams of a replica that a newer one replaces", func() {
 		m := start("vm-1", unchanged)
 		join(m)
 		stream := m.open(ask("p"))
-		Expect(give(m, order(platform.OrderJoin, testGeneration+1, 0, m))).To(Succeed())
+		Expect(give(m, order(port.OrderJoin, testGeneration+1, 0, m))).To(Succeed())
 		_, err := stream.Next()
 		Expect(verdict.From(err).Verdict).To(Equal(verdict.MayHaveRun))
 	})
@@ -75,7 +75,7 @@
 	It("refuse to leave a foreign replica if the engine checks", func() {
 		m := start("vm-1", unchanged)
 		join(m)
-		foreign := order(platform.OrderLeave, testGeneration+1, 0)
+		foreign := order(port.OrderLeave, testGeneration+1, 0)
 		foreign.Replica = "r2"
 		Expect(give(m, foreign)).NotTo(Succeed())
 		Expect(m.service.Report().Replica).To(Equal(testReplica))
@@ -84,8 +84,8 @@
 	It("load weights through the rate that all VMs share, and held ones at once", func() {
 		clock := time.Unix(0, 0)
 		store := weightstore.New(weightstore.Settings{
-			List: platform.ModelList{
-				Models:         []platform.Model{{Name: "m", WeightBytes: 1000}},
+			List: port.ModelList{
+				Models:         []port.Model{{Name: "m", WeightBytes: 1000}},
 				BytesPerSecond: 1_000_000,
 			},
 			Clock: func() time.Time { return clock },
@@ -97,8 +97,8 @@
 		m := start("vm-1", func(s *engine.Settings) { s.WeightStore = server.URL })
 		join(m)
 		Expect(store.Faults.Set(`{"outage":true}`)).To(Succeed())
-		Expect(give(m, order(platform.OrderLeave, testGeneration, 0))).To(Succeed())
-		Eventually(m.service.Report).Should(HaveField("State", platform.EngineIdle))
+		Expect(give(m, order(port.OrderLeave, testGeneration, 0))).To(Succeed())
+		Eventually(m.service.Report).Should(HaveField("State", port.EngineIdle))
 		join(m)
 	})
 
@@ -110,7 +110,7 @@
 		rank1.service.Crash()
 		_, err := stream.Next()
 		Expect(verdict.From(err).Verdict).To(Equal(verdict.MayHaveRun))
-		Eventually(rank0.service.Report).Should(HaveField("State", platform.EngineIdle))
+		Eventually(rank0.service.Report).Should(HaveField("State", port.EngineIdle))
 	})
 
 	It("wait, when a member leaves, until its replica's streams have ended", func() {
@@ -123,12 +123,12 @@
 			rank1.service.Leave(ctx)
 			close(left)
 		}()
-		Eventually(rank0.service.Report).Should(HaveField("State", platform.EngineLeaving))
+		Eventually(rank0.service.Report).Should(HaveField("State", port.EngineLeaving))
 		_, err := rank0.generate(ask("p"))
 		Expect(verdict.From(err).Verdict).To(Equal(verdict.NotRun))
 		Expect(left).NotTo(BeClosed())
 		Expect(rank0.upstream.Cancel(ctx, rank0.address, "q1")).To(Succeed())
 		Eventually(left).Should(BeClosed())
-		Expect(give(rank1, order(platform.OrderJoin, testGeneration+1, 0))).NotTo(Succeed())
+		Expect(give(rank1, order(port.OrderJoin, testGeneration+1, 0))).NotTo(Succeed())
 	})
 })
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -18,7 +18,7 @@
 	maxAnswerTokens = 100_000
 )
 
-// Values of platform.Chunk.Finish.
+// Values of port.Chunk.Finish.
 const (
 	finishStop   = "stop"
 	finishLength = "length"
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/weightstore"
 )
 
@@ -18,7 +18,7 @@
 const reserveTimeout = 5 * time.Second
 
 // groupClient reaches the weight store and other members.
-var groupClient = platformhttp.NewHTTPClient()
+var groupClient = porthttp.NewHTTPClient()
 
 // reserveWeights asks the weight store how long the transfer of a model takes.
 func reserveWeights(ctx context.Context, store, model string) (time.Duration, error) {
--- a/standin/logservice/logservice.go
+++ b/standin/logservice/logservice.go
@@ -13,7 +13,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -136,7 +136,7 @@
 	if s.losesAnswer() {
 		fault.Cut()
 	}
-	web.WriteJSON(w, http.StatusOK, platform.AppendResult{Offset: offset})
+	web.WriteJSON(w, http.StatusOK, port.AppendResult{Offset: offset})
 }
 
 // refusesAppend reports whether an append is refused before its effect.
@@ -222,7 +222,7 @@
 }
 
 // entries returns what a read gives now.
-func (s *Service) entries(name string, from int64, count int) platform.ReadResult {
+func (s *Service) entries(name string, from int64, count int) port.ReadResult {
 	now := s.settings.Clock()
 	st := s.streams.get(name)
 	st.expire(now.Add(-s.settings.Retention), s.settings.MaxEntries, s.Faults.Get().TruncateTo[name])
--- a/standin/logservice/logservice_test.go
+++ b/standin/logservice/logservice_test.go
@@ -13,8 +13,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
 )
 
@@ -28,7 +28,7 @@
 // fixture is a log service with a clock that the spec moves.
 type fixture struct {
 	service *logservice.Service
-	log     *platformhttp.Log
+	log     *porthttp.Log
 	now     atomic.Int64
 	// arrived gets a value for each request that has arrived whole.
 	arrived chan struct{}
@@ -55,7 +55,7 @@
 		f.service.ServeHTTP(w, r)
 	}))
 	DeferCleanup(server.Close)
-	f.log = platformhttp.NewLog(server.URL, nil)
+	f.log = porthttp.NewLog(server.URL, nil)
 	return f
 }
 
@@ -89,7 +89,7 @@
 	})
 
 	It("wakes a waiting read", func() {
-		result := make(chan platform.ReadResult, 1)
+		result := make(chan port.ReadResult, 1)
 		go func() {
 			defer GinkgoRecover()
 			r, err := f.log.Read(ctx, "s", 0, longWait)
@@ -143,7 +143,7 @@
 		appended(0)
 		appended(1)
 		_, err := f.log.Append(ctx, "t", []byte(`1`))
-		Expect(errors.Is(err, platform.ErrRateLimited)).To(BeTrue())
+		Expect(errors.Is(err, port.ErrRateLimited)).To(BeTrue())
 		f.advance(time.Second)
 		appended(2)
 	})
@@ -151,13 +151,13 @@
 	It("refuses before the effect", func() {
 		Expect(f.service.Faults.Set(`{"outage":"refuse"}`)).To(Succeed())
 		_, err := f.log.Append(ctx, "s", []byte(`1`))
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeTrue())
+		Expect(errors.Is(err, port.ErrNotAppended)).To(BeTrue())
 		_, err = f.log.Read(ctx, "s", 0, 0)
 		Expect(err).To(HaveOccurred())
 		Expect(next()).To(BeZero())
 		Expect(f.service.Faults.Set(`{"outage":"","refuse_appends":1}`)).To(Succeed())
 		_, err = f.log.Append(ctx, "s", []byte(`1`))
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeTrue())
+		Expect(errors.Is(err, port.ErrNotAppended)).To(BeTrue())
 		appended(0)
 	})
 
@@ -165,7 +165,7 @@
 		Expect(f.service.Faults.Set(faults)).To(Succeed())
 		_, err := f.log.Append(ctx, "s", []byte(`1`))
 		Expect(err).To(HaveOccurred())
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeFalse())
+		Expect(errors.Is(err, port.ErrNotAppended)).To(BeFalse())
 		Expect(next()).To(BeEquivalentTo(1))
 		Expect(f.service.Faults.Set(`{"outage":""}`)).To(Succeed())
 		appended(1)
@@ -183,7 +183,7 @@
 		}()
 		_, err := f.log.Append(short, "s", []byte(`1`))
 		Expect(err).To(HaveOccurred())
-		Expect(errors.Is(err, platform.ErrNotAppended)).To(BeFalse())
+		Expect(errors.Is(err, port.ErrNotAppended)).To(BeFalse())
 		Eventually(next).Should(BeEquivalentTo(1))
 	})
 
--- a/standin/logservice/stream.go
+++ b/standin/logservice/stream.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // streams holds all streams by name; a stream exists once it is named.
@@ -36,7 +36,7 @@
 // stored is an entry with the time at which it was appended.
 type stored struct {
 	at    time.Time
-	entry platform.Entry
+	entry port.Entry
 }
 
 // append adds an entry and returns its offset.
@@ -44,7 +44,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	offset := s.first + int64(len(s.entries))
-	s.entries = append(s.entries, stored{now, platform.Entry{Offset: offset, Data: data}})
+	s.entries = append(s.entries, stored{now, port.Entry{Offset: offset, Data: data}})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	return offset
@@ -75,13 +75,13 @@
 }
 
 // read returns at most count entries from an offset.
-func (s *stream) read(from int64, count int) platform.ReadResult {
+func (s *stream) read(from int64, count int) port.ReadResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := platform.ReadResult{
+	result := port.ReadResult{
 		First:   s.first,
 		Next:    s.first + int64(len(s.entries)),
-		Entries: []platform.Entry{},
+		Entries: []port.Entry{},
 	}
 	if from < result.First {
 		return result
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -21,7 +21,7 @@
 // EffectsPath is where the service tells the effects that it had.
 const EffectsPath = "/effects"
 
-// Values of platform.Refusal.Reason.
+// Values of port.Refusal.Reason.
 const (
 	refusedLeaving = "leaving"
 	refusedFault   = "not_ready"
@@ -30,7 +30,7 @@
 // Settings of a plain service's VM.
 type Settings struct {
 	// VM names the VM.
-	VM platform.VMID
+	VM port.VMID
 	// Latency is the time that a call takes.
 	Latency time.Duration
 	// Slots is the number of calls that the report names as capacity.
@@ -43,7 +43,7 @@
 }
 
 // DefaultSettings returns the settings of a fast service.
-func DefaultSettings(vm platform.VMID) Settings {
+func DefaultSettings(vm port.VMID) Settings {
 	return Settings{VM: vm, Latency: 20 * time.Millisecond, Slots: 32, Clock: time.Now}
 }
 
@@ -78,7 +78,7 @@
 	// Effect is the number of the key's effects on this VM so far.
 	Effect int `json:"effect"`
 	// VM ran the call.
-	VM platform.VMID `json:"vm"`
+	VM port.VMID `json:"vm"`
 	// Request is the caller's body once more.
 	Request json.RawMessage `json:"request"`
 }
@@ -132,11 +132,11 @@
 func (s *Service) report(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	state := platform.EngineReady
+	state := port.EngineReady
 	if s.leaving {
-		state = platform.EngineLeaving
+		state = port.EngineLeaving
 	}
-	web.WriteJSON(w, http.StatusOK, platform.Report{
+	web.WriteJSON(w, http.StatusOK, port.Report{
 		VM:      s.settings.VM,
 		Boot:    s.boot,
 		State:   state,
@@ -147,7 +147,7 @@
 }
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
-	var req platform.CallRequest
+	var req port.CallRequest
 	if !web.ReadJSON(w, r, &req) {
 		return
 	}
@@ -226,7 +226,7 @@
 }
 
 // effect counts the effect of a call.
-func (s *Service) effect(req platform.CallRequest) Answer {
+func (s *Service) effect(req port.CallRequest) Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	answer := Answer{VM: s.settings.VM, Request: req.Body, Effect: 1}
@@ -239,13 +239,13 @@
 	return answer
 }
 
-func (s *Service) answer(w http.ResponseWriter, req platform.CallRequest, a Answer) {
+func (s *Service) answer(w http.ResponseWriter, req port.CallRequest, a Answer) {
 	body, err := json.Marshal(a)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	web.WriteJSON(w, http.StatusOK, platform.CallResponse{RequestID: req.RequestID, Body: body})
+	web.WriteJSON(w, http.StatusOK, port.CallResponse{RequestID: req.RequestID, Body: body})
 }
 
 // Effects returns a copy of the effects so far.
--- a/standin/plainservice/plainservice_test.go
+++ b/standin/plainservice/plainservice_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
@@ -19,8 +19,8 @@
 var _ = Describe("the plain service stand-in", func() {
 	var (
 		service *plainservice.Service
-		call    func(ctx context.Context, key string) (platform.CallResponse, error)
-		report  func() platform.Report
+		call    func(ctx context.Context, key string) (port.CallResponse, error)
+		report  func() port.Report
 	)
 	ctx := context.Background()
 
@@ -29,13 +29,13 @@
 		server := httptest.NewServer(service)
 		DeferCleanup(server.Close)
 		address := strings.TrimPrefix(server.URL, "http://")
-		upstream := platformhttp.NewUpstream(nil)
-		call = func(ctx context.Context, key string) (platform.CallResponse, error) {
-			return upstream.Call(ctx, address, platform.CallRequest{
+		upstream := porthttp.NewUpstream(nil)
+		call = func(ctx context.Context, key string) (port.CallResponse, error) {
+			return upstream.Call(ctx, address, port.CallRequest{
 				RequestID: "r1", Class: "confirm", Key: key, Body: json.RawMessage(`{"wall":4}`),
 			})
 		}
-		report = func() platform.Report {
+		report = func() port.Report {
 			r, err := upstream.Report(ctx, address)
 			Expect(err).NotTo(HaveOccurred())
 			return r
@@ -79,7 +79,7 @@
 			service.Leave(ctx)
 			close(left)
 		}()
-		Eventually(report).Should(HaveField("State", platform.EngineLeaving))
+		Eventually(report).Should(HaveField("State", port.EngineLeaving))
 		_, err := call(ctx, "other")
 		Expect(verdict.From(err).Verdict).To(Equal(verdict.NotRun))
 		Expect(left).NotTo(BeClosed())
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
 )
 
@@ -93,7 +93,7 @@
 }
 
 // register puts a VM on the VM list.
-func register(ctx context.Context, list string, vm platform.VM) error {
+func register(ctx context.Context, list string, vm port.VM) error {
 	if list == "" {
 		return nil
 	}
--- a/standin/serve_test.go
+++ b/standin/serve_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
 )
 
@@ -49,11 +49,11 @@
 		defer stop()
 		stopped := make(chan error, 1)
 		go func() { stopped <- serveVM(running, l, vm) }()
-		upstream := platformhttp.NewUpstream(nil)
+		upstream := porthttp.NewUpstream(nil)
 		address := l.Addr().String()
 		answered := make(chan error, 1)
 		go func() {
-			_, err := upstream.Call(ctx, address, platform.CallRequest{RequestID: "r", Key: "k", Body: json.RawMessage(`{}`)})
+			_, err := upstream.Call(ctx, address, port.CallRequest{RequestID: "r", Key: "k", Body: json.RawMessage(`{}`)})
 			answered <- err
 		}()
 		Eventually(vm.forgotten, "10s").Should(BeClosed())
@@ -76,9 +76,9 @@
 	list, err := modelList([]string{text}, rate)
 	Expect(err == nil).To(Equal(good))
 	if good {
-		Expect(list).To(Equal(platform.ModelList{
+		Expect(list).To(Equal(port.ModelList{
 			BytesPerSecond: 2_000_000_000,
-			Models:         []platform.Model{{Name: "m", VMsPerReplica: 2, WeightBytes: 14_000_000_000}},
+			Models:         []port.Model{{Name: "m", VMsPerReplica: 2, WeightBytes: 14_000_000_000}},
 		}))
 	}
 },
--- a/standin/vmlist/vmlist.go
+++ b/standin/vmlist/vmlist.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -46,7 +46,7 @@
 	// Verb is what to do.
 	Verb ChangeVerb `json:"verb"`
 	// VM is the line concerned.
-	VM platform.VM `json:"vm"`
+	VM port.VM `json:"vm"`
 }
 
 // Faults are the fault switches.
@@ -68,7 +68,7 @@
 	router   *mux.Router
 
 	mu      sync.Mutex
-	visible map[platform.VMID]platform.VM
+	visible map[port.VMID]port.VM
 	pending []pendingChange
 }
 
@@ -84,7 +84,7 @@
 		Faults:   fault.New[Faults](),
 		settings: settings,
 		router:   mux.NewRouter(),
-		visible:  map[platform.VMID]platform.VM{},
+		visible:  map[port.VMID]port.VM{},
 	}
 	s.router.HandleFunc("/v1/vms", s.list).Methods(http.MethodGet)
 	s.router.HandleFunc("/v1/vms", s.change).Methods(http.MethodPost)
@@ -103,15 +103,15 @@
 }
 
 // VMs returns the list as it is visible now, by id.
-func (s *Service) VMs() []platform.VM {
+func (s *Service) VMs() []port.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.publish(s.settings.Clock())
-	vms := make([]platform.VM, 0, len(s.visible))
+	vms := make([]port.VM, 0, len(s.visible))
 	for _, vm := range s.visible {
 		vms = append(vms, vm)
 	}
-	slices.SortFunc(vms, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(vms, func(a, b port.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return vms
 }
 
@@ -148,7 +148,7 @@
 		http.Error(w, "outage", http.StatusServiceUnavailable)
 		return
 	}
-	web.WriteTagged(w, r, platform.VMList{VMs: s.VMs()})
+	web.WriteTagged(w, r, port.VMList{VMs: s.VMs()})
 }
 
 func (s *Service) change(w http.ResponseWriter, r *http.Request) {
--- a/standin/vmlist/vmlist_test.go
+++ b/standin/vmlist/vmlist_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
-	"github.com/tamarackcleat/tamarackcleat/platform/platformhttp"
+	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/port/porthttp"
 	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
 )
 
@@ -22,19 +22,19 @@
 	BeforeEach(func() {
 		now = time.Unix(0, 0)
 		list = vmlist.New(vmlist.Settings{Lag: 2 * time.Second, Clock: func() time.Time { return now }})
-		list.Apply(vmlist.Change{Verb: vmlist.Register, VM: platform.VM{ID: "b"}})
-		list.Apply(vmlist.Change{Verb: vmlist.Register, VM: platform.VM{ID: "a"}})
+		list.Apply(vmlist.Change{Verb: vmlist.Register, VM: port.VM{ID: "b"}})
+		list.Apply(vmlist.Change{Verb: vmlist.Register, VM: port.VM{ID: "a"}})
 	})
 
 	It("shows changes after the lag, sorted by id", func() {
 		Expect(list.VMs()).To(BeEmpty())
 		now = now.Add(2 * time.Second)
-		Expect(list.VMs()).To(Equal([]platform.VM{{ID: "a"}, {ID: "b"}}))
-		list.Apply(vmlist.Change{Verb: vmlist.Leave, VM: platform.VM{ID: "a"}})
-		list.Apply(vmlist.Change{Verb: vmlist.Remove, VM: platform.VM{ID: "b"}})
-		Expect(list.VMs()).To(Equal([]platform.VM{{ID: "a"}, {ID: "b"}}))
+		Expect(list.VMs()).To(Equal([]port.VM{{ID: "a"}, {ID: "b"}}))
+		list.Apply(vmlist.Change{Verb: vmlist.Leave, VM: port.VM{ID: "a"}})
+		list.Apply(vmlist.Change{Verb: vmlist.Remove, VM: port.VM{ID: "b"}})
+		Expect(list.VMs()).To(Equal([]port.VM{{ID: "a"}, {ID: "b"}}))
 		now = now.Add(2 * time.Second)
-		Expect(list.VMs()).To(Equal([]platform.VM{{ID: "a", Leaving: true}}))
+		Expect(list.VMs()).To(Equal([]port.VM{{ID: "a", Leaving: true}}))
 	})
 
 	It("stays as it is while it is frozen", func() {
@@ -58,7 +58,7 @@
 		Expect(post(`{"verb":"vanish","vm":{"id":"c"}}`)).To(Equal(http.StatusBadRequest))
 		Expect(post(`{"verb":"register","vm":{}}`)).To(Equal(http.StatusBadRequest))
 		now = now.Add(2 * time.Second)
-		inventory := platformhttp.NewInventory(server.URL, server.URL, nil)
+		inventory := porthttp.NewInventory(server.URL, server.URL, nil)
 		vms, err := inventory.VMs(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(vms).To(HaveLen(3))
--- a/standin/web/web.go
+++ b/standin/web/web.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // MaxBodyBytes bounds the body of a request to a stand-in.
@@ -60,5 +60,5 @@
 
 // Refuse answers that an upstream did not run a request.
 func Refuse(w http.ResponseWriter, status int, reason string) {
-	WriteJSON(w, status, platform.Refusal{NotRun: true, Reason: reason})
+	WriteJSON(w, status, port.Refusal{NotRun: true, Reason: reason})
 }
--- a/standin/weightstore/weightstore.go
+++ b/standin/weightstore/weightstore.go
@@ -10,7 +10,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/tamarackcleat/tamarackcleat/platform"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/web"
 )
@@ -18,7 +18,7 @@
 // Settings of a weight store.
 type Settings struct {
 	// List is what the store can serve and its rate.
-	List platform.ModelList
+	List port.ModelList
 	// Clock is the time of reservations.
 	Clock func() time.Time
 }
