--- /dev/null
+++ b/formation/driver.go
@@ -0,0 +1,125 @@
+package formation
+
+import (
+	"context"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
+)
+
+const (
+	// planEvery is the time between two plans.
+	planEvery = 100 * time.Millisecond
+	// orderTimeout bounds an order. One without an answer may still be
+	// carried out.
+	orderTimeout = time.Second
+	// probeTimeout bounds a probe; VMs answer within a few milliseconds.
+	probeTimeout = 250 * time.Millisecond
+)
+
+// Sender sends orders. The fence is the term of the lease; a VM that checks it
+// refuses orders of lower terms.
+type Sender interface {
+	Send(ctx context.Context, o Order, fence int64) Result
+}
+
+// Lease says whether this node may give orders, and under which term.
+type Lease interface {
+	Held() (term int64, held bool)
+}
+
+// Driver runs a planner while this node holds the control lease.
+type Driver struct {
+	Planner *Planner
+	Sender  Sender
+	Lease   Lease
+	// View returns what the node believes now.
+	View func() *fleet.View
+
+	results  chan outcome
+	suspects chan string
+}
+
+// outcome is an order with its result.
+type outcome struct {
+	order  Order
+	result Result
+}
+
+// pendingResults bounds results and suspicions that wait for the planner.
+const pendingResults = 1024
+
+// NewDriver returns a driver that is not running yet.
+func NewDriver(p *Planner, s Sender, l Lease, view func() *fleet.View) *Driver {
+	return &Driver{
+		Planner:  p,
+		Sender:   s,
+		Lease:    l,
+		View:     view,
+		results:  make(chan outcome, pendingResults),
+		suspects: make(chan string, pendingResults),
+	}
+}
+
+// Suspect reports that a replica's head stands still. It never blocks: a
+// suspicion that finds no room comes again.
+func (d *Driver) Suspect(head string) {
+	select {
+	case d.suspects <- head:
+	default:
+	}
+}
+
+// Run plans until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	term := int64(0)
+	for {
+		var orders []Order
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-d.results:
+			d.Planner.Done(bootclock.Now(), o.order, o.result)
+			continue
+		case head := <-d.suspects:
+			if now, held := d.Lease.Held(); held && now == term {
+				orders = d.Planner.Suspect(bootclock.Now(), d.View(), head)
+			}
+		case <-t.C:
+			now, held := d.Lease.Held()
+			if !held {
+				continue
+			}
+			if now != term {
+				term = now
+				d.Planner.Reset(term)
+			}
+			orders = d.Planner.Plan(bootclock.Now(), d.View())
+		}
+		for _, o := range orders {
+			go d.send(ctx, o, term)
+		}
+	}
+}
+
+// send sends an order if the lease still holds.
+func (d *Driver) send(ctx context.Context, o Order, term int64) {
+	if now, held := d.Lease.Held(); !held || now != term {
+		return
+	}
+	limit := orderTimeout
+	if o.Kind == Probe {
+		limit = probeTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	res := d.Sender.Send(ctx, o, term)
+	select {
+	case d.results <- outcome{o, res}:
+	case <-ctx.Done():
+		// The planner is behind; orders without a visible effect come again.
+	}
+}
--- /dev/null
+++ b/formation/form.go
@@ -0,0 +1,260 @@
+package formation
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/fleet"
+)
+
+const (
+	// rejoinTime is what a VM takes to join a replica of the model that its
+	// last one had.
+	rejoinTime = 200 * time.Millisecond
+)
+
+// free reports whether a VM can join a replica.
+func (r *round) free(vm fleet.VM) bool {
+	if vm.Leaving || r.dead(vm) {
+		return false
+	}
+	if end, ok := r.staging[vm.ID]; ok && r.now < end && len(vm.Staged) == 0 {
+		return false
+	}
+	for _, a := range r.replicas {
+		if !a.released && slices.Contains(a.members, vm.ID) {
+			return false
+		}
+	}
+	if vm.Member.Replica == "" {
+		return true
+	}
+	a, ok := r.replicas[vm.Member.Replica]
+	return ok && a.released
+}
+
+// freeByDomain returns the free VMs of a service by domain.
+func (r *round) freeByDomain(service string) map[string][]fleet.VM {
+	out := map[string][]fleet.VM{}
+	for _, id := range sortedNames(r.view.VMs) {
+		vm := r.view.VMs[id]
+		if vm.Service == service && r.free(vm) {
+			out[vm.Domain] = append(out[vm.Domain], vm)
+		}
+	}
+	return out
+}
+
+// joinTime returns how long a VM takes to join a replica of a model, and
+// whether it loads from the weight store.
+func joinTime(vm fleet.VM, m fleet.Model) (time.Duration, bool) {
+	switch {
+	case vm.Model == m.Name:
+		return rejoinTime, false
+	case slices.Contains(vm.Staged, m.Name):
+		return m.WarmTime, false
+	}
+	return m.LoadTime, true
+}
+
+// candidate is a set of VMs that could form a replica.
+type candidate struct {
+	model fleet.Model
+	vms   []fleet.VM
+	loads int
+	time  time.Duration
+	rank  float64
+}
+
+// form begins new replicas while there are VMs, demand and room for loads.
+func (r *round) form(s fleet.Service) {
+	for {
+		c, ok := r.bestCandidate(s)
+		if !ok {
+			return
+		}
+		r.begin(s, c)
+	}
+}
+
+// bestCandidate returns the replica to form next: that of the model that is
+// furthest behind its part, and among its domains the one that is ready first.
+func (r *round) bestCandidate(s fleet.Service) (candidate, bool) {
+	counts := r.counts(s.Name)
+	free := r.freeByDomain(s.Name)
+	total := r.total(s.Name)
+	var best candidate
+	found := false
+	for _, m := range s.Engine.Models {
+		want := m.Share * float64(total) / float64(m.Size)
+		if want <= 0 || float64(counts[m.Name]) >= want {
+			continue
+		}
+		rank := float64(counts[m.Name]) / want
+		for _, domain := range slices.Sorted(maps.Keys(free)) {
+			c, ok := r.candidate(s.Engine, m, free[domain])
+			if !ok {
+				continue
+			}
+			c.rank = rank
+			if !found || better(c, best) {
+				best, found = c, true
+			}
+		}
+	}
+	return best, found
+}
+
+// better orders candidates.
+func better(a, b candidate) bool {
+	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.time, b.time), cmp.Compare(a.loads, b.loads)) < 0
+}
+
+// candidate picks the VMs of a domain that are ready first.
+func (r *round) candidate(e *fleet.Engine, m fleet.Model, free []fleet.VM) (candidate, bool) {
+	if len(free) < m.Size {
+		return candidate{}, false
+	}
+	vms := slices.Clone(free)
+	slices.SortStableFunc(vms, func(a, b fleet.VM) int {
+		ta, _ := joinTime(a, m)
+		tb, _ := joinTime(b, m)
+		return cmp.Or(cmp.Compare(ta, tb), cmp.Compare(len(a.Staged), len(b.Staged)))
+	})
+	c := candidate{model: m, vms: vms[:m.Size]}
+	for _, vm := range c.vms {
+		t, load := joinTime(vm, m)
+		c.time = max(c.time, t)
+		if load {
+			c.loads++
+		}
+	}
+	return c, c.loads == 0 || r.mayLoad(e, c.loads)
+}
+
+// counts returns the replicas of a service by model, those forming included.
+func (r *round) counts(service string) map[string]int {
+	out := map[string]int{}
+	for _, a := range r.replicas {
+		if a.service == service && !a.released && a.lostAt == 0 {
+			out[a.model]++
+		}
+	}
+	return out
+}
+
+// total returns the number of usable VMs of a service.
+func (r *round) total(service string) int {
+	n := 0
+	for _, vm := range r.view.VMs {
+		if vm.Service == service && !vm.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// mayLoad reports whether loads may start now: few at once, because loads
+// beyond a number slow each other, and no more in a window than the weight
+// store allows.
+func (r *round) mayLoad(e *fleet.Engine, n int) bool {
+	r.loads = slices.DeleteFunc(r.loads, func(at time.Duration) bool { return r.now-at > r.s.LoadWindow })
+	allowed := int(e.LoadsPerSecond * r.s.LoadWindow.Seconds())
+	return r.loadsUnderWay() < e.LoadsAtOnce && len(r.loads)+n <= max(allowed, n)
+}
+
+// loadsUnderWay counts loads that were ordered and are not reported as done.
+func (r *round) loadsUnderWay() int {
+	n := 0
+	for _, a := range r.replicas {
+		if a.released || a.openSent {
+			continue
+		}
+		for id := range a.cold {
+			if vm := r.view.VMs[id]; vm.Member.Replica != a.name || vm.Member.State == fleet.MemberJoining {
+				n++
+			}
+		}
+	}
+	for id, end := range r.staging {
+		if vm, ok := r.view.VMs[id]; ok && len(vm.Staged) == 0 && r.now < end {
+			n++
+		}
+	}
+	return n
+}
+
+// noteLoads counts loads that start now.
+func (r *round) noteLoads(n int) {
+	for range n {
+		r.loads = append(r.loads, r.now)
+	}
+}
+
+// begin forms a replica.
+func (r *round) begin(s fleet.Service, c candidate) {
+	name, generation := r.newName()
+	a := &replica{
+		name:       name,
+		generation: generation,
+		model:      c.model.Name,
+		service:    s.Name,
+		formedAt:   r.now,
+		expect:     c.time * loadSlowdown,
+		sentAt:     map[string]time.Duration{},
+		cold:       map[string]bool{},
+	}
+	for _, vm := range c.vms {
+		a.members = append(a.members, vm.ID)
+		if _, load := joinTime(vm, c.model); load {
+			a.cold[vm.ID] = true
+		}
+	}
+	r.replicas[name] = a
+	r.noteLoads(c.loads)
+	r.s.Logger.Info("replica.formed", "replica", name, "generation", generation, "model", a.model,
+		"domain", c.vms[0].Domain, "members", a.members, "loads", c.loads, "expect_ms", c.time.Milliseconds())
+	for _, vm := range c.vms {
+		a.sentAt["join "+vm.ID] = r.now
+		delete(r.staging, vm.ID)
+		r.order(r.join(a, vm))
+	}
+}
+
+// loadSlowdown is the factor by which loads may take longer than alone.
+const loadSlowdown = 2
+
+// stage loads models onto the hosts of free VMs, so that they can replace lost
+// members at once.
+func (r *round) stage(s fleet.Service) {
+	free := r.freeByDomain(s.Name)
+	for _, domain := range slices.Sorted(maps.Keys(free)) {
+		held := map[string]int{}
+		for _, vm := range free[domain] {
+			for _, m := range vm.Staged {
+				held[m]++
+			}
+		}
+		for _, vm := range free[domain] {
+			if _, started := r.staging[vm.ID]; len(vm.Staged) > 0 || started || !r.mayLoad(s.Engine, 1) {
+				continue
+			}
+			m := fewestSpares(s.Engine.Models, held)
+			held[m.Name]++
+			r.staging[vm.ID] = r.now + loadSlowdown*m.LoadTime + joinSlack
+			r.noteLoads(1)
+			r.s.Logger.Info("upstream.staging", "upstream", vm.ID, "model", m.Name, "domain", domain)
+			r.order(Order{Kind: Stage, VM: vm.ID, Address: vm.Address, Model: m.Name})
+		}
+	}
+}
+
+// fewestSpares returns the model with the fewest spares for the number of VMs
+// that a replica may lose.
+func fewestSpares(models []fleet.Model, held map[string]int) fleet.Model {
+	return slices.MinFunc(models, func(a, b fleet.Model) int {
+		return cmp.Compare(float64(held[a.Name]+1)/float64(a.Size), float64(held[b.Name]+1)/float64(b.Size))
+	})
+}
--- /dev/null
+++ b/formation/planner.go
@@ -0,0 +1,498 @@
+// Package formation forms replicas out of upstream VMs and repairs them.
+//
+// What exists is read from the VMs' own reports, so a new holder of the control
+// lease needs no record of what the former one did. The guarantees:
+//   - a replica is opened only after every one of its members reported itself
+//     ready under its name, generation and list;
+//   - no VM joins a replica before the head of its former one was seen closed,
+//     or could not have gone on for the time after which it breaks by itself;
+//   - loads from the weight store start within its rate.
+package formation
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/fleet"
+)
+
+// OrderKind is what an order asks of a VM.
+type OrderKind string
+
+// Kinds of orders. A probe changes nothing: it asks whether the VM answers.
+const (
+	Join  OrderKind = "join"
+	Open  OrderKind = "open"
+	Close OrderKind = "close"
+	Leave OrderKind = "leave"
+	Stage OrderKind = "stage"
+	Probe OrderKind = "probe"
+)
+
+// Order is an order to one VM.
+type Order struct {
+	Kind OrderKind
+	// VM and Address say whom to send it to.
+	VM, Address string
+	// Replica and Generation identify the replica.
+	Replica    string
+	Generation int64
+	Model      string
+	// Members holds the ids of a joining replica's VMs by rank.
+	Members []string
+	// Abort cuts requests in flight off when a replica closes.
+	Abort bool
+}
+
+// Result is what became of an order.
+type Result struct {
+	// Accepted says that the VM answered that it has begun or done it.
+	Accepted bool
+	// Answered says that the VM answered at all.
+	Answered bool
+	// Status is for log lines.
+	Status string
+}
+
+// Settings configures a Planner.
+type Settings struct {
+	// Heartbeat is the time between two reports of a VM.
+	Heartbeat time.Duration
+	// Stall is how long a replica that lost a member stands still before it
+	// breaks.
+	Stall time.Duration
+	// LoadWindow is the window in which loads are counted.
+	LoadWindow time.Duration
+	Logger     *slog.Logger
+}
+
+const (
+	// resendAfter is when an order without visible effect is sent again; a
+	// report reaches this node within about half a second.
+	resendAfter = 700 * time.Millisecond
+	// stallMargin is added to the time after which a stalled replica breaks.
+	stallMargin = 600 * time.Millisecond
+	// joinSlack is the time beyond the expected load after which a replica
+	// that is not complete is given up; orders may be carried out late.
+	joinSlack = 3 * time.Second
+	// adoptAfter is how long an incomplete replica of a former holder may
+	// stand before its members are used for others.
+	adoptAfter = 3 * time.Second
+	// overdueFactor times the heartbeat is the silence after which a member
+	// is probed.
+	overdueFactor = 1.6
+	// probesToDead is the number of unanswered probes in a row that make a
+	// VM count as dead until it reports again.
+	probesToDead = 2
+	// generationsPerTerm is the number of generations that a term may use.
+	generationsPerTerm = 100_000
+)
+
+// replica is what the planner knows of a replica besides the reports.
+type replica struct {
+	name       string
+	generation int64
+	model      string
+	service    string
+	members    []string
+	formedAt   time.Duration
+	expect     time.Duration
+	openSent   bool
+	// lostAt is when the replica was seen to be incomplete after it opened.
+	lostAt time.Duration
+	// leftAt is when the first member was told to leave a replica whose head
+	// is out of reach.
+	leftAt   time.Duration
+	released bool
+	sentAt   map[string]time.Duration
+	// cold holds the members that load from the weight store to join.
+	cold map[string]bool
+}
+
+// silence counts a VM's unanswered probes.
+type silence struct {
+	probes  int
+	sentAt  time.Duration
+	deadAt  time.Duration
+	pending bool
+}
+
+// Planner decides on orders. It is used from one goroutine.
+type Planner struct {
+	s          Settings
+	term       int64
+	generation int64
+	replicas   map[string]*replica
+	silent     map[string]*silence
+	staging    map[string]time.Duration
+	// loads holds the starts of loads within the window.
+	loads []time.Duration
+}
+
+// NewPlanner returns a Planner without knowledge.
+func NewPlanner(s Settings) *Planner {
+	p := &Planner{s: s}
+	p.Reset(0)
+	return p
+}
+
+// Reset begins a term; what was known of an earlier one is forgotten.
+func (p *Planner) Reset(term int64) {
+	p.term, p.generation = term, 0
+	p.replicas = map[string]*replica{}
+	p.silent = map[string]*silence{}
+	p.staging = map[string]time.Duration{}
+	p.loads = nil
+}
+
+// Plan returns the orders to send now.
+func (p *Planner) Plan(now time.Duration, v *fleet.View) []Order {
+	if v.Config == nil {
+		return nil
+	}
+	round := &round{Planner: p, now: now, view: v, reported: map[string]fleet.Replica{}}
+	for _, r := range fleet.Replicas(v.VMs) {
+		round.reported[r.Name] = r
+		round.adopt(r)
+	}
+	for _, name := range sortedNames(p.replicas) {
+		round.advance(p.replicas[name])
+	}
+	round.probeOverdue()
+	for _, name := range sortedNames(v.Config.Services) {
+		if s := v.Config.Services[name]; s.Engine != nil {
+			round.form(s)
+			round.stage(s)
+		}
+	}
+	return round.orders
+}
+
+// Suspect asks to probe the members of a replica that stands still.
+func (p *Planner) Suspect(now time.Duration, v *fleet.View, head string) []Order {
+	vm, ok := v.VMs[head]
+	if !ok || v.Config == nil {
+		return nil
+	}
+	round := &round{Planner: p, now: now, view: v}
+	for _, r := range fleet.Replicas(v.VMs) {
+		if r.Name != vm.Member.Replica {
+			continue
+		}
+		for _, m := range r.Members {
+			round.probe(m)
+		}
+	}
+	return round.orders
+}
+
+// Done takes the result of an order.
+func (p *Planner) Done(now time.Duration, o Order, res Result) {
+	switch o.Kind {
+	case Probe:
+		p.probed(now, o, res)
+	case Leave:
+		if r, ok := p.replicas[o.Replica]; ok && res.Answered && r.leftAt == 0 {
+			r.leftAt = now
+		}
+	case Open, Close, Join, Stage:
+		if !res.Accepted {
+			p.s.Logger.Warn("order.not_accepted", "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
+				"generation", o.Generation, "model", o.Model, "status", res.Status)
+		}
+	}
+}
+
+// probed counts an unanswered probe.
+func (p *Planner) probed(now time.Duration, o Order, res Result) {
+	s, ok := p.silent[o.VM]
+	if !ok {
+		return
+	}
+	s.pending = false
+	if res.Answered {
+		delete(p.silent, o.VM)
+		return
+	}
+	s.probes++
+	if s.probes == probesToDead {
+		s.deadAt = now
+		p.s.Logger.Warn("upstream.dead", "upstream", o.VM, "probes", s.probes)
+	}
+}
+
+// dead reports whether a VM doesn't answer and has not reported since.
+func (p *Planner) dead(vm fleet.VM) bool {
+	s, ok := p.silent[vm.ID]
+	return ok && s.deadAt > 0 && vm.HeardAt < s.deadAt
+}
+
+// round is one call of Plan.
+type round struct {
+	*Planner
+	now      time.Duration
+	view     *fleet.View
+	reported map[string]fleet.Replica
+	orders   []Order
+}
+
+func (r *round) order(o Order) {
+	r.orders = append(r.orders, o)
+}
+
+// adopt begins to follow a replica that this term did not form.
+func (r *round) adopt(rep fleet.Replica) {
+	if _, known := r.replicas[rep.Name]; known {
+		return
+	}
+	a := &replica{
+		name:       rep.Name,
+		generation: rep.Generation,
+		model:      rep.Model,
+		service:    rep.Service,
+		formedAt:   r.now,
+		expect:     adoptAfter,
+		sentAt:     map[string]time.Duration{},
+	}
+	for _, m := range rep.Members {
+		a.members = append(a.members, m.ID)
+		// Whether the former holder opened it is only seen on the head.
+		if s := m.Member.State; s == fleet.MemberOpen || s == fleet.MemberClosing {
+			a.openSent = true
+		}
+		if s := m.Member.State; s == fleet.MemberJoining && r.expectJoin(rep, m) > a.expect {
+			a.expect = r.expectJoin(rep, m)
+		}
+	}
+	if head, ok := rep.Head(); !ok || head.Member.Rank != 0 {
+		// The head is out of sight, so it may be open.
+		a.openSent = true
+	}
+	r.replicas[rep.Name] = a
+	r.s.Logger.Info("replica.adopted", "replica", a.name, "generation", a.generation, "model", a.model, "members", a.members)
+}
+
+// expectJoin returns how long a joining member may take.
+func (r *round) expectJoin(rep fleet.Replica, vm fleet.VM) time.Duration {
+	s, ok := r.view.Config.Services[rep.Service]
+	if !ok || s.Engine == nil {
+		return adoptAfter
+	}
+	m, ok := s.Engine.Model(rep.Model)
+	if !ok {
+		return adoptAfter
+	}
+	return m.LoadTime + joinSlack
+}
+
+// advance brings a replica forward: opens, closes or releases it.
+func (r *round) advance(a *replica) {
+	if a.released {
+		r.forget(a)
+		return
+	}
+	rep := r.reported[a.name]
+	size := r.size(a)
+	present, ready, leaving := 0, 0, false
+	for _, m := range rep.Members {
+		if m.Member.Generation != a.generation || r.dead(m) {
+			continue
+		}
+		present++
+		leaving = leaving || m.Leaving
+		if m.Member.State == fleet.MemberReady || m.Member.State == fleet.MemberOpen {
+			ready++
+		}
+	}
+	switch {
+	case a.openSent && (present < size || leaving):
+		r.dismantle(a, rep, leaving && present == size)
+	case !a.openSent && ready == size && !leaving:
+		r.open(a, rep)
+	case !a.openSent:
+		r.await(a, rep, leaving)
+	case rep.Members[0].Member.State == fleet.MemberBroken:
+		r.release(a, "broken")
+	case rep.Members[0].Member.State == fleet.MemberReady:
+		r.open(a, rep)
+	}
+}
+
+// size returns the number of VMs of a replica; 0 is never complete.
+func (r *round) size(a *replica) int {
+	if s, ok := r.view.Config.Services[a.service]; ok && s.Engine != nil {
+		if m, ok := s.Engine.Model(a.model); ok {
+			return m.Size
+		}
+	}
+	return len(a.members)
+}
+
+// open orders the head to serve.
+func (r *round) open(a *replica, rep fleet.Replica) {
+	head, ok := rep.Head()
+	if !ok || !r.due(a, "open") {
+		return
+	}
+	if !a.openSent {
+		r.s.Logger.Info("replica.opening", "replica", a.name, "generation", a.generation, "model", a.model,
+			"after_ms", (r.now - a.formedAt).Milliseconds())
+	}
+	a.openSent = true
+	r.order(Order{Kind: Open, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
+}
+
+// due reports whether an order may be sent (again) now.
+func (r *round) due(a *replica, what string) bool {
+	at, sent := a.sentAt[what]
+	if sent && r.now-at < resendAfter {
+		return false
+	}
+	a.sentAt[what] = r.now
+	return true
+}
+
+// await waits for members to become ready, and gives up if one can't.
+func (r *round) await(a *replica, rep fleet.Replica, leaving bool) {
+	lost := leaving
+	for _, id := range a.members {
+		vm, ok := r.view.VMs[id]
+		if !ok || r.dead(vm) || vm.Leaving {
+			lost = true
+		}
+	}
+	if lost || r.now-a.formedAt > a.expect+joinSlack {
+		// It was never opened, so its members are free at once.
+		r.release(a, "incomplete")
+		return
+	}
+	if a.generation/generationsPerTerm != r.term {
+		return
+	}
+	for _, id := range a.members {
+		vm := r.view.VMs[id]
+		if vm.Member.Replica != a.name && r.due(a, "join "+id) {
+			r.order(r.join(a, vm))
+		}
+	}
+}
+
+func (r *round) join(a *replica, vm fleet.VM) Order {
+	return Order{
+		Kind: Join, VM: vm.ID, Address: vm.Address, Replica: a.name, Generation: a.generation,
+		Model: a.model, Members: a.members,
+	}
+}
+
+// dismantle ends a replica that lost a member, or loses one to planned work.
+// Its members are free once its head is closed.
+func (r *round) dismantle(a *replica, rep fleet.Replica, planned bool) {
+	if a.lostAt == 0 {
+		a.lostAt = r.now
+		r.s.Logger.Info("replica.dismantled", "replica", a.name, "generation", a.generation, "model", a.model,
+			"planned", planned, "members", a.members, "reporting", len(rep.Members))
+	}
+	head, ok := rep.Head()
+	if ok && head.Member.Generation == a.generation && !r.dead(head) {
+		switch head.Member.State {
+		case fleet.MemberOpen, fleet.MemberClosing:
+			what := "close"
+			if !planned {
+				what = "cut"
+			}
+			if r.due(a, what) {
+				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation, Abort: !planned})
+			}
+		default:
+			r.release(a, "closed")
+		}
+		return
+	}
+	r.abandon(a, rep)
+}
+
+// abandon ends a replica whose head is out of reach: the other members leave,
+// and it breaks when it has stood still for long enough.
+func (r *round) abandon(a *replica, rep fleet.Replica) {
+	if len(rep.Members) == 0 && a.leftAt == 0 {
+		a.leftAt = r.now
+	}
+	for _, m := range rep.Members {
+		if m.Member.Rank != 0 && !r.dead(m) && r.due(a, "leave "+m.ID) {
+			r.order(Order{Kind: Leave, VM: m.ID, Address: m.Address, Replica: a.name, Generation: a.generation})
+		}
+	}
+	if a.leftAt > 0 && r.now-a.leftAt > r.s.Stall+stallMargin {
+		r.release(a, "head_gone")
+	}
+}
+
+// release frees the members for other replicas.
+func (r *round) release(a *replica, why string) {
+	a.released = true
+	r.s.Logger.Info("replica.released", "replica", a.name, "generation", a.generation, "why", why,
+		"after_ms", (r.now - a.formedAt).Milliseconds())
+}
+
+// forget drops a released replica once nobody reports it.
+func (r *round) forget(a *replica) {
+	if _, reported := r.reported[a.name]; !reported {
+		delete(r.replicas, a.name)
+	}
+}
+
+// probeOverdue probes members whose reports are overdue while others' arrive.
+func (r *round) probeOverdue() {
+	newest := time.Duration(0)
+	for _, vm := range r.view.VMs {
+		newest = max(newest, vm.HeardAt)
+	}
+	limit := time.Duration(overdueFactor * float64(r.s.Heartbeat))
+	if r.now-newest > limit {
+		return
+	}
+	for id := range r.silent {
+		if vm, ok := r.view.VMs[id]; !ok || vm.HeardAt > r.silent[id].sentAt {
+			delete(r.silent, id)
+		}
+	}
+	for _, id := range sortedNames(r.view.VMs) {
+		vm := r.view.VMs[id]
+		if vm.Member.Replica != "" && r.now-vm.HeardAt > limit {
+			r.probe(vm)
+		}
+	}
+}
+
+// probe asks a VM whether it answers, unless it is known to be dead.
+func (r *round) probe(vm fleet.VM) {
+	s, ok := r.silent[vm.ID]
+	if !ok {
+		s = &silence{}
+		r.silent[vm.ID] = s
+	}
+	if s.pending || s.deadAt > 0 {
+		return
+	}
+	s.pending, s.sentAt = true, r.now
+	r.order(Order{Kind: Probe, VM: vm.ID, Address: vm.Address, Replica: vm.Member.Replica})
+}
+
+// sortedNames returns the keys of a map in order.
+func sortedNames[T any](m map[string]T) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// newName returns the name of the next replica; names are never used twice.
+func (r *round) newName() (string, int64) {
+	r.generation++
+	g := r.term*generationsPerTerm + r.generation
+	return fmt.Sprintf("r%d", g), g
+}
--- /dev/null
+++ b/gateway/node.go
@@ -0,0 +1,262 @@
+// Package gateway is the data path of an entry VM on a platform whose
+// upstreams report themselves in a keyed log: it takes callers' requests, sends
+// them to upstreams and passes the answers on.
+//
+// The guarantees: a request that may not be repeated is sent again only after
+// a proof that it did not run; a refusal that says so is never given to a
+// request that may have run; an answer is passed on as complete only if the
+// upstream's was; a key is honoured only while the configuration is proved to
+// be current.
+package gateway
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/exchange"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/retry"
+)
+
+const (
+	// dialUpstream bounds the time to connect to an upstream; connections
+	// take a few milliseconds, and one lost packet costs 200 ms or more.
+	dialUpstream = 400 * time.Millisecond
+	// userTimeout gives up a connection whose bytes stay unacknowledged.
+	userTimeout = 1500 * time.Millisecond
+	// watchEvery is how often upstreams are checked for silence.
+	watchEvery = 50 * time.Millisecond
+	// sweepEvery is how often idle connections are checked.
+	sweepEvery = time.Second
+	// configWait and vmWait are how long the log holds reads. Each answer
+	// proves freshness, so they stay below the bounds on stale beliefs.
+	configWait = time.Second
+	vmWait     = time.Second
+	// vmPause collects the reports of all upstreams, tens a second, into few
+	// reads; drain bounds are seconds.
+	vmPause = 250 * time.Millisecond
+	// configPause separates the reads of configurations in quick succession.
+	configPause = 100 * time.Millisecond
+	// maxHeader bounds a request's header before a configuration says more.
+	maxHeader = 64 << 10
+)
+
+// Streams names the keyed streams of the log.
+type Streams struct {
+	// Config holds the configuration under ConfigKey, VMs the reports of
+	// upstreams under their ids.
+	Config, ConfigKey, VMs string
+}
+
+// Outside is what the node needs of the outside world.
+type Outside struct {
+	Protocol Protocol
+	Decoder  Decoder
+	Log      keyed.Log
+	Streams  Streams
+}
+
+// Node is one entry VM's process.
+type Node struct {
+	settings Settings
+	outside  Outside
+	logger   *slog.Logger
+	registry metrics.Registry
+	state    *state
+	balancer *dispatch.Balancer
+	pool     *exchange.Pool
+	flights  *flights
+	onSilent func(vm string)
+	draining atomic.Bool
+	active   atomic.Int64
+
+	budgetMu sync.Mutex
+	budgets  map[string]*retry.Budget
+}
+
+// New assembles a node; nothing runs before Run.
+func New(s Settings, o Outside, logger *slog.Logger) *Node {
+	n := &Node{
+		settings: s,
+		outside:  o,
+		logger:   logger,
+		registry: metrics.NewRegistry(),
+		state:    newState(o.Decoder, o.Streams.ConfigKey, logger),
+		balancer: dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		flights:  newFlights(),
+		onSilent: func(string) {},
+		budgets:  map[string]*retry.Budget{},
+	}
+	n.pool = exchange.NewPool(exchange.Options{
+		DialTimeout: dialUpstream,
+		UserTimeout: userTimeout,
+		Opened:      func() { n.count("upstream.connections") },
+	})
+	return n
+}
+
+// View returns what the node believes now.
+func (n *Node) View() *fleet.View { return n.state.View() }
+
+// OnSilent calls f with the VM of an upstream that stands still; it is set
+// before Run.
+func (n *Node) OnSilent(f func(vm string)) { n.onSilent = f }
+
+// count adds one to a counter.
+func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
+
+// Run serves until the context ends and then drains.
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", n.settings.ListenCaller)
+	if err != nil {
+		return errors.Wrap(err, "listening for callers")
+	}
+	ready, err := net.Listen("tcp", n.settings.ListenReady)
+	if err != nil {
+		return errors.Wrap(err, "listening for the balancer")
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	n.follow(background)
+	go n.watch(background)
+	front := n.callerServer()
+	health := &http.Server{Handler: n.readyHandler(), ErrorLog: n.httpErrors()}
+	failed := make(chan error, 2)
+	go func() { failed <- front.Serve(callers) }()
+	go func() { failed <- health.Serve(ready) }()
+	n.logger.Info("node.started", "callers", n.settings.ListenCaller, "zone", n.settings.Zone)
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serving")
+	case <-ctx.Done():
+		n.drain()
+		return nil
+	}
+}
+
+// callerServer serves callers' requests.
+func (n *Node) callerServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(n.serve),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          n.httpErrors(),
+	}
+}
+
+const (
+	// headerTimeout ends the wait for a slow caller's header; it lies above
+	// what configurations allow, which is checked besides.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' idle connections; callers reuse them for
+	// up to four fifths of the configured time, which lies below.
+	idleTimeout = 60 * time.Second
+)
+
+// httpErrors takes what the HTTP server has to say of broken connections.
+func (n *Node) httpErrors() *log.Logger {
+	return slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug)
+}
+
+// follow starts to read the streams of the log.
+func (n *Node) follow(ctx context.Context) {
+	s := n.outside.Streams
+	config := &keyed.Follower{Stream: s.Config, Wait: configWait, Pause: configPause, Apply: n.state.applyConfig}
+	vms := &keyed.Follower{Stream: s.VMs, Wait: vmWait, Pause: vmPause, Apply: n.state.applyVMs}
+	for _, f := range []*keyed.Follower{config, vms} {
+		f.Log, f.Logger = n.outside.Log, n.logger
+		f.Failed = func(err error) {
+			n.count("log.read_failed")
+			n.logger.Warn("log.read_failed", "stream", f.Stream, "error", err)
+		}
+		go f.Run(ctx)
+	}
+}
+
+// readyHandler answers the balancer.
+func (n *Node) readyHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(n.outside.Protocol.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
+		if !n.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}).Methods(http.MethodGet)
+	return r
+}
+
+// ready reports whether the balancer should send new connections.
+func (n *Node) ready() bool {
+	return !n.draining.Load() && n.state.View().Config != nil && !n.stale()
+}
+
+// stale reports whether keys may not be honoured for want of a proof that the
+// configuration is current.
+func (n *Node) stale() bool {
+	return n.settings.Bounds.Revoke > 0 && n.state.configAge() > n.settings.Bounds.Revoke-revokeMargin
+}
+
+// revokeMargin is the time that a request may take between the check of its key
+// and the upstream.
+const revokeMargin = 300 * time.Millisecond
+
+// watch looks for silent upstreams and idle connections.
+func (n *Node) watch(ctx context.Context) {
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.cancelSilent(now)
+			if now.Sub(swept) >= sweepEvery {
+				swept = now
+				n.pool.Sweep()
+			}
+		}
+	}
+}
+
+const (
+	// drainNotice is how long the balancer takes to see that the node is not
+	// ready: two questions, a second apart, and one more.
+	drainNotice = 2500 * time.Millisecond
+	// drainShare is the part of the grace period after which the process
+	// ends with requests still in flight.
+	drainShare = 0.9
+	// drainPoll is how often the end of the last request is looked for.
+	drainPoll = 50 * time.Millisecond
+)
+
+// drain waits until the balancer has taken the node out and requests in flight
+// have ended.
+func (n *Node) drain() {
+	n.draining.Store(true)
+	started := time.Now()
+	n.logger.Info("node.draining", "in_flight", n.active.Load())
+	limit := time.Duration(drainShare * float64(n.settings.Bounds.Grace))
+	for time.Since(started) < limit {
+		if time.Since(started) > drainNotice && n.active.Load() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	n.logger.Info("node.stopped", "in_flight", n.active.Load(), "after_ms", since(started))
+}
--- /dev/null
+++ b/gateway/settings.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings are the process settings of a gateway node.
+type Settings struct {
+	// Node names the VM; Zone is its availability zone.
+	Node, Zone string
+	// ListenCaller takes requests of callers, ListenReady the balancer's
+	// question whether the node is ready; both are host:port.
+	ListenCaller, ListenReady string
+	// PeerIP and PeerPort are where other nodes reach this one; port 0 for
+	// none. The port is the same on all nodes.
+	PeerIP   netip.Addr
+	PeerPort int
+	// Bootstrap says that the whole deployment starts for the first time.
+	Bootstrap bool
+	// MemoryBytes and Descriptors are the process's limits.
+	MemoryBytes int64
+	Descriptors int
+	// Heartbeat is the time between two reports of an upstream VM.
+	Heartbeat time.Duration
+	// Bounds holds what the deployment promises.
+	Bounds Bounds
+}
+
+// Bounds are the deployment's promises, from which timeouts are derived.
+type Bounds struct {
+	// ConfigApply is when a configuration is in force everywhere.
+	ConfigApply time.Duration
+	// Drain is when a leaving upstream gets no more requests.
+	Drain time.Duration
+	// Revoke is when a revoked key is refused everywhere; 0 for no bound.
+	Revoke time.Duration
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Stall is how long an upstream's work stands still before it is cut off
+	// because a member is lost.
+	Stall time.Duration
+	// RetryRatio and RetrySlack bound all nodes' retries to a service in a
+	// RetryWindow: the ratio times its requests plus the slack.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// CeilingWindow is the window in which loads from the weight store are
+	// counted.
+	CeilingWindow time.Duration
+}
--- a/health/share.go
+++ b/health/share.go
@@ -30,14 +30,14 @@
 	// Gone says that the VM left the node's share.
 	Gone bool `json:"gone,omitempty"`
 	// Alive says that the VM has reported lately.
-	Alive       bool                 `json:"alive,omitempty"`
-	Boot        string               `json:"boot,omitempty"`
+	Alive       bool             `json:"alive,omitempty"`
+	Boot        string           `json:"boot,omitempty"`
 	State       port.EngineState `json:"state,omitempty"`
-	Replica     string               `json:"replica,omitempty"`
-	Generation  int64                `json:"generation,omitempty"`
-	Rank        int                  `json:"rank,omitempty"`
-	Model       string               `json:"model,omitempty"`
-	HeldWeights []string             `json:"held_weights,omitempty"`
+	Replica     string           `json:"replica,omitempty"`
+	Generation  int64            `json:"generation,omitempty"`
+	Rank        int              `json:"rank,omitempty"`
+	Model       string           `json:"model,omitempty"`
+	HeldWeights []string         `json:"held_weights,omitempty"`
 	// Busy says that requests run on the VM.
 	Busy bool `json:"busy,omitempty"`
 }
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -36,6 +36,17 @@
 	ReasonTooLarge Reason = "too_large"
 	// ReasonUnknownClass marks a class that the configuration does not declare.
 	ReasonUnknownClass Reason = "unknown_class"
+	// ReasonNoRoute marks a host and path that no route serves.
+	ReasonNoRoute Reason = "no_route"
+	// ReasonAPIKeyUnknown marks an API key that no team holds.
+	ReasonAPIKeyUnknown Reason = "api_key_unknown"
+	// ReasonConfigStale marks a node that can't show that its configuration
+	// is current.
+	ReasonConfigStale Reason = "configuration_stale"
+	// ReasonBadAnswer marks an upstream's answer that breaks the protocol.
+	ReasonBadAnswer Reason = "bad_answer"
+	// ReasonUpstreamError marks an upstream's own failure of the request.
+	ReasonUpstreamError Reason = "upstream_error"
 	// ReasonUnknownRequest marks a request id that the node does not know.
 	ReasonUnknownRequest Reason = "unknown_request"
 	// ReasonNoConfig marks a node that has no configuration yet.
