Form replicas once the list of VMs has settled; probe what stands still

Cause: the first plans saw domains that had not registered whole, formed small replicas and staged single VMs, so that only four of the large model's six replicas fitted. Probe results were lost to a timer of their own, so dead VMs were known only when their entries lapsed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,7 +44,9 @@
 
 // load is what is known of one upstream.
 type load struct {
-	inFlight  int
+	inFlight int
+	// writing counts requests whose first event has come.
+	writing   int
 	unread    int
 	progress  time.Time
 	suspected time.Time
@@ -202,6 +204,7 @@
 	if !t.read {
 		t.read = true
 		l.unread -= t.prompt
+		l.writing++
 	}
 }
 
@@ -218,8 +221,9 @@
 	defer b.mu.Unlock()
 	l := b.of(t.Target)
 	l.inFlight--
-	if !t.read {
-		t.read = true
+	if t.read {
+		l.writing--
+	} else {
 		l.unread -= t.prompt
 	}
 	if l.inFlight == 0 && now.After(l.suspected) {
@@ -234,15 +238,26 @@
 	b.of(t).suspected = now.Add(suspectFor)
 }
 
+// Limits are the silences after which an upstream stands still: Writing with a
+// request that it is answering, Reading with none of which it has begun to.
+type Limits struct{ Writing, Reading time.Duration }
+
 // Silent returns the upstreams with requests of this node that have sent
-// nothing for longer than limit.
-func (b *Balancer) Silent(now time.Time, targets []fleet.Target, limit time.Duration) []fleet.Target {
+// nothing for longer than a limit.
+func (b *Balancer) Silent(now time.Time, targets []fleet.Target, limits Limits) []fleet.Target {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out []fleet.Target
 	for _, t := range targets {
 		l, ok := b.loads[keyOf(t)]
-		if ok && l.inFlight > 0 && now.Sub(l.progress) > limit {
+		if !ok || l.inFlight == 0 {
+			continue
+		}
+		limit := limits.Reading
+		if l.writing > 0 {
+			limit = limits.Writing
+		}
+		if now.Sub(l.progress) > limit {
 			out = append(out, t)
 		}
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -88,6 +88,18 @@
 	v.targets[p] = append(v.targets[p], t)
 }
 
+// TargetOf returns a replica that may take requests by its name.
+func (v *View) TargetOf(replica string) (Target, bool) {
+	for _, list := range v.targets {
+		for _, t := range list {
+			if t.Replica == replica {
+				return t, true
+			}
+		}
+	}
+	return Target{}, false
+}
+
 // Targets returns what may take requests of a service for a model, by id. The
 // model is empty for a plain service.
 func (v *View) Targets(service, model string) []Target {
--- a/formation/driver.go
+++ b/formation/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
@@ -39,6 +40,7 @@
 
 	results  chan outcome
 	suspects chan string
+	dead     atomic.Pointer[[]string]
 }
 
 // outcome is an order with its result.
@@ -71,6 +73,17 @@
 	}
 }
 
+// Dead returns the VMs that don't answer this node, if it gives the orders.
+func (d *Driver) Dead() []string {
+	if _, held := d.Lease.Held(); !held {
+		return nil
+	}
+	if dead := d.dead.Load(); dead != nil {
+		return *dead
+	}
+	return nil
+}
+
 // Run plans until the context ends.
 func (d *Driver) Run(ctx context.Context) {
 	t := time.NewTicker(planEvery)
@@ -82,8 +95,7 @@
 		case <-ctx.Done():
 			return
 		case o := <-d.results:
-			d.Planner.Done(bootclock.Now(), o.order, o.result)
-			continue
+			orders = d.Planner.Done(bootclock.Now(), o.order, o.result)
 		case head := <-d.suspects:
 			if now, held := d.Lease.Held(); held && now == term {
 				orders = d.Planner.Suspect(bootclock.Now(), d.View(), head)
@@ -99,6 +111,8 @@
 			}
 			orders = d.Planner.Plan(bootclock.Now(), d.View())
 		}
+		dead := d.Planner.Dead()
+		d.dead.Store(&dead)
 		for _, o := range orders {
 			go d.send(ctx, o, term)
 		}
@@ -114,12 +128,11 @@
 	if o.Kind == Probe {
 		limit = probeTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	res := d.Sender.Send(ctx, o, term)
+	res := d.Sender.Send(bounded, o, term)
 	select {
 	case d.results <- outcome{o, res}:
 	case <-ctx.Done():
-		// The planner is behind; orders without a visible effect come again.
 	}
 }
--- a/formation/form.go
+++ b/formation/form.go
@@ -68,17 +68,34 @@
 	rank  float64
 }
 
-// form begins new replicas while there are VMs, demand and room for loads.
-func (r *round) form(s fleet.Service) {
+// form begins new replicas while there are VMs, demand and room for loads. It
+// reports whether one still waits for its VMs to answer or for room.
+func (r *round) form(s fleet.Service) bool {
 	for {
 		c, ok := r.bestCandidate(s)
 		if !ok {
-			return
+			return false
+		}
+		if c.loads > 0 && !r.mayLoad(s.Engine, c.loads) || !r.confirm(c) {
+			return true
 		}
 		r.begin(s, c)
 	}
 }
 
+// confirm reports whether all VMs of a candidate showed lately that they can be
+// ordered, and probes those that didn't.
+func (r *round) confirm(c candidate) bool {
+	ok := true
+	for _, vm := range c.vms {
+		if !r.fresh(vm) {
+			ok = false
+			r.probe(vm)
+		}
+	}
+	return ok
+}
+
 // bestCandidate returns the replica to form next: that of the model that is
 // furthest behind its part, and among its domains the one that is ready first.
 func (r *round) bestCandidate(s fleet.Service) (candidate, bool) {
@@ -94,7 +111,7 @@
 		}
 		rank := float64(counts[m.Name]) / want
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			c, ok := r.candidate(s.Engine, m, free[domain])
+			c, ok := newCandidate(m, free[domain])
 			if !ok {
 				continue
 			}
@@ -112,8 +129,8 @@
 	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.time, b.time), cmp.Compare(a.loads, b.loads)) < 0
 }
 
-// candidate picks the VMs of a domain that are ready first.
-func (r *round) candidate(e *fleet.Engine, m fleet.Model, free []fleet.VM) (candidate, bool) {
+// newCandidate picks the VMs of a domain that are ready first.
+func newCandidate(m fleet.Model, free []fleet.VM) (candidate, bool) {
 	if len(free) < m.Size {
 		return candidate{}, false
 	}
@@ -131,7 +148,7 @@
 			c.loads++
 		}
 	}
-	return c, c.loads == 0 || r.mayLoad(e, c.loads)
+	return c, true
 }
 
 // counts returns the replicas of a service by model, those forming included.
@@ -160,11 +177,29 @@
 // beyond a number slow each other, and no more in a window than the weight
 // store allows.
 func (r *round) mayLoad(e *fleet.Engine, n int) bool {
+	if r.s.Idle() {
+		return r.loadsUnderWay() < idleFactor*e.LoadsAtOnce
+	}
 	r.loads = slices.DeleteFunc(r.loads, func(at time.Duration) bool { return r.now-at > r.s.LoadWindow })
 	allowed := int(e.LoadsPerSecond * r.s.LoadWindow.Seconds())
-	return r.loadsUnderWay() < e.LoadsAtOnce && len(r.loads)+n <= max(allowed, n)
+	atOnce := e.LoadsAtOnce
+	if n <= repairLoads {
+		atOnce *= repairFactor
+	}
+	return r.loadsUnderWay() < atOnce && len(r.loads)+n <= max(allowed, n)
 }
 
+const (
+	// idleFactor times the loads that don't slow each other may be under way
+	// before the first request: a load that starts before it stays quick.
+	idleFactor = 3
+	// repairLoads is the number of loads up to which a replica counts as
+	// repaired rather than formed; repairs may slow other loads by
+	// repairFactor.
+	repairLoads  = 2
+	repairFactor = 2
+)
+
 // loadsUnderWay counts loads that were ordered and are not reported as done.
 func (r *round) loadsUnderWay() int {
 	n := 0
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -65,7 +66,10 @@
 	Stall time.Duration
 	// LoadWindow is the window in which loads are counted.
 	LoadWindow time.Duration
-	Logger     *slog.Logger
+	// Idle reports whether no request has come since the deployment began.
+	// Loads are quick until then and don't count against the store's rate.
+	Idle   func() bool
+	Logger *slog.Logger
 }
 
 const (
@@ -80,9 +84,11 @@
 	// adoptAfter is how long an incomplete replica of a former holder may
 	// stand before its members are used for others.
 	adoptAfter = 3 * time.Second
-	// overdueFactor times the heartbeat is the silence after which a member
-	// is probed.
-	overdueFactor = 1.6
+	// freshFor is the age up to which a report or an answer shows that a VM
+	// can be ordered to join.
+	freshFor = time.Second
+	// reprobeAfter is when a dead VM is probed again.
+	reprobeAfter = time.Second
 	// probesToDead is the number of unanswered probes in a row that make a
 	// VM count as dead until it reports again.
 	probesToDead = 2
@@ -100,6 +106,8 @@
 	formedAt   time.Duration
 	expect     time.Duration
 	openSent   bool
+	// adopted says that a former term formed it.
+	adopted bool
 	// lostAt is when the replica was seen to be incomplete after it opened.
 	lostAt time.Duration
 	// leftAt is when the first member was told to leave a replica whose head
@@ -111,12 +119,15 @@
 	cold map[string]bool
 }
 
-// silence counts a VM's unanswered probes.
-type silence struct {
-	probes  int
-	sentAt  time.Duration
-	deadAt  time.Duration
-	pending bool
+// probeState is what probes say of a VM.
+type probeState struct {
+	// unanswered counts probes in a row without an answer.
+	unanswered int
+	pending    bool
+	sentAt     time.Duration
+	answeredAt time.Duration
+	// deadAt is when the VM was taken for dead; 0 if it wasn't.
+	deadAt time.Duration
 }
 
 // Planner decides on orders. It is used from one goroutine.
@@ -125,10 +136,13 @@
 	term       int64
 	generation int64
 	replicas   map[string]*replica
-	silent     map[string]*silence
+	probes     map[string]*probeState
 	staging    map[string]time.Duration
 	// loads holds the starts of loads within the window.
 	loads []time.Duration
+	// listed is the number of VMs of the last plan, grownAt when it grew.
+	listed  int
+	grownAt time.Duration
 }
 
 // NewPlanner returns a Planner without knowledge.
@@ -142,9 +156,9 @@
 func (p *Planner) Reset(term int64) {
 	p.term, p.generation = term, 0
 	p.replicas = map[string]*replica{}
-	p.silent = map[string]*silence{}
+	p.probes = map[string]*probeState{}
 	p.staging = map[string]time.Duration{}
-	p.loads = nil
+	p.loads, p.listed = nil, 0
 }
 
 // Plan returns the orders to send now.
@@ -160,16 +174,33 @@
 	for _, name := range sortedNames(p.replicas) {
 		round.advance(p.replicas[name])
 	}
-	round.probeOverdue()
+	round.reprobe()
+	if !round.settled() {
+		return round.orders
+	}
 	for _, name := range sortedNames(v.Config.Services) {
 		if s := v.Config.Services[name]; s.Engine != nil {
-			round.form(s)
-			round.stage(s)
+			if !round.form(s) {
+				round.stage(s)
+			}
 		}
 	}
 	return round.orders
 }
 
+// settleFor is how long the list of VMs must not have grown before the first
+// replicas are formed: while VMs still register, domains look smaller than they
+// are.
+const settleFor = 300 * time.Millisecond
+
+// settled reports whether the list of VMs is complete as far as can be told.
+func (r *round) settled() bool {
+	if n := len(r.view.VMs); n > r.listed {
+		r.listed, r.grownAt = n, r.now
+	}
+	return !r.s.Idle() || r.now-r.grownAt >= settleFor
+}
+
 // Suspect asks to probe the members of a replica that stands still.
 func (p *Planner) Suspect(now time.Duration, v *fleet.View, head string) []Order {
 	vm, ok := v.VMs[head]
@@ -188,11 +219,11 @@
 	return round.orders
 }
 
-// Done takes the result of an order.
-func (p *Planner) Done(now time.Duration, o Order, res Result) {
+// Done takes the result of an order and returns those that follow from it.
+func (p *Planner) Done(now time.Duration, o Order, res Result) []Order {
 	switch o.Kind {
 	case Probe:
-		p.probed(now, o, res)
+		return p.probed(now, o, res)
 	case Leave:
 		if r, ok := p.replicas[o.Replica]; ok && res.Answered && r.leftAt == 0 {
 			r.leftAt = now
@@ -203,32 +234,60 @@
 				"generation", o.Generation, "model", o.Model, "status", res.Status)
 		}
 	}
+	return nil
 }
 
-// probed counts an unanswered probe.
-func (p *Planner) probed(now time.Duration, o Order, res Result) {
-	s, ok := p.silent[o.VM]
+// probed takes the result of a probe. A VM that doesn't answer is probed again
+// at once, until it counts as dead.
+func (p *Planner) probed(now time.Duration, o Order, res Result) []Order {
+	s, ok := p.probes[o.VM]
 	if !ok {
-		return
+		return nil
 	}
 	s.pending = false
 	if res.Answered {
-		delete(p.silent, o.VM)
-		return
+		if s.deadAt > 0 {
+			p.s.Logger.Info("upstream.back", "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
+		}
+		*s = probeState{answeredAt: now}
+		return nil
 	}
-	s.probes++
-	if s.probes == probesToDead {
-		s.deadAt = now
-		p.s.Logger.Warn("upstream.dead", "upstream", o.VM, "probes", s.probes)
+	s.unanswered++
+	if s.deadAt > 0 {
+		return nil
 	}
+	if s.unanswered < probesToDead {
+		s.pending, s.sentAt = true, now
+		return []Order{o}
+	}
+	s.deadAt = now
+	p.s.Logger.Warn("upstream.dead", "upstream", o.VM, "probes", s.unanswered, "status", res.Status)
+	return nil
 }
 
 // dead reports whether a VM doesn't answer and has not reported since.
 func (p *Planner) dead(vm fleet.VM) bool {
-	s, ok := p.silent[vm.ID]
+	s, ok := p.probes[vm.ID]
 	return ok && s.deadAt > 0 && vm.HeardAt < s.deadAt
 }
 
+// Dead returns the VMs that don't answer.
+func (p *Planner) Dead() []string {
+	var out []string
+	for id, s := range p.probes {
+		if s.deadAt > 0 {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// fresh reports whether a VM showed lately that it can be ordered.
+func (r *round) fresh(vm fleet.VM) bool {
+	s, ok := r.probes[vm.ID]
+	return r.now-vm.HeardAt < freshFor || ok && s.answeredAt > 0 && r.now-s.answeredAt < freshFor
+}
+
 // round is one call of Plan.
 type round struct {
 	*Planner
@@ -250,20 +309,20 @@
 	a := &replica{
 		name:       rep.Name,
 		generation: rep.Generation,
-		model:      rep.Model,
 		service:    rep.Service,
 		formedAt:   r.now,
 		expect:     adoptAfter,
+		adopted:    true,
 		sentAt:     map[string]time.Duration{},
 	}
+	a.learn(rep)
 	for _, m := range rep.Members {
-		a.members = append(a.members, m.ID)
 		// Whether the former holder opened it is only seen on the head.
 		if s := m.Member.State; s == fleet.MemberOpen || s == fleet.MemberClosing {
 			a.openSent = true
 		}
-		if s := m.Member.State; s == fleet.MemberJoining && r.expectJoin(rep, m) > a.expect {
-			a.expect = r.expectJoin(rep, m)
+		if s := m.Member.State; s == fleet.MemberJoining {
+			a.expect = max(a.expect, r.longestLoad(rep.Service))
 		}
 	}
 	if head, ok := rep.Head(); !ok || head.Member.Rank != 0 {
@@ -274,17 +333,31 @@
 	r.s.Logger.Info("replica.adopted", "replica", a.name, "generation", a.generation, "model", a.model, "members", a.members)
 }
 
-// expectJoin returns how long a joining member may take.
-func (r *round) expectJoin(rep fleet.Replica, vm fleet.VM) time.Duration {
-	s, ok := r.view.Config.Services[rep.Service]
-	if !ok || s.Engine == nil {
-		return adoptAfter
+// learn takes over what members of an adopted replica report, late ones
+// included.
+func (a *replica) learn(rep fleet.Replica) {
+	for _, m := range rep.Members {
+		if m.Member.Generation != a.generation {
+			continue
+		}
+		if a.model == "" {
+			a.model = m.Model
+		}
+		if !slices.Contains(a.members, m.ID) {
+			a.members = append(a.members, m.ID)
+		}
 	}
-	m, ok := s.Engine.Model(rep.Model)
-	if !ok {
-		return adoptAfter
+}
+
+// longestLoad returns how long a member of a service may take to join.
+func (r *round) longestLoad(service string) time.Duration {
+	longest := adoptAfter
+	if s, ok := r.view.Config.Services[service]; ok && s.Engine != nil {
+		for _, m := range s.Engine.Models {
+			longest = max(longest, m.LoadTime)
+		}
 	}
-	return m.LoadTime + joinSlack
+	return longest
 }
 
 // advance brings a replica forward: opens, closes or releases it.
@@ -294,6 +367,9 @@
 		return
 	}
 	rep := r.reported[a.name]
+	if a.adopted {
+		a.learn(rep)
+	}
 	size := r.size(a)
 	present, ready, leaving := 0, 0, false
 	for _, m := range rep.Members {
@@ -320,14 +396,15 @@
 	}
 }
 
-// size returns the number of VMs of a replica; 0 is never complete.
+// size returns the number of VMs of a replica. One of an unknown model is never
+// complete.
 func (r *round) size(a *replica) int {
 	if s, ok := r.view.Config.Services[a.service]; ok && s.Engine != nil {
 		if m, ok := s.Engine.Model(a.model); ok {
 			return m.Size
 		}
 	}
-	return len(a.members)
+	return math.MaxInt
 }
 
 // open orders the head to serve.
@@ -368,7 +445,7 @@
 		r.release(a, "incomplete")
 		return
 	}
-	if a.generation/generationsPerTerm != r.term {
+	if a.adopted {
 		return
 	}
 	for _, id := range a.members {
@@ -443,37 +520,27 @@
 	}
 }
 
-// probeOverdue probes members whose reports are overdue while others' arrive.
-func (r *round) probeOverdue() {
-	newest := time.Duration(0)
-	for _, vm := range r.view.VMs {
-		newest = max(newest, vm.HeardAt)
-	}
-	limit := time.Duration(overdueFactor * float64(r.s.Heartbeat))
-	if r.now-newest > limit {
-		return
-	}
-	for id := range r.silent {
-		if vm, ok := r.view.VMs[id]; !ok || vm.HeardAt > r.silent[id].sentAt {
-			delete(r.silent, id)
-		}
-	}
-	for _, id := range sortedNames(r.view.VMs) {
-		vm := r.view.VMs[id]
-		if vm.Member.Replica != "" && r.now-vm.HeardAt > limit {
+// reprobe asks dead VMs again, and forgets what probes said of VMs that are gone.
+func (r *round) reprobe() {
+	for _, id := range sortedNames(r.probes) {
+		vm, known := r.view.VMs[id]
+		switch s := r.probes[id]; {
+		case !known:
+			delete(r.probes, id)
+		case s.deadAt > 0 && !s.pending && r.now-s.sentAt > reprobeAfter:
 			r.probe(vm)
 		}
 	}
 }
 
-// probe asks a VM whether it answers, unless it is known to be dead.
+// probe asks a VM whether it answers.
 func (r *round) probe(vm fleet.VM) {
-	s, ok := r.silent[vm.ID]
+	s, ok := r.probes[vm.ID]
 	if !ok {
-		s = &silence{}
-		r.silent[vm.ID] = s
+		s = &probeState{}
+		r.probes[vm.ID] = s
 	}
-	if s.pending || s.deadAt > 0 {
+	if s.pending {
 		return
 	}
 	s.pending, s.sentAt = true, r.now
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -87,19 +87,37 @@
 		"load", ticket.Load, "last_event", f.events.last, "waited_ms", since(f.arrived))...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	if f.route.Repeatable() {
+	if f.route.Repeatable() && f.attempts+1 < f.route.MaxAttempts {
 		defer f.node.flights.add(ticket.Target.ID, cancel)()
+		if f.service.Engine == nil {
+			defer time.AfterFunc(f.patience(), func() { cancel(errSlow) }).Stop()
+		}
 	}
 	e := f.exchange(ctx, &ticket, last)
 	if e != nil {
 		f.judge(ctx, ticket.Target, e)
-		if errors.Is(context.Cause(ctx), errSilent) {
-			return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s stands still", ticket.Target.ID)
+		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
+			return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s: %v", ticket.Target.ID, cause)
 		}
 	}
 	return e
 }
 
+// errSlow ends an attempt that takes much longer than its target.
+var errSlow = errors.New("the upstream is slow")
+
+// slowFactor times the target is how long the answer of a plain service is
+// waited for before another VM is asked.
+const slowFactor = 2.5
+
+// patience returns how long the first of several attempts may take.
+func (f *flight) patience() time.Duration {
+	if f.route.Target <= 0 {
+		return time.Until(f.deadline)
+	}
+	return time.Duration(slowFactor * float64(f.route.Target))
+}
+
 // model returns the model that selects replicas; empty for a plain service.
 func (f *flight) model() string {
 	if f.service.Engine == nil {
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
@@ -18,9 +19,13 @@
 	mu   sync.Mutex
 	by   map[string]map[int64]context.CancelCauseFunc
 	next int64
+	// silent holds VMs that this node lately found to stand still.
+	silent map[string]time.Time
 }
 
-func newFlights() *flights { return &flights{by: map[string]map[int64]context.CancelCauseFunc{}} }
+func newFlights() *flights {
+	return &flights{by: map[string]map[int64]context.CancelCauseFunc{}, silent: map[string]time.Time{}}
+}
 
 // add registers an attempt; the result ends the registration.
 func (f *flights) add(vm string, cancel context.CancelCauseFunc) func() {
@@ -52,7 +57,34 @@
 	return len(f.by[vm])
 }
 
-// cancelSilent moves requests away from upstreams that stand still.
+// noteSilent keeps a finding for silentFor and reports whether it is new.
+func (f *flights) noteSilent(now time.Time, vm string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, known := f.silent[vm]
+	f.silent[vm] = now
+	return !known || now.Sub(at) > silentFor
+}
+
+// silentNow returns the VMs found to stand still lately.
+func (f *flights) silentNow(now time.Time) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for vm, at := range f.silent {
+		if now.Sub(at) > silentFor {
+			delete(f.silent, vm)
+			continue
+		}
+		out = append(out, vm)
+	}
+	return out
+}
+
+// silentFor is how long peers are told of an upstream that stands still.
+const silentFor = 500 * time.Millisecond
+
+// cancelSilent moves requests away from replicas that stand still.
 func (n *Node) cancelSilent(now time.Time) {
 	v := n.state.View()
 	if v.Config == nil {
@@ -60,44 +92,67 @@
 	}
 	for name, s := range v.Config.Services {
 		if s.Engine == nil {
-			n.cancelSilentOf(now, v.Targets(name, ""), silentPlain)
 			continue
 		}
 		for _, m := range s.Engine.Models {
-			n.cancelSilentOf(now, v.Targets(name, m.Name), silenceLimit(s.Engine, m))
+			limits := silenceLimits(s.Engine, m)
+			for _, t := range n.balancer.Silent(now, v.Targets(name, m.Name), limits) {
+				n.foundSilent(now, t, limits)
+			}
 		}
 	}
 }
 
-func (n *Node) cancelSilentOf(now time.Time, targets []fleet.Target, limit time.Duration) {
-	for _, t := range n.balancer.Silent(now, targets, limit) {
-		n.balancer.Suspect(now, t)
-		if t.Replica != "" {
-			n.onSilent(t.ID)
+// foundSilent suspects a replica, tells others and moves its requests.
+func (n *Node) foundSilent(now time.Time, t fleet.Target, limits dispatch.Limits) {
+	n.balancer.Suspect(now, t)
+	moved := n.flights.cancel(t.ID, errSilent)
+	if !n.flights.noteSilent(now, t.ID) {
+		return
+	}
+	n.onSilent(t.ID)
+	n.count("upstream.silent")
+	n.logger.Warn("upstream.silent", "upstream", t.ID, "replica", t.Replica, "limit_ms", limits.Writing.Milliseconds(), "moved", moved)
+}
+
+// avoidDead moves requests away from replicas with a VM that doesn't answer.
+func (n *Node) avoidDead(now time.Time, dead []string) {
+	if len(dead) == 0 {
+		return
+	}
+	v := n.state.View()
+	for _, id := range dead {
+		vm, known := v.VMs[id]
+		if !known || vm.Member.Replica == "" {
+			continue
 		}
-		moved := n.flights.cancel(t.ID, errSilent)
-		if moved > 0 {
-			n.count("upstream.silent")
-			n.logger.Warn("upstream.silent", "upstream", t.ID, "replica", t.Replica, "limit_ms", limit.Milliseconds(), "moved", moved)
+		if t, ok := v.TargetOf(vm.Member.Replica); ok {
+			n.balancer.Suspect(now, t)
+			n.flights.cancel(t.ID, errSilent)
 		}
 	}
 }
 
 const (
-	// silentPlain is the silence after which a plain service's VM is
-	// suspected; its work takes tens of milliseconds.
-	silentPlain = 400 * time.Millisecond
+	// silentLeast is the least silence after which a replica is suspected;
+	// a lost packet alone costs 200 ms or more.
+	silentLeast = 350 * time.Millisecond
 	// silentFactor times the longest pass of a full replica is the silence
 	// after which it is suspected.
-	silentFactor = 1.5
+	silentFactor = 1.3
+	// readingFactor times that is the silence allowed to a replica that has
+	// not begun to answer any request of this node: others' prompts may be
+	// read before.
+	readingFactor = 2.5
 )
 
-// silenceLimit returns how long a replica may send nothing. The longest pass
+// silenceLimits returns how long a replica may send nothing. The longest pass
 // reads a full chunk of prompts at each step of a full batch.
-func silenceLimit(e *fleet.Engine, m fleet.Model) time.Duration {
+func silenceLimits(e *fleet.Engine, m fleet.Model) dispatch.Limits {
 	step := e.Step + time.Duration(e.Slots)*e.PerRequest
 	if e.ReadPerSecond > 0 {
 		step += time.Duration(float64(e.Chunk) / e.ReadPerSecond * float64(time.Second))
 	}
-	return max(silentPlain, time.Duration(silentFactor*m.Pace*float64(e.Stride)*float64(step)))
+	writing := max(silentLeast, time.Duration(silentFactor*m.Pace*float64(e.Stride)*float64(step)))
+	return dispatch.Limits{Writing: writing, Reading: time.Duration(readingFactor * float64(writing))}
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -16,17 +16,20 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 )
@@ -71,6 +74,7 @@
 
 // Node is one entry VM's process.
 type Node struct {
+	id       string
 	settings Settings
 	outside  Outside
 	logger   *slog.Logger
@@ -80,6 +84,10 @@
 	pool     *exchange.Pool
 	flights  *flights
 	onSilent func(vm string)
+	dead     func() []string
+	peers    *gossip.Gossip
+	// asked says that this node or a peer was asked by a caller.
+	asked    atomic.Bool
 	draining atomic.Bool
 	active   atomic.Int64
 
@@ -90,6 +98,7 @@
 // New assembles a node; nothing runs before Run.
 func New(s Settings, o Outside, logger *slog.Logger) *Node {
 	n := &Node{
+		id:       s.Node + "/" + uuid.NewString(),
 		settings: s,
 		outside:  o,
 		logger:   logger,
@@ -98,6 +107,7 @@
 		balancer: dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		flights:  newFlights(),
 		onSilent: func(string) {},
+		dead:     func() []string { return nil },
 		budgets:  map[string]*retry.Budget{},
 	}
 	n.pool = exchange.NewPool(exchange.Options{
@@ -118,6 +128,64 @@
 // count adds one to a counter.
 func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
 
+// TellDead makes the node tell its peers of the VMs that f returns; it is set
+// before Run.
+func (n *Node) TellDead(f func() []string) { n.dead = f }
+
+// ID returns the id of this process.
+func (n *Node) ID() string { return n.id }
+
+// Asked reports whether this node or a peer had a request of a caller.
+func (n *Node) Asked() bool { return n.asked.Load() }
+
+// PeerAddress returns where peers reach this node; invalid if they can't.
+func (n *Node) PeerAddress() netip.AddrPort {
+	if n.settings.PeerPort == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(n.settings.PeerIP, uint16(n.settings.PeerPort))
+}
+
+// RegisterPeer adds another node.
+func (n *Node) RegisterPeer(id string, address netip.AddrPort) {
+	if n.peers != nil {
+		n.peers.Register(id, address)
+	}
+}
+
+// OpenPeers opens the socket for messages between nodes; it is called before
+// Run.
+func (n *Node) OpenPeers() error {
+	if !n.PeerAddress().IsValid() {
+		return nil
+	}
+	g, err := gossip.New(gossip.Options{
+		ID: n.id, Listen: n.PeerAddress(), Local: n.tell, Heard: n.heard, Logger: n.logger,
+	})
+	n.peers = g
+	return err
+}
+
+// tell returns what peers should know.
+func (n *Node) tell() gossip.Message {
+	dead := n.dead()
+	n.avoidDead(time.Now(), dead)
+	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead}
+}
+
+// heard takes a peer's message.
+func (n *Node) heard(m gossip.Message) {
+	now := time.Now()
+	n.balancer.Heard(now, m.Node, m.Loads)
+	if len(m.Loads) > 0 {
+		n.asked.Store(true)
+	}
+	n.avoidDead(now, m.Dead)
+	for _, vm := range m.Silent {
+		n.onSilent(vm)
+	}
+}
+
 // Run serves until the context ends and then drains.
 func (n *Node) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", n.settings.ListenCaller)
@@ -132,6 +200,9 @@
 	defer stop()
 	n.follow(background)
 	go n.watch(background)
+	if n.peers != nil {
+		go n.peers.Run(background)
+	}
 	front := n.callerServer()
 	health := &http.Server{Handler: n.readyHandler(), ErrorLog: n.httpErrors()}
 	failed := make(chan error, 2)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,6 +46,7 @@
 
 // serve answers a caller's request.
 func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	n.asked.Store(true)
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	if n.draining.Load() {
@@ -135,10 +136,15 @@
 	return nil
 }
 
+// unknownFor is the age of the configuration's last proof from which the node
+// may have missed a change. A read that the log holds proves nothing until it is
+// answered, so a sound node is at most twice the wait behind.
+const unknownFor = 2*configWait + 500*time.Millisecond
+
 // unknown refuses what the configuration doesn't know. A node that may have
 // missed the newest configuration doesn't claim to know.
 func (f *flight) unknown(reason verdict.Reason, detail string) *verdict.Error {
-	if f.node.state.configAge() > f.node.settings.Bounds.ConfigApply {
+	if f.node.state.configAge() > unknownFor {
 		return verdict.Refuse(verdict.ReasonConfigStale, "%s, but the configuration may be old", detail).
 			WithRetryAfter(retryAfterFailure)
 	}
