Let the head leave before its members join others; reload on SIGHUP

Now the head of every replica that may have been told to open leaves first; an open that comes later affects nothing.

Requests that can't end in time are refused as not run once the balancer has had time to look elsewhere.

--- a/formation/planner.go
+++ b/formation/planner.go
@@ -103,9 +103,14 @@
 	model      string
 	service    string
 	members    []string
-	formedAt   time.Duration
-	expect     time.Duration
-	openSent   bool
+	// head is the VM of rank 0 as far as it is known.
+	head     string
+	formedAt time.Duration
+	expect   time.Duration
+	openSent bool
+	// headLeft says that the head left the replica, so that no order of the
+	// past can open it any more.
+	headLeft bool
 	// adopted says that a former term formed it.
 	adopted bool
 	// lostAt is when the replica was seen to be incomplete after it opened.
@@ -225,8 +230,8 @@
 	case Probe:
 		return p.probed(now, o, res)
 	case Leave:
-		if r, ok := p.replicas[o.Replica]; ok && res.Answered && r.leftAt == 0 {
-			r.leftAt = now
+		if r, ok := p.replicas[o.Replica]; ok {
+			p.left(now, r, o.VM, res)
 		}
 	case Open, Close, Join, Stage:
 		if !res.Accepted {
@@ -237,6 +242,16 @@
 	return nil
 }
 
+// left takes the result of an order to leave.
+func (p *Planner) left(now time.Duration, a *replica, vm string, res Result) {
+	if res.Accepted && a.head == vm {
+		a.headLeft = true
+	}
+	if res.Answered && a.leftAt == 0 {
+		a.leftAt = now
+	}
+}
+
 // probed takes the result of a probe. A VM that doesn't answer is probed again
 // at once, until it counts as dead.
 func (p *Planner) probed(now time.Duration, o Order, res Result) []Order {
@@ -389,6 +404,9 @@
 		r.open(a, rep)
 	case !a.openSent:
 		r.await(a, rep, leaving)
+	case a.lostAt > 0:
+		// It was being dismantled, so it can't be trusted to be whole.
+		r.dismantle(a, rep, false)
 	case rep.Members[0].Member.State == fleet.MemberBroken:
 		r.release(a, "broken")
 	case rep.Members[0].Member.State == fleet.MemberReady:
@@ -440,12 +458,17 @@
 			lost = true
 		}
 	}
-	if lost || r.now-a.formedAt > a.expect+joinSlack {
+	lost = lost || r.now-a.formedAt > a.expect+joinSlack
+	switch {
+	case lost && a.adopted:
+		// An order to open it may be on its way.
+		r.dismantle(a, rep, false)
+		return
+	case lost:
 		// It was never opened, so its members are free at once.
 		r.release(a, "incomplete")
 		return
-	}
-	if a.adopted {
+	case a.adopted:
 		return
 	}
 	for _, id := range a.members {
@@ -471,6 +494,10 @@
 		r.s.Logger.Info("replica.dismantled", "replica", a.name, "generation", a.generation, "model", a.model,
 			"planned", planned, "members", a.members, "reporting", len(rep.Members))
 	}
+	if a.headLeft {
+		r.release(a, "closed")
+		return
+	}
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.dead(head) {
 		switch head.Member.State {
@@ -483,13 +510,22 @@
 				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation, Abort: !planned})
 			}
 		default:
-			r.release(a, "closed")
+			r.retire(a, head)
 		}
 		return
 	}
 	r.abandon(a, rep)
 }
 
+// retire takes the head out of a replica that is not open. An order to open it
+// that is still on its way has no effect then.
+func (r *round) retire(a *replica, head fleet.VM) {
+	a.head = head.ID
+	if r.due(a, "leave "+head.ID) {
+		r.order(Order{Kind: Leave, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
+	}
+}
+
 // abandon ends a replica whose head is out of reach: the other members leave,
 // and it breaks when it has stood still for long enough.
 func (r *round) abandon(a *replica, rep fleet.Replica) {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -74,8 +74,9 @@
 
 // Node is one entry VM's process.
 type Node struct {
-	id       string
-	settings Settings
+	id string
+	// settings holds the settings in force; addresses stay those of the start.
+	settings atomic.Pointer[Settings]
 	outside  Outside
 	logger   *slog.Logger
 	registry metrics.Registry
@@ -89,7 +90,9 @@
 	// asked says that this node or a peer was asked by a caller.
 	asked    atomic.Bool
 	draining atomic.Bool
-	active   atomic.Int64
+	// drainStart is when the process was told to stop.
+	drainStart atomic.Pointer[time.Time]
+	active     atomic.Int64
 
 	budgetMu sync.Mutex
 	budgets  map[string]*retry.Budget
@@ -99,7 +102,6 @@
 func New(s Settings, o Outside, logger *slog.Logger) *Node {
 	n := &Node{
 		id:       s.Node + "/" + uuid.NewString(),
-		settings: s,
 		outside:  o,
 		logger:   logger,
 		registry: metrics.NewRegistry(),
@@ -110,6 +112,7 @@
 		dead:     func() []string { return nil },
 		budgets:  map[string]*retry.Budget{},
 	}
+	n.settings.Store(&s)
 	n.pool = exchange.NewPool(exchange.Options{
 		DialTimeout: dialUpstream,
 		UserTimeout: userTimeout,
@@ -132,6 +135,18 @@
 // before Run.
 func (n *Node) TellDead(f func() []string) { n.dead = f }
 
+// Settings returns the settings in force.
+func (n *Node) Settings() *Settings { return n.settings.Load() }
+
+// Reload replaces the bounds; addresses stay those of the start.
+func (n *Node) Reload(s Settings) {
+	before := n.Settings()
+	after := *before
+	after.Bounds = s.Bounds
+	n.settings.Store(&after)
+	n.logger.Info("settings.reloaded", "changed", before.Bounds != after.Bounds)
+}
+
 // ID returns the id of this process.
 func (n *Node) ID() string { return n.id }
 
@@ -140,10 +155,10 @@
 
 // PeerAddress returns where peers reach this node; invalid if they can't.
 func (n *Node) PeerAddress() netip.AddrPort {
-	if n.settings.PeerPort == 0 {
+	if n.Settings().PeerPort == 0 {
 		return netip.AddrPort{}
 	}
-	return netip.AddrPortFrom(n.settings.PeerIP, uint16(n.settings.PeerPort))
+	return netip.AddrPortFrom(n.Settings().PeerIP, uint16(n.Settings().PeerPort))
 }
 
 // RegisterPeer adds another node.
@@ -188,11 +203,11 @@
 
 // Run serves until the context ends and then drains.
 func (n *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", n.settings.ListenCaller)
+	callers, err := net.Listen("tcp", n.Settings().ListenCaller)
 	if err != nil {
 		return errors.Wrap(err, "listening for callers")
 	}
-	ready, err := net.Listen("tcp", n.settings.ListenReady)
+	ready, err := net.Listen("tcp", n.Settings().ListenReady)
 	if err != nil {
 		return errors.Wrap(err, "listening for the balancer")
 	}
@@ -208,7 +223,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
 	go func() { failed <- health.Serve(ready) }()
-	n.logger.Info("node.started", "callers", n.settings.ListenCaller, "zone", n.settings.Zone)
+	n.logger.Info("node.started", "callers", n.Settings().ListenCaller, "zone", n.Settings().Zone)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serving")
@@ -279,7 +294,7 @@
 // stale reports whether keys may not be honoured for want of a proof that the
 // configuration is current.
 func (n *Node) stale() bool {
-	return n.settings.Bounds.Revoke > 0 && n.state.configAge() > n.settings.Bounds.Revoke-revokeMargin
+	return n.Settings().Bounds.Revoke > 0 && n.state.configAge() > n.Settings().Bounds.Revoke-revokeMargin
 }
 
 // revokeMargin is the time that a request may take between the check of its key
@@ -311,19 +326,35 @@
 	drainNotice = 2500 * time.Millisecond
 	// drainShare is the part of the grace period after which the process
 	// ends with requests still in flight.
-	drainShare = 0.9
+	drainShare = 0.95
 	// drainPoll is how often the end of the last request is looked for.
 	drainPoll = 50 * time.Millisecond
 )
 
+// drainLimit is how long after SIGTERM the process ends at the latest.
+func (n *Node) drainLimit() time.Duration {
+	return time.Duration(drainShare * float64(n.Settings().Bounds.Grace))
+}
+
+// closing reports whether the process ends before an answer that may take this
+// long.
+func (n *Node) closing(needs time.Duration) bool {
+	started := n.drainStart.Load()
+	if started == nil {
+		return false
+	}
+	at := time.Since(*started)
+	return at > drainNotice && at+needs > n.drainLimit()
+}
+
 // drain waits until the balancer has taken the node out and requests in flight
 // have ended.
 func (n *Node) drain() {
 	n.draining.Store(true)
 	started := time.Now()
 	n.logger.Info("node.draining", "in_flight", n.active.Load())
-	limit := time.Duration(drainShare * float64(n.settings.Bounds.Grace))
-	for time.Since(started) < limit {
+	n.drainStart.Store(&started)
+	for time.Since(started) < n.drainLimit() {
 		if time.Since(started) > drainNotice && n.active.Load() == 0 {
 			break
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -79,6 +79,9 @@
 	if e := f.resolve(); e != nil {
 		return e
 	}
+	if f.node.closing(f.needs()) {
+		return verdict.Refuse(verdict.ReasonStopping, "the node stops").WithRetryAfter(retryElsewhere)
+	}
 	f.deadline = f.arrived.Add(defaultPatience)
 	if t := f.route.Timeout; t > 0 {
 		f.deadline = f.arrived.Add(t)
@@ -89,6 +92,24 @@
 	return nil
 }
 
+const (
+	// retryElsewhere is when a caller may try again that another node can
+	// serve at once.
+	retryElsewhere = 10 * time.Millisecond
+	// longAnswer is how long a stream may take where nothing says more.
+	longAnswer = 5 * time.Second
+	// shortAnswer is that of a plain service.
+	shortAnswer = time.Second
+)
+
+// needs returns how long the answer may take.
+func (f *flight) needs() time.Duration {
+	if f.route.Kind == fleet.KindStream {
+		return longAnswer
+	}
+	return shortAnswer
+}
+
 // readBody reads the body within the configured bound.
 func (f *flight) readBody(r *http.Request) *verdict.Error {
 	limit := int64(f.view.Config.Limits.BodyBytes)
@@ -260,10 +281,10 @@
 func (n *Node) budget(service string) *retry.Budget {
 	b, ok := n.budgets[service]
 	if !ok {
-		slack := budgetShare * n.settings.Bounds.RetrySlack / presumedNodes
+		slack := budgetShare * n.Settings().Bounds.RetrySlack / presumedNodes
 		b = retry.NewBudget(retry.BudgetConfig{
-			Ratio:     budgetShare * n.settings.Bounds.RetryRatio,
-			PerSecond: slack / 2 / n.settings.Bounds.RetryWindow.Seconds(),
+			Ratio:     budgetShare * n.Settings().Bounds.RetryRatio,
+			PerSecond: slack / 2 / n.Settings().Bounds.RetryWindow.Seconds(),
 			Max:       slack / 2,
 		})
 		n.budgets[service] = b
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -47,6 +47,8 @@
 	ReasonBadAnswer Reason = "bad_answer"
 	// ReasonUpstreamError marks an upstream's own failure of the request.
 	ReasonUpstreamError Reason = "upstream_error"
+	// ReasonStopping marks a node that ends before it could answer.
+	ReasonStopping Reason = "node_stopping"
 	// ReasonUnknownRequest marks a request id that the node does not know.
 	ReasonUnknownRequest Reason = "unknown_request"
 	// ReasonNoConfig marks a node that has no configuration yet.
