Keep replicas whose member lost only its way to the list

Ruled out: dead VMs (probes were answered) and the rate of loads.

Change: a member that is no longer listed is remembered; its replica serves while the member answers probes, unless it is the head. Spares are staged one a model. Replicas are formed of VMs that hold another model only where theirs is scarce.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -49,7 +49,7 @@
 	}
 	for _, vm := range vms {
 		s, ok := c.Services[vm.Service]
-		if ok && s.Engine == nil && !vm.Leaving {
+		if ok && s.Engine == nil && !vm.Leaving && !vm.Lapsed {
 			v.add(vm, Target{Slots: vm.Slots})
 		}
 	}
@@ -70,7 +70,7 @@
 		return
 	}
 	head := r.Members[0]
-	if head.Member.Rank != 0 || head.Member.State != MemberOpen {
+	if head.Member.Rank != 0 || head.Member.State != MemberOpen || head.Lapsed {
 		return
 	}
 	for _, vm := range r.Members {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -41,6 +41,10 @@
 	Slots int
 	// Leaving VMs take no new requests.
 	Leaving bool
+	// Lapsed says that the VM's report is no longer listed. It takes no new
+	// requests, but a replica whose other members are well goes on: the VM may
+	// have lost only its way to the list.
+	Lapsed bool
 	// Domain is the fabric domain.
 	Domain string
 	// Staged holds the models in the host's memory.
--- a/formation/form.go
+++ b/formation/form.go
@@ -10,6 +10,10 @@
 )
 
 const (
+	// scarceRank is the part of a model's replicas below which one is formed
+	// of VMs that hold another model. Above it they wait for a spare, with
+	// which they serve their own again in a second or two.
+	scarceRank = 0.6
 	// rejoinTime is what a VM takes to join a replica of the model that its
 	// last one had.
 	rejoinTime = 200 * time.Millisecond
@@ -17,7 +21,7 @@
 
 // free reports whether a VM can join a replica.
 func (r *round) free(vm fleet.VM) bool {
-	if vm.Leaving || r.dead(vm) {
+	if vm.Leaving || vm.Lapsed || r.dead(vm) {
 		return false
 	}
 	if end, ok := r.staging[vm.ID]; ok && r.now < end && len(vm.Staged) == 0 {
@@ -110,9 +114,10 @@
 			continue
 		}
 		rank := float64(counts[m.Name]) / want
+		scarce := rank < scarceRank || r.s.Idle()
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := newCandidate(m, free[domain])
-			if !ok {
+			if !ok || c.loads > repairLoads && !scarce {
 				continue
 			}
 			c.rank = rank
@@ -166,7 +171,7 @@
 func (r *round) total(service string) int {
 	n := 0
 	for _, vm := range r.view.VMs {
-		if vm.Service == service && !vm.Leaving {
+		if vm.Service == service && !vm.Leaving && !vm.Lapsed {
 			n++
 		}
 	}
@@ -287,9 +292,12 @@
 }
 
 // fewestSpares returns the model with the fewest spares for the number of VMs
-// that a replica may lose.
+// that a replica may lose; among equals the largest.
 func fewestSpares(models []fleet.Model, held map[string]int) fleet.Model {
 	return slices.MinFunc(models, func(a, b fleet.Model) int {
-		return cmp.Compare(float64(held[a.Name]+1)/float64(a.Size), float64(held[b.Name]+1)/float64(b.Size))
+		return cmp.Or(
+			cmp.Compare(held[a.Name]*b.Size, held[b.Name]*a.Size),
+			cmp.Compare(b.Size, a.Size),
+		)
 	})
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -53,6 +53,8 @@
 	Accepted bool
 	// Answered says that the VM answered at all.
 	Answered bool
+	// State is the state of its membership that a probed VM answered.
+	State fleet.MemberState
 	// Status is for log lines.
 	Status string
 }
@@ -89,6 +91,9 @@
 	freshFor = time.Second
 	// reprobeAfter is when a dead VM is probed again.
 	reprobeAfter = time.Second
+	// watchLapsed is the time between probes of a member that is no longer
+	// listed.
+	watchLapsed = 400 * time.Millisecond
 	// probesToDead is the number of unanswered probes in a row that make a
 	// VM count as dead until it reports again.
 	probesToDead = 2
@@ -131,6 +136,8 @@
 	pending    bool
 	sentAt     time.Duration
 	answeredAt time.Duration
+	// state is the membership's state in the last answer.
+	state fleet.MemberState
 	// deadAt is when the VM was taken for dead; 0 if it wasn't.
 	deadAt time.Duration
 }
@@ -264,7 +271,7 @@
 		if s.deadAt > 0 {
 			p.s.Logger.Info("upstream.back", "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
-		*s = probeState{answeredAt: now}
+		*s = probeState{answeredAt: now, sentAt: s.sentAt, state: res.State}
 		return nil
 	}
 	s.unanswered++
@@ -392,7 +399,7 @@
 			continue
 		}
 		present++
-		leaving = leaving || m.Leaving
+		leaving = leaving || m.Leaving || m.Lapsed && m.Member.Rank == 0
 		if m.Member.State == fleet.MemberReady || m.Member.State == fleet.MemberOpen {
 			ready++
 		}
@@ -454,7 +461,7 @@
 	lost := leaving
 	for _, id := range a.members {
 		vm, ok := r.view.VMs[id]
-		if !ok || r.dead(vm) || vm.Leaving {
+		if !ok || r.dead(vm) || vm.Leaving || vm.Lapsed {
 			lost = true
 		}
 	}
@@ -500,7 +507,7 @@
 	}
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.dead(head) {
-		switch head.Member.State {
+		switch r.state(head) {
 		case fleet.MemberOpen, fleet.MemberClosing:
 			what := "close"
 			if !planned {
@@ -567,6 +574,21 @@
 			r.probe(vm)
 		}
 	}
+	for _, id := range sortedNames(r.view.VMs) {
+		vm := r.view.VMs[id]
+		if s, ok := r.probes[id]; vm.Lapsed && (!ok || r.now-s.sentAt > watchLapsed) {
+			r.probe(vm)
+		}
+	}
+}
+
+// state returns the state of a VM's membership. That of a VM which is no longer
+// listed is known from probes only.
+func (r *round) state(vm fleet.VM) fleet.MemberState {
+	if s, ok := r.probes[vm.ID]; vm.Lapsed && ok && s.answeredAt > vm.HeardAt {
+		return s.state
+	}
+	return vm.Member.State
 }
 
 // probe asks a VM whether it answers.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -18,6 +18,10 @@
 	returnGrace = 2 * time.Second
 	// outageAfter is the silence of the log that counts as an outage.
 	outageAfter = 1500 * time.Millisecond
+	// lapsedFor is how long a member of a replica is remembered without an
+	// entry: as long as a leaving member stays with a head that has work, and
+	// a little more.
+	lapsedFor = 12 * time.Second
 )
 
 // Decoder decodes the records of configuration and upstreams.
@@ -152,7 +156,7 @@
 		staged = a.Staged[i] == b.Staged[i]
 	}
 	return staged && a.Boot == b.Boot && a.Address == b.Address && a.Zone == b.Zone && a.Service == b.Service &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Domain == b.Domain && a.Model == b.Model && a.Member == b.Member
+		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Lapsed == b.Lapsed && a.Domain == b.Domain && a.Model == b.Model && a.Member == b.Member
 }
 
 // lapse notes an upstream without an entry. Around an outage its entry has some
@@ -161,27 +165,50 @@
 	if _, known := s.vms[id]; !known {
 		return false
 	}
-	if now-s.healthySince < returnGrace {
+	if now-s.healthySince < returnGrace && !s.vms[id].Lapsed {
 		if _, waiting := s.lapsed[id]; !waiting {
 			s.lapsed[id] = s.healthySince + returnGrace
 		}
 		return false
 	}
-	return s.remove(id)
+	return s.unlist(id, now)
 }
 
 // expire removes the upstreams whose entries did not come back.
 func (s *state) expire(now time.Duration) bool {
 	dirty := false
 	for id, at := range s.lapsed {
-		if now >= at {
-			delete(s.lapsed, id)
-			dirty = s.remove(id) || dirty
+		if now < at {
+			continue
+		}
+		delete(s.lapsed, id)
+		if vm, known := s.vms[id]; known && !vm.Lapsed {
+			dirty = s.unlist(id, now) || dirty
+			continue
 		}
+		dirty = s.remove(id) || dirty
 	}
 	return dirty
 }
 
+// unlist takes an upstream out of use. A member of a replica is remembered,
+// because the others may go on with it.
+func (s *state) unlist(id string, now time.Duration) bool {
+	vm := s.vms[id]
+	if vm.Member.Replica == "" {
+		return s.remove(id)
+	}
+	if vm.Lapsed {
+		return false
+	}
+	vm.Lapsed = true
+	s.vms[id] = vm
+	s.lapsed[id] = now + lapsedFor
+	s.logger.Info("upstream.lapsed", "upstream", id, "replica", vm.Member.Replica, "rank", vm.Member.Rank,
+		"silent_ms", (now - vm.HeardAt).Milliseconds())
+	return true
+}
+
 func (s *state) remove(id string) bool {
 	vm, known := s.vms[id]
 	delete(s.vms, id)
