Keep standbys that hold a model, and repair replicas sooner

A repair waited for two probes of 250 ms, a report of the closed head, a tick, 1.6 s of the spare's load from its host and another report.

A head whose replica lost a member leaves at once. Probes begin at six tenths of the silence that moves requests, and end after 150 ms. A result that frees VMs is planned on at once. The node that repairs reads reports every 60 ms, the others every 300 ms.

--- a/formation/driver.go
+++ b/formation/driver.go
@@ -16,7 +16,7 @@
 	// carried out.
 	orderTimeout = time.Second
 	// probeTimeout bounds a probe; VMs answer within a few milliseconds.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 150 * time.Millisecond
 )
 
 // Sender sends orders. The fence is the term of the lease; a VM that checks it
@@ -96,6 +96,9 @@
 			return
 		case o := <-d.results:
 			orders = d.Planner.Done(bootclock.Now(), o.order, o.result)
+			if _, held := d.Lease.Held(); held && d.Planner.Changed() {
+				orders = append(orders, d.Planner.Plan(bootclock.Now(), d.View())...)
+			}
 		case head := <-d.suspects:
 			if now, held := d.Lease.Held(); held && now == term {
 				orders = d.Planner.Suspect(bootclock.Now(), d.View(), head)
--- a/formation/form.go
+++ b/formation/form.go
@@ -24,19 +24,38 @@
 	if vm.Leaving || vm.Lapsed || r.dead(vm) {
 		return false
 	}
-	if end, ok := r.staging[vm.ID]; ok && r.now < end && len(vm.Staged) == 0 {
-		return false
-	}
 	for _, a := range r.replicas {
 		if !a.released && slices.Contains(a.members, vm.ID) {
-			return false
+			return a.standby && !r.loadingStandby(a, vm)
 		}
 	}
 	if vm.Member.Replica == "" {
 		return true
 	}
 	a, ok := r.replicas[vm.Member.Replica]
-	return ok && a.released
+	return ok && (a.released || a.standby && !r.loadingStandby(a, vm))
+}
+
+// loadingStandby reports whether a standby still loads its model.
+func (r *round) loadingStandby(a *replica, vm fleet.VM) bool {
+	joining := vm.Member.Replica != a.name || vm.Member.State == fleet.MemberJoining
+	return joining && r.now-a.formedAt < a.expect+joinSlack
+}
+
+// keepStandby gives a standby up whose VM is gone or in use elsewhere.
+func (r *round) keepStandby(a *replica) {
+	if len(a.members) == 0 {
+		return
+	}
+	vm, ok := r.view.VMs[a.members[0]]
+	elsewhere := vm.Member.Replica != "" && vm.Member.Replica != a.name && vm.Member.Generation > a.generation
+	if !ok || r.dead(vm) || vm.Leaving || vm.Lapsed || elsewhere {
+		r.release(a, "standby_lost")
+		return
+	}
+	if vm.Member.Replica != a.name && r.now-a.formedAt > a.expect+joinSlack {
+		r.release(a, "standby_failed")
+	}
 }
 
 // freeByDomain returns the free VMs of a service by domain.
@@ -68,8 +87,11 @@
 	model fleet.Model
 	vms   []fleet.VM
 	loads int
-	time  time.Duration
-	rank  float64
+	// spoils says that a VM which loads holds another model, for which it is
+	// a spare.
+	spoils bool
+	time   time.Duration
+	rank   float64
 }
 
 // form begins new replicas while there are VMs, demand and room for loads. It
@@ -117,7 +139,7 @@
 		scarce := rank < scarceRank || r.s.Idle()
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := newCandidate(m, free[domain])
-			if !ok || c.loads > repairLoads && !scarce {
+			if !ok || c.loads > 0 && !scarce && (c.loads > repairLoads || c.spoils) {
 				continue
 			}
 			c.rank = rank
@@ -151,6 +173,7 @@
 		c.time = max(c.time, t)
 		if load {
 			c.loads++
+			c.spoils = c.spoils || vm.Model != "" || len(vm.Staged) > 0
 		}
 	}
 	return c, true
@@ -160,7 +183,7 @@
 func (r *round) counts(service string) map[string]int {
 	out := map[string]int{}
 	for _, a := range r.replicas {
-		if a.service == service && !a.released && a.lostAt == 0 {
+		if a.service == service && !a.released && !a.standby && a.lostAt == 0 {
 			out[a.model]++
 		}
 	}
@@ -212,17 +235,15 @@
 		if a.released || a.openSent {
 			continue
 		}
+		if a.standby && r.now-a.formedAt > a.expect+joinSlack {
+			continue
+		}
 		for id := range a.cold {
 			if vm := r.view.VMs[id]; vm.Member.Replica != a.name || vm.Member.State == fleet.MemberJoining {
 				n++
 			}
 		}
 	}
-	for id, end := range r.staging {
-		if vm, ok := r.view.VMs[id]; ok && len(vm.Staged) == 0 && r.now < end {
-			n++
-		}
-	}
 	return n
 }
 
@@ -234,70 +255,96 @@
 }
 
 // begin forms a replica.
-func (r *round) begin(s fleet.Service, c candidate) {
-	name, generation := r.newName()
+func (r *round) begin(s fleet.Service, c candidate) { r.start(s, c, replicaPrefix) }
+
+// start orders the VMs of a candidate to join a replica or standby.
+func (r *round) start(s fleet.Service, c candidate, prefix string) {
+	name, generation := r.newName(prefix)
 	a := &replica{
 		name:       name,
 		generation: generation,
 		model:      c.model.Name,
 		service:    s.Name,
 		formedAt:   r.now,
-		expect:     c.time * loadSlowdown,
+		standby:    prefix == standbyPrefix,
 		sentAt:     map[string]time.Duration{},
 		cold:       map[string]bool{},
 	}
+	longest := time.Duration(0)
 	for _, vm := range c.vms {
 		a.members = append(a.members, vm.ID)
-		if _, load := joinTime(vm, c.model); load {
+		t, load := joinTime(vm, c.model)
+		longest = max(longest, t)
+		if load {
 			a.cold[vm.ID] = true
 		}
+		r.endStandby(vm.ID)
 	}
+	a.expect = longest * loadSlowdown
 	r.replicas[name] = a
-	r.noteLoads(c.loads)
-	r.s.Logger.Info("replica.formed", "replica", name, "generation", generation, "model", a.model,
-		"domain", c.vms[0].Domain, "members", a.members, "loads", c.loads, "expect_ms", c.time.Milliseconds())
+	r.noteLoads(len(a.cold))
+	r.s.Logger.Info("replica.formed", "replica", name, "generation", generation, "model", a.model, "standby", a.standby,
+		"domain", c.vms[0].Domain, "members", a.members, "loads", len(a.cold), "expect_ms", longest.Milliseconds())
 	for _, vm := range c.vms {
 		a.sentAt["join "+vm.ID] = r.now
-		delete(r.staging, vm.ID)
 		r.order(r.join(a, vm))
 	}
 }
 
+// endStandby ends the standby of a VM that joins a replica.
+func (r *round) endStandby(vm string) {
+	for _, a := range r.replicas {
+		if a.standby && slices.Contains(a.members, vm) {
+			a.released = true
+		}
+	}
+}
+
 // loadSlowdown is the factor by which loads may take longer than alone.
 const loadSlowdown = 2
 
-// stage loads models onto the hosts of free VMs, so that they can replace lost
-// members at once.
-func (r *round) stage(s fleet.Service) {
+// prepare makes standbys of free VMs: each loads a model, so that it can replace
+// a lost member of its domain at once.
+func (r *round) prepare(s fleet.Service) {
 	free := r.freeByDomain(s.Name)
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
-		held := map[string]int{}
-		for _, vm := range free[domain] {
-			for _, m := range vm.Staged {
-				held[m]++
-			}
-		}
+		held := r.standbys(s.Name, domain)
 		for _, vm := range free[domain] {
-			if _, started := r.staging[vm.ID]; len(vm.Staged) > 0 || started || !r.mayLoad(s.Engine, 1) {
+			if vm.Model != "" || !r.mayLoad(s.Engine, 1) {
 				continue
 			}
 			m := fewestSpares(s.Engine.Models, held)
 			held[m.Name]++
-			r.staging[vm.ID] = r.now + loadSlowdown*m.LoadTime + joinSlack
-			r.noteLoads(1)
-			r.s.Logger.Info("upstream.staging", "upstream", vm.ID, "model", m.Name, "domain", domain)
-			r.order(Order{Kind: Stage, VM: vm.ID, Address: vm.Address, Model: m.Name})
+			r.beginStandby(s, m, vm)
 		}
 	}
 }
 
-// fewestSpares returns the model with the fewest spares for the number of VMs
-// that a replica may lose; among equals the largest.
+// standbys counts the standbys of a domain by model, loading ones included.
+func (r *round) standbys(service, domain string) map[string]int {
+	out := map[string]int{}
+	for _, a := range r.replicas {
+		if !a.standby || a.released || a.service != service || len(a.members) == 0 {
+			continue
+		}
+		if vm, ok := r.view.VMs[a.members[0]]; ok && vm.Domain == domain {
+			out[a.model]++
+		}
+	}
+	return out
+}
+
+// beginStandby orders a VM to load a model.
+func (r *round) beginStandby(s fleet.Service, m fleet.Model, vm fleet.VM) {
+	r.start(s, candidate{model: m, vms: []fleet.VM{vm}}, standbyPrefix)
+}
+
+// fewestSpares returns the model to prepare the next standby for. Standbys are
+// divided by highest averages: a model's part grows with the VMs of its replicas,
+// each of which may be lost, and with its share of the work.
 func fewestSpares(models []fleet.Model, held map[string]int) fleet.Model {
-	return slices.MinFunc(models, func(a, b fleet.Model) int {
-		return cmp.Or(
-			cmp.Compare(held[a.Name]*b.Size, held[b.Name]*a.Size),
-			cmp.Compare(b.Size, a.Size),
-		)
-	})
+	need := func(m fleet.Model) float64 {
+		return float64(m.Size) * m.Share / float64(held[m.Name]+1)
+	}
+	return slices.MaxFunc(models, func(a, b fleet.Model) int { return cmp.Compare(need(a), need(b)) })
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -14,6 +14,7 @@
 	"log/slog"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/fleet"
@@ -22,13 +23,12 @@
 // OrderKind is what an order asks of a VM.
 type OrderKind string
 
-// Kinds of orders. A probe changes nothing: it asks whether the VM answers.
+// Kinds of orders. A close lets requests in flight finish. A probe changes nothing: it asks whether the VM answers.
 const (
 	Join  OrderKind = "join"
 	Open  OrderKind = "open"
 	Close OrderKind = "close"
 	Leave OrderKind = "leave"
-	Stage OrderKind = "stage"
 	Probe OrderKind = "probe"
 )
 
@@ -43,8 +43,6 @@
 	Model      string
 	// Members holds the ids of a joining replica's VMs by rank.
 	Members []string
-	// Abort cuts requests in flight off when a replica closes.
-	Abort bool
 }
 
 // Result is what became of an order.
@@ -124,7 +122,10 @@
 	// is out of reach.
 	leftAt   time.Duration
 	released bool
-	sentAt   map[string]time.Duration
+	// standby says that the only member holds the model for a repair; such a
+	// replica is never opened.
+	standby bool
+	sentAt  map[string]time.Duration
 	// cold holds the members that load from the weight store to join.
 	cold map[string]bool
 }
@@ -149,9 +150,10 @@
 	generation int64
 	replicas   map[string]*replica
 	probes     map[string]*probeState
-	staging    map[string]time.Duration
 	// loads holds the starts of loads within the window.
 	loads []time.Duration
+	// changed says that a result calls for a plan at once.
+	changed bool
 	// listed is the number of VMs of the last plan, grownAt when it grew.
 	listed  int
 	grownAt time.Duration
@@ -169,12 +171,15 @@
 	p.term, p.generation = term, 0
 	p.replicas = map[string]*replica{}
 	p.probes = map[string]*probeState{}
-	p.staging = map[string]time.Duration{}
 	p.loads, p.listed = nil, 0
 }
 
+// Changed reports whether a result since the last plan calls for one at once.
+func (p *Planner) Changed() bool { return p.changed }
+
 // Plan returns the orders to send now.
 func (p *Planner) Plan(now time.Duration, v *fleet.View) []Order {
+	p.changed = false
 	if v.Config == nil {
 		return nil
 	}
@@ -193,7 +198,7 @@
 	for _, name := range sortedNames(v.Config.Services) {
 		if s := v.Config.Services[name]; s.Engine != nil {
 			if !round.form(s) {
-				round.stage(s)
+				round.prepare(s)
 			}
 		}
 	}
@@ -240,7 +245,7 @@
 		if r, ok := p.replicas[o.Replica]; ok {
 			p.left(now, r, o.VM, res)
 		}
-	case Open, Close, Join, Stage:
+	case Open, Close, Join:
 		if !res.Accepted {
 			p.s.Logger.Warn("order.not_accepted", "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
 				"generation", o.Generation, "model", o.Model, "status", res.Status)
@@ -253,6 +258,7 @@
 func (p *Planner) left(now time.Duration, a *replica, vm string, res Result) {
 	if res.Accepted && a.head == vm {
 		a.headLeft = true
+		p.changed = true
 	}
 	if res.Answered && a.leftAt == 0 {
 		a.leftAt = now
@@ -283,6 +289,7 @@
 		return []Order{o}
 	}
 	s.deadAt = now
+	p.changed = true
 	p.s.Logger.Warn("upstream.dead", "upstream", o.VM, "probes", s.unanswered, "status", res.Status)
 	return nil
 }
@@ -338,6 +345,7 @@
 		sentAt:     map[string]time.Duration{},
 	}
 	a.learn(rep)
+	a.standby = strings.HasPrefix(rep.Name, standbyPrefix)
 	for _, m := range rep.Members {
 		// Whether the former holder opened it is only seen on the head.
 		if s := m.Member.State; s == fleet.MemberOpen || s == fleet.MemberClosing {
@@ -392,6 +400,10 @@
 	if a.adopted {
 		a.learn(rep)
 	}
+	if a.standby {
+		r.keepStandby(a)
+		return
+	}
 	size := r.size(a)
 	present, ready, leaving := 0, 0, false
 	for _, m := range rep.Members {
@@ -507,16 +519,13 @@
 	}
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.dead(head) {
-		switch r.state(head) {
-		case fleet.MemberOpen, fleet.MemberClosing:
-			what := "close"
-			if !planned {
-				what = "cut"
-			}
-			if r.due(a, what) {
-				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation, Abort: !planned})
+		switch state := r.state(head); {
+		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing):
+			if r.due(a, "close") {
+				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
 			}
 		default:
+			// What runs there stands still, so nothing is lost by leaving.
 			r.retire(a, head)
 		}
 		return
@@ -524,8 +533,8 @@
 	r.abandon(a, rep)
 }
 
-// retire takes the head out of a replica that is not open. An order to open it
-// that is still on its way has no effect then.
+// retire takes the head out of a replica. An order to open it that is still on
+// its way has no effect then.
 func (r *round) retire(a *replica, head fleet.VM) {
 	a.head = head.ID
 	if r.due(a, "leave "+head.ID) {
@@ -615,9 +624,15 @@
 	return out
 }
 
+// Prefixes of names. A standby is a replica of one VM that is never opened.
+const (
+	replicaPrefix = "r"
+	standbyPrefix = "s"
+)
+
 // newName returns the name of the next replica; names are never used twice.
-func (r *round) newName() (string, int64) {
+func (r *round) newName(prefix string) (string, int64) {
 	r.generation++
 	g := r.term*generationsPerTerm + r.generation
-	return fmt.Sprintf("r%d", g), g
+	return fmt.Sprintf("%s%d", prefix, g), g
 }
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -96,6 +96,7 @@
 		}
 		for _, m := range s.Engine.Models {
 			limits := silenceLimits(s.Engine, m)
+			n.probeQuiet(now, v.Targets(name, m.Name), limits)
 			for _, t := range n.balancer.Silent(now, v.Targets(name, m.Name), limits) {
 				n.foundSilent(now, t, limits)
 			}
@@ -103,14 +104,30 @@
 	}
 }
 
+// probeQuiet has replicas probed that may stand still. A probe costs little, and
+// a dead VM is known the sooner.
+func (n *Node) probeQuiet(now time.Time, targets []fleet.Target, limits dispatch.Limits) {
+	quiet := dispatch.Limits{Writing: time.Duration(quietPart * float64(limits.Writing)), Reading: limits.Reading}
+	for _, t := range n.balancer.Silent(now, targets, quiet) {
+		if n.flights.noteSilent(now, t.ID) {
+			n.onSilent(t.ID)
+		}
+	}
+}
+
+// quietPart is the part of the silence of a suspected replica after which its
+// VMs are probed.
+const quietPart = 0.6
+
 // foundSilent suspects a replica, tells others and moves its requests.
 func (n *Node) foundSilent(now time.Time, t fleet.Target, limits dispatch.Limits) {
 	n.balancer.Suspect(now, t)
 	moved := n.flights.cancel(t.ID, errSilent)
-	if !n.flights.noteSilent(now, t.ID) {
+	n.flights.noteSilent(now, t.ID)
+	n.onSilent(t.ID)
+	if moved == 0 {
 		return
 	}
-	n.onSilent(t.ID)
 	n.count("upstream.silent")
 	n.logger.Warn("upstream.silent", "upstream", t.ID, "replica", t.Replica, "limit_ms", limits.Writing.Milliseconds(), "moved", moved)
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -48,9 +48,11 @@
 	// proves freshness, so they stay below the bounds on stale beliefs.
 	configWait = time.Second
 	vmWait     = time.Second
-	// vmPause collects the reports of all upstreams, tens a second, into few
-	// reads; drain bounds are seconds.
-	vmPause = 250 * time.Millisecond
+	// vmPause collects the reports of all upstreams into few reads; drain
+	// bounds are seconds. The node that repairs replicas reads more often:
+	// each repair waits for two reports.
+	vmPause       = 300 * time.Millisecond
+	vmPauseHolder = 60 * time.Millisecond
 	// configPause separates the reads of configurations in quick succession.
 	configPause = 100 * time.Millisecond
 	// maxHeader bounds a request's header before a configuration says more.
@@ -86,6 +88,7 @@
 	flights  *flights
 	onSilent func(vm string)
 	dead     func() []string
+	repairs  func() bool
 	peers    *gossip.Gossip
 	// asked says that this node or a peer was asked by a caller.
 	asked    atomic.Bool
@@ -110,6 +113,7 @@
 		flights:  newFlights(),
 		onSilent: func(string) {},
 		dead:     func() []string { return nil },
+		repairs:  func() bool { return false },
 		budgets:  map[string]*retry.Budget{},
 	}
 	n.settings.Store(&s)
@@ -131,6 +135,10 @@
 // count adds one to a counter.
 func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
 
+// Repairs makes the node read the upstreams' reports often while f returns
+// true; it is set before Run.
+func (n *Node) Repairs(f func() bool) { n.repairs = f }
+
 // TellDead makes the node tell its peers of the VMs that f returns; it is set
 // before Run.
 func (n *Node) TellDead(f func() []string) { n.dead = f }
@@ -261,8 +269,8 @@
 // follow starts to read the streams of the log.
 func (n *Node) follow(ctx context.Context) {
 	s := n.outside.Streams
-	config := &keyed.Follower{Stream: s.Config, Wait: configWait, Pause: configPause, Apply: n.state.applyConfig}
-	vms := &keyed.Follower{Stream: s.VMs, Wait: vmWait, Pause: vmPause, Apply: n.state.applyVMs}
+	config := &keyed.Follower{Stream: s.Config, Wait: configWait, Pause: func() time.Duration { return configPause }, Apply: n.state.applyConfig}
+	vms := &keyed.Follower{Stream: s.VMs, Wait: vmWait, Pause: n.vmPause, Apply: n.state.applyVMs}
 	for _, f := range []*keyed.Follower{config, vms} {
 		f.Log, f.Logger = n.outside.Log, n.logger
 		f.Failed = func(err error) {
@@ -273,6 +281,14 @@
 	}
 }
 
+// vmPause returns the pause between reads of the upstreams' reports.
+func (n *Node) vmPause() time.Duration {
+	if n.repairs() {
+		return vmPauseHolder
+	}
+	return vmPause
+}
+
 // readyHandler answers the balancer.
 func (n *Node) readyHandler() http.Handler {
 	r := mux.NewRouter()
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -26,9 +26,9 @@
 	Stream string
 	// Wait is how long the log may hold a read.
 	Wait time.Duration
-	// Pause is the time between a read that brought records and the next, so
-	// that a busy stream is read in batches.
-	Pause time.Duration
+	// Pause returns the time between a read that brought records and the
+	// next, so that a busy stream is read in batches; nil for none.
+	Pause func() time.Duration
 	// Apply takes each batch in order.
 	Apply func(Batch)
 	// Failed is told of a failed read.
@@ -60,8 +60,8 @@
 		case err == nil:
 			pause.Reset()
 			based = true
-			if n > 0 {
-				sleep(ctx, f.Pause)
+			if n > 0 && f.Pause != nil {
+				sleep(ctx, f.Pause())
 			}
 		}
 	}
