Divide spares evenly and let the model further ahead give one up

Change: one standby a model before two of the largest; a spare may load the other model if its own is less far behind; a joining member that is no longer listed but answers is waited for.

--- a/formation/form.go
+++ b/formation/form.go
@@ -87,9 +87,8 @@
 	model fleet.Model
 	vms   []fleet.VM
 	loads int
-	// spoils says that a VM which loads is the domain's last spare of another
-	// model.
-	spoils bool
+	// spoils lists models whose last spare in the domain loads.
+	spoils []string
 	time   time.Duration
 	rank   float64
 }
@@ -125,24 +124,20 @@
 // bestCandidate returns the replica to form next: that of the model that is
 // furthest behind its part, and among its domains the one that is ready first.
 func (r *round) bestCandidate(s fleet.Service) (candidate, bool) {
-	counts := r.counts(s.Name)
+	ranks := r.ranks(s)
 	free := r.freeByDomain(s.Name)
-	total := r.total(s.Name)
 	var best candidate
 	found := false
 	for _, m := range s.Engine.Models {
-		want := m.Share * float64(total) / float64(m.Size)
-		if want <= 0 || float64(counts[m.Name]) >= want {
+		if ranks[m.Name] >= 1 {
 			continue
 		}
-		rank := float64(counts[m.Name]) / want
-		scarce := rank < scarceRank || r.s.Idle()
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := newCandidate(m, free[domain])
-			if !ok || c.loads > 0 && !scarce && (c.loads > repairLoads || c.spoils) {
+			if !ok || !r.worthLoading(c, ranks) {
 				continue
 			}
-			c.rank = rank
+			c.rank = ranks[m.Name]
 			if !found || better(c, best) {
 				best, found = c, true
 			}
@@ -151,6 +146,40 @@
 	return best, found
 }
 
+// ranks returns the replicas of each model, forming ones included, as a part of
+// those that it should have by its share of the work. A model that should have
+// none ranks 1.
+func (r *round) ranks(s fleet.Service) map[string]float64 {
+	counts, total := r.counts(s.Name), float64(r.total(s.Name))
+	out := map[string]float64{}
+	for _, m := range s.Engine.Models {
+		out[m.Name] = 1
+		if want := m.Share * total / float64(m.Size); want > 0 {
+			out[m.Name] = float64(counts[m.Name]) / want
+		}
+	}
+	return out
+}
+
+// worthLoading reports whether a candidate may load weights. Where its model is
+// not scarce, only a few VMs do, and none that is the last spare of a model
+// further behind.
+func (r *round) worthLoading(c candidate, ranks map[string]float64) bool {
+	rank := ranks[c.model.Name]
+	if c.loads == 0 || rank < scarceRank || r.s.Idle() {
+		return true
+	}
+	if c.loads > repairLoads {
+		return false
+	}
+	for _, model := range c.spoils {
+		if ranks[model] <= rank {
+			return false
+		}
+	}
+	return true
+}
+
 // better orders candidates.
 func better(a, b candidate) bool {
 	return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.time, b.time), cmp.Compare(a.loads, b.loads)) < 0
@@ -173,7 +202,9 @@
 		c.time = max(c.time, t)
 		if load {
 			c.loads++
-			c.spoils = c.spoils || spares(free, vm.Holds()) == 1
+			if spares(free, vm.Holds()) == 1 {
+				c.spoils = append(c.spoils, vm.Holds())
+			}
 		}
 	}
 	return c, true
@@ -337,17 +368,15 @@
 // incomplete returns the model of a lost replica whose members wait in a domain
 // for one more VM; of several, the one that is furthest behind its part.
 func (r *round) incomplete(s fleet.Service, free []fleet.VM) (fleet.Model, bool) {
-	counts, total := r.counts(s.Name), r.total(s.Name)
+	ranks := r.ranks(s)
 	var best fleet.Model
-	bestRank, found := 0.0, false
+	found := false
 	for _, m := range s.Engine.Models {
-		want := m.Share * float64(total) / float64(m.Size)
-		rank := float64(counts[m.Name]) / want
-		if want <= 0 || rank >= 1 || spares(free, m.Name)%m.Size != m.Size-1 {
+		if ranks[m.Name] >= 1 || spares(free, m.Name)%m.Size != m.Size-1 {
 			continue
 		}
-		if !found || rank < bestRank {
-			best, bestRank, found = m, rank, true
+		if !found || ranks[m.Name] < ranks[best.Name] {
+			best, found = m, true
 		}
 	}
 	return best, found
@@ -368,11 +397,14 @@
 }
 
 // fewestSpares returns the model to prepare the next standby for. Standbys are
-// divided by highest averages: a model's part grows with the VMs of its replicas,
-// each of which may be lost, and with its share of the work.
+// divided by highest averages over the VMs of a replica, each of which may be
+// lost; a model without one goes first among equals.
 func fewestSpares(models []fleet.Model, held map[string]int) fleet.Model {
-	need := func(m fleet.Model) float64 {
-		return float64(m.Size) * m.Share / float64(held[m.Name]+1)
-	}
-	return slices.MaxFunc(models, func(a, b fleet.Model) int { return cmp.Compare(need(a), need(b)) })
+	return slices.MinFunc(models, func(a, b fleet.Model) int {
+		return cmp.Or(
+			cmp.Compare((held[a.Name]+1)*b.Size, (held[b.Name]+1)*a.Size),
+			cmp.Compare(held[a.Name], held[b.Name]),
+			cmp.Compare(b.Size, a.Size),
+		)
+	})
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -473,7 +473,7 @@
 	lost := leaving
 	for _, id := range a.members {
 		vm, ok := r.view.VMs[id]
-		if !ok || r.dead(vm) || vm.Leaving || vm.Lapsed {
+		if !ok || r.dead(vm) || vm.Leaving {
 			lost = true
 		}
 	}
