Let a burst use a whole window's retries; metrics, event names, explain from logs

Now retries are counted in a sliding window. Its test failed first: a window of 20 parts forgot up to a twentieth of it, so that a second burst fitted; it keeps one part more.

--- a/decisions/decisions.go
+++ b/decisions/decisions.go
@@ -56,7 +56,7 @@
 			// There is no other place to report a failed write to.
 			_, _ = out.Write(batch)
 			if n := w.dropped.Swap(0); n > 0 {
-				report.Warn("log.dropped", "lines", n)
+				report.Warn(LogDropped, "lines", n)
 			}
 		case <-ctx.Done():
 			_, _ = out.Write(w.drain(batch[:0]))
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
 
@@ -64,7 +65,7 @@
 		}
 		var e entry
 		if err := json.Unmarshal(r.Value, &e); err != nil || !e.Address.IsValid() {
-			d.Logger.Warn("peer.unreadable_record", "key", r.Key, "offset", r.Offset, "error", err)
+			d.Logger.Warn(decisions.PeerUnreadableRecord, "key", r.Key, "offset", r.Offset, "error", err)
 			continue
 		}
 		if e.ID == d.ID {
@@ -79,7 +80,7 @@
 func (d *Directory) Run(ctx context.Context) {
 	value, err := json.Marshal(entry{ID: d.ID, Address: d.Address})
 	if err != nil {
-		d.Logger.Error("peer.encode", "error", err)
+		d.Logger.Error(decisions.PeerEncode, "error", err)
 		return
 	}
 	t := time.NewTicker(registerEvery)
@@ -87,7 +88,7 @@
 	for !d.registered.Load() {
 		call, cancel := context.WithTimeout(ctx, appendTimeout)
 		if err := d.Log.Append(call, d.Stream, keyPrefix+d.Name, value); err != nil {
-			d.Logger.Warn("peer.register_failed", "error", err)
+			d.Logger.Warn(decisions.PeerRegisterFailed, "error", err)
 		}
 		cancel()
 		select {
--- a/formation/form.go
+++ b/formation/form.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
@@ -325,7 +326,7 @@
 	a.expect = longest * loadSlowdown
 	r.replicas[name] = a
 	r.noteLoads(len(a.cold))
-	r.s.Logger.Info("replica.formed", "replica", name, "generation", generation, "model", a.model, "standby", a.standby,
+	r.s.Logger.Info(decisions.ReplicaFormed, "replica", name, "generation", generation, "model", a.model, "standby", a.standby,
 		"domain", c.vms[0].Domain, "members", a.members, "loads", len(a.cold), "expect_ms", longest.Milliseconds())
 	for _, vm := range c.vms {
 		a.sentAt["join "+vm.ID] = r.now
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
@@ -247,7 +248,7 @@
 		}
 	case Open, Close, Join:
 		if !res.Accepted {
-			p.s.Logger.Warn("order.not_accepted", "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
+			p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
 				"generation", o.Generation, "model", o.Model, "status", res.Status)
 		}
 	}
@@ -275,7 +276,7 @@
 	s.pending = false
 	if res.Answered {
 		if s.deadAt > 0 {
-			p.s.Logger.Info("upstream.back", "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
+			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
 		*s = probeState{answeredAt: now, sentAt: s.sentAt, state: res.State}
 		return nil
@@ -290,7 +291,7 @@
 	}
 	s.deadAt = now
 	p.changed = true
-	p.s.Logger.Warn("upstream.dead", "upstream", o.VM, "probes", s.unanswered, "status", res.Status)
+	p.s.Logger.Warn(decisions.UpstreamDead, "upstream", o.VM, "probes", s.unanswered, "status", res.Status)
 	return nil
 }
 
@@ -360,7 +361,7 @@
 		a.openSent = true
 	}
 	r.replicas[rep.Name] = a
-	r.s.Logger.Info("replica.adopted", "replica", a.name, "generation", a.generation, "model", a.model, "members", a.members)
+	r.s.Logger.Info(decisions.ReplicaAdopted, "replica", a.name, "generation", a.generation, "model", a.model, "members", a.members)
 }
 
 // learn takes over what members of an adopted replica report, late ones
@@ -451,7 +452,7 @@
 		return
 	}
 	if !a.openSent {
-		r.s.Logger.Info("replica.opening", "replica", a.name, "generation", a.generation, "model", a.model,
+		r.s.Logger.Info(decisions.ReplicaOpening, "replica", a.name, "generation", a.generation, "model", a.model,
 			"after_ms", (r.now - a.formedAt).Milliseconds())
 	}
 	a.openSent = true
@@ -510,7 +511,7 @@
 func (r *round) dismantle(a *replica, rep fleet.Replica, planned bool) {
 	if a.lostAt == 0 {
 		a.lostAt = r.now
-		r.s.Logger.Info("replica.dismantled", "replica", a.name, "generation", a.generation, "model", a.model,
+		r.s.Logger.Info(decisions.ReplicaDismantled, "replica", a.name, "generation", a.generation, "model", a.model,
 			"planned", planned, "members", a.members, "reporting", len(rep.Members))
 	}
 	if a.headLeft {
@@ -561,7 +562,7 @@
 // release frees the members for other replicas.
 func (r *round) release(a *replica, why string) {
 	a.released = true
-	r.s.Logger.Info("replica.released", "replica", a.name, "generation", a.generation, "why", why,
+	r.s.Logger.Info(decisions.ReplicaReleased, "replica", a.name, "generation", a.generation, "why", why,
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
@@ -24,7 +25,7 @@
 
 // run sends the request until it is answered or can't be sent again.
 func (f *flight) run(ctx context.Context) *verdict.Error {
-	f.earnRetry()
+	f.countRequest()
 	f.events.last = f.req.LastEvent
 	worst := verdict.NotRun
 	for sends := 1; ; sends++ {
@@ -49,7 +50,7 @@
 			return e
 		}
 		f.node.count("retry." + string(e.Reason))
-		f.node.logger.Info("request.retried", f.fields("reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail,
+		f.node.logger.Info(decisions.RequestRetried, f.fields("reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail,
 			"attempt", sends, "last_event", f.events.last, "after_ms", since(f.arrived))...)
 	}
 }
@@ -83,7 +84,7 @@
 	}
 	defer func() { f.node.balancer.Done(time.Now(), &ticket) }()
 	f.exclude = append(f.exclude, ticket.Target.ID)
-	f.node.logger.Info("request.sent", f.fields("upstream", ticket.Target.ID, "replica", ticket.Target.Replica,
+	f.node.logger.Info(decisions.RequestSent, f.fields("upstream", ticket.Target.ID, "replica", ticket.Target.Replica,
 		"load", ticket.Load, "last_event", f.events.last, "waited_ms", since(f.arrived))...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -134,7 +135,7 @@
 	switch e.Reason {
 	case verdict.ReasonConnect, verdict.ReasonUpstreamRefused, verdict.ReasonUpstreamLost:
 		f.node.balancer.Suspect(time.Now(), t)
-		f.node.logger.Info("upstream.suspected", f.fields("upstream", t.ID, "replica", t.Replica, "reason", e.Reason, "detail", e.Detail)...)
+		f.node.logger.Info(decisions.UpstreamSuspected, f.fields("upstream", t.ID, "replica", t.Replica, "reason", e.Reason, "detail", e.Detail)...)
 	}
 }
 
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
@@ -129,7 +130,7 @@
 		return
 	}
 	n.count("upstream.silent")
-	n.logger.Warn("upstream.silent", "upstream", t.ID, "replica", t.Replica, "limit_ms", limits.Writing.Milliseconds(), "moved", moved)
+	n.logger.Warn(decisions.UpstreamSilent, "upstream", t.ID, "replica", t.Replica, "limit_ms", limits.Writing.Milliseconds(), "moved", moved)
 }
 
 // avoidDead moves requests away from replicas with a VM that doesn't answer.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -21,11 +21,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
@@ -97,8 +99,11 @@
 	drainStart atomic.Pointer[time.Time]
 	active     atomic.Int64
 
+	timesMu sync.Mutex
+	times   map[string]*hdrhistogram.Histogram
+
 	budgetMu sync.Mutex
-	budgets  map[string]*retry.Budget
+	budgets  map[string]*retry.Window
 }
 
 // New assembles a node; nothing runs before Run.
@@ -114,7 +119,8 @@
 		onSilent: func(string) {},
 		dead:     func() []string { return nil },
 		repairs:  func() bool { return false },
-		budgets:  map[string]*retry.Budget{},
+		budgets:  map[string]*retry.Window{},
+		times:    map[string]*hdrhistogram.Histogram{},
 	}
 	n.settings.Store(&s)
 	n.pool = exchange.NewPool(exchange.Options{
@@ -152,7 +158,7 @@
 	after := *before
 	after.Bounds = s.Bounds
 	n.settings.Store(&after)
-	n.logger.Info("settings.reloaded", "changed", before.Bounds != after.Bounds)
+	n.logger.Info(decisions.SettingsReloaded, "changed", before.Bounds != after.Bounds)
 }
 
 // ID returns the id of this process.
@@ -231,7 +237,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- front.Serve(callers) }()
 	go func() { failed <- health.Serve(ready) }()
-	n.logger.Info("node.started", "callers", n.Settings().ListenCaller, "zone", n.Settings().Zone)
+	n.logger.Info(decisions.NodeStarted, "callers", n.Settings().ListenCaller, "zone", n.Settings().Zone)
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serving")
@@ -275,7 +281,7 @@
 		f.Log, f.Logger = n.outside.Log, n.logger
 		f.Failed = func(err error) {
 			n.count("log.read_failed")
-			n.logger.Warn("log.read_failed", "stream", f.Stream, "error", err)
+			n.logger.Warn(decisions.LogReadFailed, "stream", f.Stream, "error", err)
 		}
 		go f.Run(ctx)
 	}
@@ -368,7 +374,7 @@
 func (n *Node) drain() {
 	n.draining.Store(true)
 	started := time.Now()
-	n.logger.Info("node.draining", "in_flight", n.active.Load())
+	n.logger.Info(decisions.NodeDraining, "in_flight", n.active.Load())
 	n.drainStart.Store(&started)
 	for time.Since(started) < n.drainLimit() {
 		if time.Since(started) > drainNotice && n.active.Load() == 0 {
@@ -376,5 +382,5 @@
 		}
 		time.Sleep(drainPoll)
 	}
-	n.logger.Info("node.stopped", "in_flight", n.active.Load(), "after_ms", since(started))
+	n.logger.Info(decisions.NodeStopped, "in_flight", n.active.Load(), "after_ms", since(started))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
@@ -209,7 +210,7 @@
 // refuse answers with a failure before any upstream was asked.
 func (f *flight) refuse(e *verdict.Error) {
 	f.node.count("refused." + string(e.Reason))
-	f.node.logger.Info("request.refused", f.fields("verdict", e.Verdict, "reason", e.Reason, "detail", e.Detail,
+	f.node.logger.Info(decisions.RequestRefused, f.fields("verdict", e.Verdict, "reason", e.Reason, "detail", e.Detail,
 		"attempts", f.attempts, "retry_after_ms", e.RetryAfter.Milliseconds())...)
 	f.node.outside.Protocol.Label(f.w.Header(), f.req)
 	writeFailure(f.w, e)
@@ -220,19 +221,18 @@
 	switch {
 	case e == nil:
 		f.node.count("answered")
-		first := 0.0
-		if !f.first.IsZero() {
-			first = float64(f.first.Sub(f.arrived).Microseconds()) / 1e3
-		}
-		f.node.logger.Info("request.answered", f.fields("status", f.status, "attempts", f.attempts,
+		first := float64(f.first.Sub(f.arrived).Microseconds()) / 1e3
+		f.node.measure(f.route.Name, stageFirst, f.first.Sub(f.arrived))
+		f.node.measure(f.route.Name, stageWhole, time.Since(f.arrived))
+		f.node.logger.Info(decisions.RequestAnswered, f.fields("status", f.status, "attempts", f.attempts,
 			"first_ms", first, "whole_ms", since(f.arrived))...)
 	case caller.Err() != nil:
 		f.node.count("caller_left")
-		f.node.logger.Info("request.abandoned", f.fields("attempts", f.attempts, "after_ms", since(f.arrived))...)
+		f.node.logger.Info(decisions.RequestAbandoned, f.fields("attempts", f.attempts, "after_ms", since(f.arrived))...)
 		panic(http.ErrAbortHandler)
 	case f.started:
 		f.node.count("broken." + string(e.Reason))
-		f.node.logger.Warn("request.broken", f.fields("reason", e.Reason, "detail", e.Detail, "attempts", f.attempts,
+		f.node.logger.Warn(decisions.RequestBroken, f.fields("reason", e.Reason, "detail", e.Detail, "attempts", f.attempts,
 			"events", f.events.events, "after_ms", since(f.arrived))...)
 		panic(http.ErrAbortHandler)
 	default:
@@ -261,33 +261,37 @@
 	return n.budget(f.service.Name).Spend(time.Now())
 }
 
-// earnRetry pays a request into the service's budget.
-func (f *flight) earnRetry() {
+// countRequest lets the request allow its part of a retry.
+func (f *flight) countRequest() {
 	n := f.node
 	n.budgetMu.Lock()
 	defer n.budgetMu.Unlock()
-	n.budget(f.service.Name).Succeeded(time.Now())
+	n.budget(f.service.Name).Requested(time.Now())
 }
 
 const (
 	// budgetShare is the part of the retry budget that the nodes use, so that
 	// their shares stay below it together when loads are uneven.
 	budgetShare = 0.75
-	// presumedNodes is the number of nodes that share the slack.
-	presumedNodes = 7
+	// fewestNodes is the least number of nodes that share the slack: a node
+	// that hears of none may be cut off from them.
+	fewestNodes = 6
 )
 
-// budget returns this node's share of a service's retry budget.
-func (n *Node) budget(service string) *retry.Budget {
-	b, ok := n.budgets[service]
+// budget returns this node's share of a service's retry budget. Requests are
+// counted where they come in, the slack is divided by the nodes.
+func (n *Node) budget(service string) *retry.Window {
+	bounds := n.Settings().Bounds
+	nodes := fewestNodes
+	if n.peers != nil {
+		nodes = max(nodes, 1+n.peers.Live())
+	}
+	ratio, slack := budgetShare*bounds.RetryRatio, budgetShare*bounds.RetrySlack/float64(nodes)
+	w, ok := n.budgets[service]
 	if !ok {
-		slack := budgetShare * n.Settings().Bounds.RetrySlack / presumedNodes
-		b = retry.NewBudget(retry.BudgetConfig{
-			Ratio:     budgetShare * n.Settings().Bounds.RetryRatio,
-			PerSecond: slack / 2 / n.Settings().Bounds.RetryWindow.Seconds(),
-			Max:       slack / 2,
-		})
-		n.budgets[service] = b
+		w = retry.NewWindow(retry.WindowConfig{Length: bounds.RetryWindow})
+		n.budgets[service] = w
 	}
-	return b
+	w.Configure(ratio, slack)
+	return w
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
@@ -82,13 +83,13 @@
 		}
 		c, err := s.decoder.Config(r.Value)
 		if err != nil {
-			s.logger.Error("config.unreadable", "offset", r.Offset, "error", err)
+			s.logger.Error(decisions.ConfigUnreadable, "offset", r.Offset, "error", err)
 			continue
 		}
 		if s.config != nil && c.Version <= s.config.Version {
 			continue
 		}
-		s.logger.Info("config.in_force", "version", c.Version, "offset", r.Offset, "routes", c.Routes(),
+		s.logger.Info(decisions.ConfigInForce, "version", c.Version, "offset", r.Offset, "routes", c.Routes(),
 			"services", len(c.Services), "keys", len(c.Teams))
 		s.config = c
 		s.publish()
@@ -133,7 +134,7 @@
 func (s *state) report(r keyed.Record, now time.Duration) bool {
 	vm, err := s.decoder.VM(r.Key, r.Value)
 	if err != nil {
-		s.logger.Warn("upstream.unreadable", "upstream", r.Key, "offset", r.Offset, "error", err)
+		s.logger.Warn(decisions.UpstreamUnreadable, "upstream", r.Key, "offset", r.Offset, "error", err)
 		return false
 	}
 	vm.HeardAt = now
@@ -147,7 +148,7 @@
 	if known && same(was, vm) {
 		return false
 	}
-	s.logger.Info("upstream.changed", "upstream", vm.ID, "known", known, "boot", vm.Boot, "leaving", vm.Leaving,
+	s.logger.Info(decisions.UpstreamChanged, "upstream", vm.ID, "known", known, "boot", vm.Boot, "leaving", vm.Leaving,
 		"model", vm.Model, "staged", vm.Staged, "replica", vm.Member.Replica, "generation", vm.Member.Generation,
 		"rank", vm.Member.Rank, "state", string(vm.Member.State), "offset", r.Offset)
 	return true
@@ -208,7 +209,7 @@
 	vm.Lapsed = true
 	s.vms[id] = vm
 	s.lapsed[id] = now + lapsedFor
-	s.logger.Info("upstream.lapsed", "upstream", id, "replica", vm.Member.Replica, "rank", vm.Member.Rank,
+	s.logger.Info(decisions.UpstreamLapsed, "upstream", id, "replica", vm.Member.Replica, "rank", vm.Member.Rank,
 		"silent_ms", (now - vm.HeardAt).Milliseconds())
 	return true
 }
@@ -217,7 +218,7 @@
 	vm, known := s.vms[id]
 	delete(s.vms, id)
 	if known {
-		s.logger.Info("upstream.gone", "upstream", id, "replica", vm.Member.Replica,
+		s.logger.Info(decisions.UpstreamGone, "upstream", id, "replica", vm.Member.Replica,
 			"silent_ms", (bootclock.Now() - vm.HeardAt).Milliseconds())
 	}
 	return known
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 )
 
@@ -100,7 +101,7 @@
 	}
 	if _, known := g.peers[id]; !known {
 		g.peers[id] = &peer{address: address, heardAt: time.Now()}
-		g.logger.Info("peer.registered", "peer", id, "address", address.String())
+		g.logger.Info(decisions.PeerRegistered, "peer", id, "address", address.String())
 	}
 }
 
@@ -139,7 +140,7 @@
 	m.Node = g.id
 	data, err := json.Marshal(m)
 	if err != nil || len(data) > maxMessage {
-		g.logger.Error("peer.message_not_sent", "bytes", len(data), "error", err)
+		g.logger.Error(decisions.PeerMessageNotSent, "bytes", len(data), "error", err)
 		return
 	}
 	for _, address := range g.addresses() {
@@ -161,7 +162,7 @@
 		silent := now.Sub(p.heardAt)
 		if p.live && silent > liveFor {
 			p.live = false
-			g.logger.Info("peer.silent", "peer", id, "silent_ms", silent.Milliseconds())
+			g.logger.Info(decisions.PeerSilent, "peer", id, "silent_ms", silent.Milliseconds())
 		}
 		if silent > forgetAfter {
 			delete(g.peers, id)
@@ -179,14 +180,14 @@
 		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() == nil {
-				g.logger.Warn("peer.receive_failed", "error", err)
+				g.logger.Warn(decisions.PeerReceiveFailed, "error", err)
 				time.Sleep(sendEvery)
 			}
 			continue
 		}
 		var m Message
 		if err := json.Unmarshal(buf[:n], &m); err != nil {
-			g.logger.Warn("peer.unreadable", "from", from.String(), "bytes", n, "error", err)
+			g.logger.Warn(decisions.PeerUnreadable, "from", from.String(), "bytes", n, "error", err)
 			continue
 		}
 		if m.Node == "" || m.Node == g.id {
@@ -209,6 +210,6 @@
 	p.heardAt = time.Now()
 	if !p.live {
 		p.live = true
-		g.logger.Info("peer.heard", "peer", id, "address", from.String())
+		g.logger.Info(decisions.PeerHeard, "peer", id, "address", from.String())
 	}
 }
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 )
 
 const (
@@ -52,7 +53,7 @@
 		}
 		switch {
 		case errors.Is(err, ErrTruncated):
-			f.Logger.Warn("stream.truncated", "stream", f.Stream, "from", next)
+			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream, "from", next)
 			based = false
 		case err != nil && ctx.Err() == nil:
 			f.Failed(err)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
 
@@ -109,7 +110,7 @@
 func (l *Lease) take(r keyed.Record) {
 	var e entry
 	if err := json.Unmarshal(r.Value, &e); err != nil {
-		l.logger.Error("lease.unreadable", "offset", r.Offset, "error", err)
+		l.logger.Error(decisions.LeaseUnreadable, "offset", r.Offset, "error", err)
 		return
 	}
 	now := bootclock.Now()
@@ -117,7 +118,7 @@
 		e.Term = r.Offset + 1
 	}
 	if e.Holder != l.current.Holder || e.Term != l.current.Term {
-		l.logger.Info("lease.changed", "holder", e.Holder, "term", e.Term, "before", l.current.Holder, "offset", r.Offset)
+		l.logger.Info(decisions.LeaseChanged, "holder", e.Holder, "term", e.Term, "before", l.current.Holder, "offset", r.Offset)
 	}
 	l.current, l.heardAt = e, now
 	l.claimAfter = now + time.Duration(e.TTLMillis)*time.Millisecond + l.jitter()
@@ -178,7 +179,7 @@
 	held := l.holds(now)
 	if held != l.held {
 		l.held = held
-		l.logger.Info("lease.held", "held", held, "term", l.term)
+		l.logger.Info(decisions.LeaseHeld, "held", held, "term", l.term)
 	}
 	e := entry{Holder: l.id, TTLMillis: TTL.Milliseconds(), Nonce: rand.Uint64()}
 	due := false
@@ -209,12 +210,12 @@
 func (l *Lease) append(ctx context.Context, at int64, e entry) {
 	value, err := json.Marshal(e)
 	if err != nil {
-		l.logger.Error("lease.encode", "error", err)
+		l.logger.Error(decisions.LeaseEncode, "error", err)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	if _, err := l.log.AppendAt(ctx, l.stream, l.key, at, value); err != nil {
-		l.logger.Warn("lease.append_failed", "at", at, "claim", e.Term == 0, "error", err)
+		l.logger.Warn(decisions.LeaseAppendFailed, "at", at, "claim", e.Term == 0, "error", err)
 	}
 }
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -229,11 +229,17 @@
 		Name:      "explain",
 		Usage:     "show what happened to one request",
 		ArgsUsage: "REQUEST-ID",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: "log", Usage: "read the nodes' logs from `FILE` (- for standard input) instead of asking a node"},
+		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			id, err := onlyArg(cmd, "request id")
 			if err != nil {
 				return err
 			}
+			if files := cmd.StringSlice("log"); len(files) > 0 {
+				return p.explainFromLogs(cmd, id, files)
+			}
 			c := p.client(cmd)
 			e, err := c.explain(ctx, id)
 			if err != nil {
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,70 @@
+package retry_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/retry"
+)
+
+var _ = Describe("Window", func() {
+	var (
+		w   *retry.Window
+		now time.Time
+	)
+	BeforeEach(func() {
+		w = retry.NewWindow(retry.WindowConfig{Length: 10 * time.Second, Ratio: 0.2, Slack: 3})
+		now = time.Unix(1000, 0)
+	})
+	spend := func() int {
+		n := 0
+		for w.Spend(now) {
+			n++
+		}
+		return n
+	}
+
+	It("allows the slack without requests", func() {
+		Expect(spend()).To(Equal(3))
+	})
+
+	// A replica that dies moves all of its streams at once.
+	It("lets a burst use what the requests of the whole window allow", func() {
+		for range 100 {
+			now = now.Add(50 * time.Millisecond)
+			w.Requested(now)
+		}
+		Expect(spend()).To(Equal(23))
+	})
+
+	It("allows no more in any window", func() {
+		total := 0
+		for i := range 400 {
+			now = now.Add(50 * time.Millisecond)
+			w.Requested(now)
+			if i >= 200 {
+				total += spend()
+			}
+		}
+		Expect(total).To(BeNumerically("<=", 0.2*200+3))
+	})
+
+	It("forgets what is older than the window", func() {
+		for range 100 {
+			w.Requested(now)
+		}
+		Expect(spend()).To(Equal(23))
+		now = now.Add(11 * time.Second)
+		Expect(spend()).To(Equal(3))
+	})
+
+	It("stands a clock that jumps", func() {
+		w.Requested(now)
+		now = now.Add(-time.Hour)
+		Expect(spend()).To(Equal(3))
+		now = now.Add(2 * time.Hour)
+		Expect(spend()).To(Equal(3))
+	})
+})
