Tell peers loads every 60 ms and spread picks over 20 ms of prediction

Cause: nodes learnt each other's picks up to 150 ms late and all sent to the same replica meanwhile.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -168,7 +168,7 @@
 const (
 	// tieBreak is the random part of a score; it spreads requests over
 	// upstreams whose predictions are about equal.
-	tieBreak = 2 * time.Millisecond
+	tieBreak = 20 * time.Millisecond
 	// queueSlots times its slots is the number of requests that may wait at a
 	// plain service's VM.
 	queueSlots = 2
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -23,7 +23,7 @@
 const (
 	// sendEvery is the time between two messages to a peer. Loads change
 	// within tens of milliseconds, and a message costs two system calls.
-	sendEvery = 150 * time.Millisecond
+	sendEvery = 60 * time.Millisecond
 	// forgetAfter is the silence after which a peer gets no more messages
 	// until it registers again or is heard.
 	forgetAfter = 20 * time.Second
