Quarantine content that crashed two upstreams on all nodes

A request whose upstream's process is gone before it brought an event counts as a crash of its content; peers are told with the next message. After two, no node sends it. The table is that of the quarantine service.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -9,6 +9,7 @@
 	RequestRefused       = "request.refused"
 	RequestBroken        = "request.broken"
 	RequestAbandoned     = "request.abandoned"
+	RequestCrashed       = "request.crashed"
 	ConfigInForce        = "config.in_force"
 	ConfigUnreadable     = "config.unreadable"
 	UpstreamChanged      = "upstream.changed"
@@ -62,6 +63,7 @@
 		{RequestRefused, "The node answered with a failure of its own: verdict, reason, detail, when to come back."},
 		{RequestBroken, "An answer that had begun was cut off: reason and events passed on."},
 		{RequestAbandoned, "The caller left before the answer was whole."},
+		{RequestCrashed, "A request was on an upstream whose process ended: how many its content has crashed."},
 		{ConfigInForce, "A configuration took effect: version, offset, routes, services, keys."},
 		{ConfigUnreadable, "A record of the configuration could not be decoded; the one before stays in force."},
 		{UpstreamChanged, "An upstream reported something new: boot, replica, rank, state, models."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,6 +29,9 @@
 	f.events.last = f.req.LastEvent
 	worst := verdict.NotRun
 	for sends := 1; ; sends++ {
+		if e := f.checkQuarantine(); e != nil {
+			return e.WithVerdict(worst)
+		}
 		last := sends >= maxSends
 		e := f.attempt(ctx, last)
 		if e == nil {
@@ -97,6 +100,9 @@
 	e := f.exchange(ctx, &ticket, last)
 	if e != nil {
 		f.judge(ctx, ticket.Target, e)
+		if e.Reason == verdict.ReasonUpstreamLost && f.events.events == 0 && ctx.Err() == nil {
+			f.noteCrash(ticket.Target)
+		}
 		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
 			return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s: %v", ticket.Target.ID, cause)
 		}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -88,6 +88,7 @@
 	balancer *dispatch.Balancer
 	pool     *exchange.Pool
 	flights  *flights
+	crashes  *crashes
 	onSilent func(vm string)
 	dead     func() []string
 	repairs  func() bool
@@ -116,6 +117,7 @@
 		state:    newState(o.Decoder, o.Streams.ConfigKey, logger),
 		balancer: dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		flights:  newFlights(),
+		crashes:  newCrashes(),
 		onSilent: func(string) {},
 		dead:     func() []string { return nil },
 		repairs:  func() bool { return false },
@@ -199,7 +201,7 @@
 func (n *Node) tell() gossip.Message {
 	dead := n.dead()
 	n.avoidDead(time.Now(), dead)
-	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead}
+	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
 }
 
 // heard takes a peer's message.
@@ -210,6 +212,7 @@
 		n.asked.Store(true)
 	}
 	n.avoidDead(now, m.Dead)
+	n.crashes.learn(m.Crashes)
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -18,6 +18,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/quarantine"
 )
 
 const (
@@ -39,6 +40,8 @@
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
 	// Silent lists heads of replicas that send nothing.
 	Silent []string `json:"silent,omitempty"`
+	// Crashes holds the latest requests that crashed upstreams.
+	Crashes []quarantine.LocalSuspect `json:"crashes,omitempty"`
 	// Dead lists VMs that don't answer the holder of the control lease.
 	Dead []string `json:"dead,omitempty"`
 }
--- a/quarantine/local.go
+++ b/quarantine/local.go
@@ -15,17 +15,19 @@
 	trialStarted bool
 }
 
-// localTable holds the crashes seen by this node and its peers, in order.
-type localTable struct {
+// Table holds the crashes seen by this node and its peers, in order.
+type Table struct {
 	byPrint map[string]*localSuspect
 	order   []string
 }
 
-func newLocalTable() localTable {
-	return localTable{byPrint: map[string]*localSuspect{}}
+// NewTable returns an empty Table.
+func NewTable() Table {
+	return Table{byPrint: map[string]*localSuspect{}}
 }
 
-func (t *localTable) get(fingerprint string) (LocalSuspect, bool) {
+// Get returns what is known of a fingerprint.
+func (t *Table) Get(fingerprint string) (LocalSuspect, bool) {
 	e, ok := t.byPrint[fingerprint]
 	if !ok {
 		return LocalSuspect{}, false
@@ -33,8 +35,8 @@
 	return e.LocalSuspect, true
 }
 
-// crash counts a crash of another replica than the one counted before.
-func (t *localTable) crash(fingerprint string, generation record.Position) {
+// Crash counts a crash of another replica than the one counted before.
+func (t *Table) Crash(fingerprint string, generation record.Position) {
 	e, ok := t.byPrint[fingerprint]
 	if !ok {
 		t.insert(LocalSuspect{Fingerprint: fingerprint, Generation: generation, Crashes: 1})
@@ -45,8 +47,8 @@
 	}
 }
 
-// learn merges what a peer saw.
-func (t *localTable) learn(p LocalSuspect) {
+// Learn merges what a peer saw.
+func (t *Table) Learn(p LocalSuspect) {
 	e, ok := t.byPrint[p.Fingerprint]
 	if !ok {
 		t.insert(p)
@@ -58,7 +60,7 @@
 	}
 }
 
-func (t *localTable) insert(s LocalSuspect) {
+func (t *Table) insert(s LocalSuspect) {
 	t.byPrint[s.Fingerprint] = &localSuspect{LocalSuspect: s}
 	t.order = append(t.order, s.Fingerprint)
 	for len(t.order) > maxLocal {
@@ -68,7 +70,7 @@
 }
 
 // startTrial reports whether the trial is the first of this node.
-func (t *localTable) startTrial(fingerprint string) bool {
+func (t *Table) startTrial(fingerprint string) bool {
 	e, ok := t.byPrint[fingerprint]
 	if !ok {
 		return true
@@ -79,13 +81,13 @@
 }
 
 // endTrial allows another trial of this node.
-func (t *localTable) endTrial(fingerprint string) {
+func (t *Table) endTrial(fingerprint string) {
 	if e, ok := t.byPrint[fingerprint]; ok {
 		e.trialStarted = false
 	}
 }
 
-func (t *localTable) clear(fingerprint string) {
+func (t *Table) clear(fingerprint string) {
 	if _, ok := t.byPrint[fingerprint]; !ok {
 		return
 	}
@@ -98,8 +100,8 @@
 // maxRecent bounds the crashes told to peers in one heartbeat.
 const maxRecent = 8
 
-// recent returns the latest crashes, newest first.
-func (t *localTable) recent() []LocalSuspect {
+// Recent returns the latest crashes, newest first.
+func (t *Table) Recent() []LocalSuspect {
 	var out []LocalSuspect
 	for i := len(t.order) - 1; i >= 0 && len(out) < maxRecent; i-- {
 		out = append(out, t.byPrint[t.order[i]].LocalSuspect)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -107,7 +107,7 @@
 	// noting holds, by record identifier, who waits for a crash to be read
 	// back.
 	noting map[string]kernel.AskID
-	local  localTable
+	local  Table
 }
 
 // Live reports whether a node was heard of lately.
@@ -115,7 +115,7 @@
 
 // New returns the service of a node.
 func New(node record.NodeID, log Log, live Live, newID func() string) *Service {
-	return &Service{node: node, log: log, live: live, newID: newID, waiting: map[string]Check{}, noting: map[string]kernel.AskID{}, local: newLocalTable()}
+	return &Service{node: node, log: log, live: live, newID: newID, waiting: map[string]Check{}, noting: map[string]kernel.AskID{}, local: NewTable()}
 }
 
 // Name implements kernel.Service.
@@ -125,7 +125,7 @@
 func (s *Service) Quarantined() int { return s.log.Ledgers().Suspects.Len() }
 
 // LocalSuspects returns the crashes that this node saw lately, newest first.
-func (s *Service) LocalSuspects() []LocalSuspect { return s.local.recent() }
+func (s *Service) LocalSuspects() []LocalSuspect { return s.local.Recent() }
 
 // Handle implements kernel.Service.
 func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
@@ -138,7 +138,7 @@
 		return s.ended(now, m)
 	case PeerSuspects:
 		for _, p := range m.Suspects {
-			s.local.learn(p)
+			s.local.Learn(p)
 		}
 	case logfollow.Applied:
 		return s.applied(m)
@@ -156,7 +156,7 @@
 
 func (s *Service) check(now time.Time, m Check) []kernel.Effect {
 	known, ok := s.log.Ledgers().Suspects.State(m.Fingerprint)
-	local, seen := s.local.get(m.Fingerprint)
+	local, seen := s.local.Get(m.Fingerprint)
 	switch {
 	case ok && known.Phase == ledger.SuspectQuarantined, seen && local.Crashes > 1:
 		return reply(m.Ask, verdict.Refuse(verdict.ReasonQuarantined, "this request crashed two upstreams"))
@@ -211,7 +211,7 @@
 
 // crashed notes a crash and tells the log.
 func (s *Service) crashed(now time.Time, m Crashed) []kernel.Effect {
-	s.local.crash(m.Fingerprint, m.Generation)
+	s.local.Crash(m.Fingerprint, m.Generation)
 	var out []kernel.Effect
 	if m.Attempt != "" {
 		out = append(out, s.append(now, record.Record{TrialEnd: &record.TrialEnd{
