Read and tell less with many nodes; take failed reads for outages

From 16 peers on, nodes that don't hold the lease read reports each second, the lease each 1.5 s and hold reads of the configuration for 2 s; messages to peers become rarer with their number. An outage is a failed read now, not a gap between reads.

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -46,15 +46,25 @@
 	watchEvery = 50 * time.Millisecond
 	// sweepEvery is how often idle connections are checked.
 	sweepEvery = time.Second
-	// configWait and vmWait are how long the log holds reads. Each answer
-	// proves freshness, so they stay below the bounds on stale beliefs.
-	configWait = time.Second
-	vmWait     = time.Second
-	// vmPause collects the reports of all upstreams into few reads; drain
-	// bounds are seconds. The node that repairs replicas reads more often:
-	// each repair waits for two reports.
+	// configWait is how long the log holds a read of the configuration. Each
+	// answer proves that it is current, so twice the wait stays below the
+	// bound on revoked keys; configWaitMany is for deployments of many nodes,
+	// whose calls add up.
+	configWait     = time.Second
+	configWaitMany = 2 * time.Second
+	// vmWait is how long the log holds a read of upstreams' reports.
+	vmWait = time.Second
+	// vmPause collects the reports of all upstreams into few reads; bounds on
+	// leaving upstreams are seconds. The node that repairs replicas reads
+	// more often: each repair waits for two reports.
 	vmPause       = 300 * time.Millisecond
+	vmPauseMany   = time.Second
 	vmPauseHolder = 60 * time.Millisecond
+	// controlPauseMany separates reads of the lease by nodes that don't hold
+	// it, where they are many.
+	controlPauseMany = 1500 * time.Millisecond
+	// manyNodes is the number of nodes from which each reads less often.
+	manyNodes = 16
 	// configPause separates the reads of configurations in quick succession.
 	configPause = 100 * time.Millisecond
 	// maxHeader bounds a request's header before a configuration says more.
@@ -278,26 +288,51 @@
 // follow starts to read the streams of the log.
 func (n *Node) follow(ctx context.Context) {
 	s := n.outside.Streams
-	config := &keyed.Follower{Stream: s.Config, Wait: configWait, Pause: func() time.Duration { return configPause }, Apply: n.state.applyConfig}
-	vms := &keyed.Follower{Stream: s.VMs, Wait: vmWait, Pause: n.vmPause, Apply: n.state.applyVMs}
+	config := &keyed.Follower{Stream: s.Config, Wait: n.configWait, Pause: func() time.Duration { return configPause }, Apply: n.state.applyConfig}
+	vms := &keyed.Follower{Stream: s.VMs, Wait: func() time.Duration { return vmWait }, Pause: n.vmPause, Apply: n.state.applyVMs}
 	for _, f := range []*keyed.Follower{config, vms} {
 		f.Log, f.Logger = n.outside.Log, n.logger
 		f.Failed = func(err error) {
 			n.count("log.read_failed")
 			n.logger.Warn(decisions.LogReadFailed, "stream", f.Stream, "error", err)
+			if f.Stream == s.VMs {
+				n.state.readFailed()
+			}
 		}
 		go f.Run(ctx)
 	}
 }
 
+// many reports whether the deployment has many nodes.
+func (n *Node) many() bool { return n.peers != nil && n.peers.Live() >= manyNodes }
+
+// configWait returns how long the log holds a read of the configuration.
+func (n *Node) configWait() time.Duration {
+	if n.many() {
+		return configWaitMany
+	}
+	return configWait
+}
+
 // vmPause returns the pause between reads of the upstreams' reports.
 func (n *Node) vmPause() time.Duration {
-	if n.repairs() {
+	switch {
+	case n.repairs():
 		return vmPauseHolder
+	case n.many():
+		return vmPauseMany
 	}
 	return vmPause
 }
 
+// ControlPause returns the pause between reads of the control stream.
+func (n *Node) ControlPause() time.Duration {
+	if n.many() && !n.repairs() {
+		return controlPauseMany
+	}
+	return 0
+}
+
 // readyHandler answers the balancer.
 func (n *Node) readyHandler() http.Handler {
 	r := mux.NewRouter()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,8 +17,6 @@
 	// returnGrace is how long after an outage of the log entries that lapsed
 	// meanwhile may still come back.
 	returnGrace = 2 * time.Second
-	// outageAfter is the silence of the log that counts as an outage.
-	outageAfter = 1500 * time.Millisecond
 	// lapsedFor is how long a member of a replica is remembered without an
 	// entry: as long as a leaving member stays with a head that has work, and
 	// a little more.
@@ -45,9 +43,10 @@
 	mu     sync.Mutex
 	config *fleet.Config
 	vms    map[string]fleet.VM
-	// heardAt is when the upstreams' stream was last read; healthySince is
-	// when its reads went well again after an outage.
-	heardAt, healthySince time.Duration
+	// failing says that the last read of the upstreams' stream failed;
+	// healthySince is when reads went well again.
+	failing      bool
+	healthySince time.Duration
 	// lapsed holds upstreams whose entries went away around an outage, with
 	// the time at which they are taken as gone.
 	lapsed map[string]time.Duration
@@ -60,6 +59,7 @@
 		logger:    logger,
 		vms:       map[string]fleet.VM{},
 		lapsed:    map[string]time.Duration{},
+		failing:   true,
 	}
 	s.view.Store(fleet.NewView(nil, 0, s.vms))
 	return s
@@ -102,10 +102,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
-	if now-s.heardAt > outageAfter {
-		s.healthySince = now
+	if s.failing {
+		s.failing, s.healthySince = false, now
 	}
-	s.heardAt = now
 	missing := map[string]bool{}
 	if b.Whole {
 		for id := range s.vms {
@@ -130,6 +129,13 @@
 	}
 }
 
+// readFailed notes that the upstreams' stream could not be read.
+func (s *state) readFailed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = true
+}
+
 // report takes an upstream's report and says whether it changes the view.
 func (s *state) report(r keyed.Record, now time.Duration) bool {
 	vm, err := s.decoder.VM(r.Key, r.Value)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -127,16 +127,33 @@
 	t := time.NewTicker(sendEvery)
 	defer t.Stop()
 	defer g.conn.Close()
-	for {
+	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			g.Send()
+			if tick%g.skip() == 0 {
+				g.Send()
+			}
 		}
 	}
 }
 
+// peersAtOnce is the number of peers up to which each tick sends a message.
+// With more, messages are rarer, so that a node's cost stays about the same up
+// to maxSkip times as many.
+const (
+	peersAtOnce = 8
+	maxSkip     = 8
+)
+
+// skip returns the number of ticks between two messages.
+func (g *Gossip) skip() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return min(maxSkip, 1+len(g.peers)/peersAtOnce)
+}
+
 // Send tells all peers what there is to tell now.
 func (g *Gossip) Send() {
 	m := g.local()
@@ -153,7 +170,7 @@
 }
 
 // liveFor is the silence after which a peer counts as gone.
-const liveFor = time.Second
+const liveFor = 1500 * time.Millisecond
 
 // addresses returns where to send, and notes peers that fell silent.
 func (g *Gossip) addresses() []netip.AddrPort {
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -25,8 +25,8 @@
 type Follower struct {
 	Log    Log
 	Stream string
-	// Wait is how long the log may hold a read.
-	Wait time.Duration
+	// Wait returns how long the log may hold a read.
+	Wait func() time.Duration
 	// Pause returns the time between a read that brought records and the
 	// next, so that a busy stream is read in batches; nil for none.
 	Pause func() time.Duration
@@ -84,10 +84,11 @@
 // read reads on from an offset. It returns the number of records and the next
 // offset, which stays the same after a failure.
 func (f *Follower) read(ctx context.Context, from int64) (int, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+readSlack)
+	wait := f.Wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	at := bootclock.Now()
-	records, next, err := f.Log.Read(ctx, f.Stream, from, f.Wait)
+	records, next, err := f.Log.Read(ctx, f.Stream, from, wait)
 	if err != nil {
 		return 0, from, err
 	}
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -100,7 +100,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		f := &keyed.Follower{
-			Log: log, Stream: "s", Wait: 20 * time.Millisecond, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
+			Log: log, Stream: "s", Wait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
 			Apply: func(b keyed.Batch) {
 				mu.Lock()
 				defer mu.Unlock()
