Tell requests that may have run from refusals in logs and counters

A failure with the verdict may_have_run was logged and counted as refused, as if the request had not run. It is request.failed and failed.REASON now.

--- a/decisions/decisions_test.go
+++ b/decisions/decisions_test.go
@@ -56,7 +56,7 @@
 		`not a line`,
 		`{"time":"2026-01-01T00:00:02Z","msg":"upstream.dead","node":"b","upstream":"u1"}`,
 		`{"time":"2026-01-01T00:00:02Z","msg":"upstream.dead","node":"b","upstream":"other"}`,
-		`{"time":"2026-01-01T00:00:04Z","msg":"request.refused","node":"a","id":"x","reason":"upstream_lost","verdict":"may_have_run","detail":"reset"}`,
+		`{"time":"2026-01-01T00:00:04Z","msg":"request.failed","node":"a","id":"x","reason":"upstream_lost","verdict":"may_have_run","detail":"reset"}`,
 		`{"time":"2026-01-01T00:00:03Z","msg":"request.retried","node":"a","id":"x","reason":"upstream_stalled"}`,
 	}, "\n")
 
@@ -67,7 +67,7 @@
 		Expect(s.Lines).To(HaveLen(3))
 		Expect(s.Lines[1].Event).To(Equal(RequestRetried))
 		Expect(s.Around).To(HaveLen(1))
-		Expect(s.Outcome).To(Equal(RequestRefused))
+		Expect(s.Outcome).To(Equal(RequestFailed))
 		Expect(s.Cause).To(Equal("upstream_lost, may_have_run, reset"))
 	})
 
--- a/decisions/story.go
+++ b/decisions/story.go
@@ -37,7 +37,7 @@
 }
 
 // outcomes are the events that end a request.
-var outcomes = []string{RequestAnswered, RequestRefused, RequestBroken, RequestAbandoned}
+var outcomes = []string{RequestAnswered, RequestRefused, RequestFailed, RequestBroken, RequestAbandoned}
 
 // ReadLog reads the structured lines of a log. Text in front of a line's JSON
 // and lines of another kind are skipped.
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,79 @@
+package directory_test
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/directory"
+	"github.com/tamarackcleat/tamarackcleat/keyed"
+)
+
+// stream is a log whose answers can be lost.
+type stream struct {
+	mu      sync.Mutex
+	records []keyed.Record
+	mute    bool
+}
+
+func (s *stream) Append(_ context.Context, _, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = append(s.records, keyed.Record{Key: key, Value: value, Offset: int64(len(s.records))})
+	if s.mute {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (s *stream) batch() keyed.Batch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return keyed.Batch{Records: s.records, Whole: true}
+}
+
+var _ = Describe("Directory", func() {
+	var (
+		log   *stream
+		found map[string]netip.AddrPort
+	)
+	node := func(id string) *directory.Directory {
+		return &directory.Directory{
+			Stream: "s", Name: id, ID: id, Address: netip.MustParseAddrPort("10.0.0.1:7000"), Log: log,
+			Found:  func(id string, a netip.AddrPort) { found[id] = a },
+			Logger: slog.New(slog.DiscardHandler),
+		}
+	}
+	BeforeEach(func() { log, found = &stream{}, map[string]netip.AddrPort{} })
+
+	It("registers until its record is read back, also when answers are lost", func() {
+		log.mute = true
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		d := node("a")
+		done := make(chan struct{})
+		go func() { d.Run(ctx); close(done) }()
+		Eventually(func() int { return len(log.batch().Records) }).Should(BeNumerically(">=", 1))
+		d.Apply(log.batch())
+		Eventually(done, "3s").Should(BeClosed())
+	})
+
+	It("finds others, not itself, and skips what it can't read", func() {
+		a, b := node("a"), node("b")
+		for key, value := range map[string]string{
+			"node/b": `{"id":"b","address":"10.0.0.2:7000"}`, "node/a": `{"id":"a","address":"10.0.0.1:7000"}`,
+			"node/x": "{", "node/y": `{"id":"y"}`, "lease": "{}",
+		} {
+			Expect(log.Append(context.Background(), "s", key, []byte(value))).To(Succeed())
+		}
+		a.Apply(log.batch())
+		Expect(found).To(Equal(map[string]netip.AddrPort{"b": netip.MustParseAddrPort("10.0.0.2:7000")}))
+		b.Apply(log.batch())
+		Expect(found).To(HaveKey("a"))
+	})
+})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -207,11 +207,16 @@
 	return f.route.Priority
 }
 
-// refuse answers with a failure before any upstream was asked.
+// refuse answers with a failure of the node's own. It counts as a refusal only
+// if the request has not run.
 func (f *flight) refuse(e *verdict.Error) {
-	f.node.count("refused." + string(e.Reason))
-	f.node.logger.Info(decisions.RequestRefused, f.fields("verdict", e.Verdict, "reason", e.Reason, "detail", e.Detail,
-		"attempts", f.attempts, "retry_after_ms", e.RetryAfter.Milliseconds())...)
+	event, counter := decisions.RequestRefused, "refused."
+	if e.Verdict != verdict.NotRun {
+		event, counter = decisions.RequestFailed, "failed."
+	}
+	f.node.count(counter + string(e.Reason))
+	f.node.logger.Info(event, f.fields("verdict", e.Verdict, "reason", e.Reason, "detail", e.Detail,
+		"attempts", f.attempts, "retry_after_ms", e.RetryAfter.Milliseconds(), "after_ms", since(f.arrived))...)
 	f.node.outside.Protocol.Label(f.w.Header(), f.req)
 	writeFailure(f.w, e)
 }
--- /dev/null
+++ b/gossip/gossip_test.go
@@ -0,0 +1,94 @@
+package gossip_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/gossip"
+)
+
+// node is one end of the gossip.
+type node struct {
+	*gossip.Gossip
+	address netip.AddrPort
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	last    gossip.Message
+}
+
+func (n *node) heard() gossip.Message {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.last
+}
+
+func start(id string) *node {
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	n := &node{address: probe.LocalAddr().(*net.UDPAddr).AddrPort()}
+	Expect(probe.Close()).To(Succeed())
+	n.Gossip, err = gossip.New(gossip.Options{
+		ID: id, Listen: n.address, Logger: slog.New(slog.DiscardHandler),
+		Local: func() gossip.Message {
+			return gossip.Message{Loads: map[string]dispatch.Load{id + "-vm": {InFlight: 3}}}
+		},
+		Heard: func(m gossip.Message) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.last = m
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	DeferCleanup(cancel)
+	go n.Run(ctx)
+	return n
+}
+
+var _ = Describe("Gossip", func() {
+	It("tells a registered peer, which answers without a registration of its own", func() {
+		a, b := start("a"), start("b")
+		a.Register("b", b.address)
+		Eventually(func() int { return b.heard().Loads["a-vm"].InFlight }).Should(Equal(3))
+		Eventually(func() int { return a.heard().Loads["b-vm"].InFlight }).Should(Equal(3))
+		Expect(a.Live()).To(Equal(1))
+	})
+
+	It("notes a peer that falls silent", func() {
+		a, b := start("a"), start("b")
+		a.Register("b", b.address)
+		Eventually(a.Live).Should(Equal(1))
+		b.stop()
+		Eventually(a.Live, "4s").Should(Equal(0))
+	})
+
+	It("skips what it can't read and itself", func() {
+		a, b := start("a"), start("b")
+		a.Register("a", a.address)
+		conn, err := net.Dial("udp4", a.address.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		for _, bad := range []string{"{", "{}", `{"node":7}`, `{"node":"a"}`} {
+			_, err := conn.Write([]byte(bad))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		a.Register("b", b.address)
+		Eventually(a.Live).Should(Equal(1))
+	})
+
+	It("forgets a former process at an address", func() {
+		a, b := start("a"), start("b")
+		a.Register("before", b.address)
+		a.Register("b", b.address)
+		Eventually(a.Live).Should(Equal(1))
+		Consistently(a.Live, "300ms").Should(Equal(1))
+	})
+})
