--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,8 +27,8 @@
 
 // Job is what a request asks of an upstream.
 type Job struct {
-	// PromptTokens and AnswerTokens are sizes; 0 for a plain service.
-	PromptTokens, AnswerTokens int
+	// PromptTokens is the size of the prompt; 0 for a plain service.
+	PromptTokens int
 	// Exclude lists ids of upstreams that were tried before.
 	Exclude []string
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -58,8 +58,6 @@
 
 // Settings configures a Planner.
 type Settings struct {
-	// Heartbeat is the time between two reports of a VM.
-	Heartbeat time.Duration
 	// Stall is how long a replica that lost a member stands still before it
 	// breaks.
 	Stall time.Duration
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,7 +79,7 @@
 func (f *flight) attempt(ctx context.Context, last bool) *verdict.Error {
 	view := f.node.state.View()
 	targets := view.Targets(f.service.Name, f.model())
-	job := dispatch.Job{PromptTokens: f.req.PromptTokens, AnswerTokens: f.req.MaxTokens, Exclude: f.exclude}
+	job := dispatch.Job{PromptTokens: f.req.PromptTokens, Exclude: f.exclude}
 	ticket, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, job)
 	if !ok {
 		return verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(f.exclude)).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -26,9 +26,6 @@
 	Model string
 	// PromptTokens and MaxTokens are sizes; 0 if the caller doesn't say.
 	PromptTokens, MaxTokens int
-	// LengthHint is the caller's estimate of the answer's tokens, which is
-	// often far off; 0 for none.
-	LengthHint int
 	// LastEvent is the id of the last event that the caller has; empty for
 	// a request from the start.
 	LastEvent string
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,21 +18,14 @@
 	PeerPort int
 	// Bootstrap says that the whole deployment starts for the first time.
 	Bootstrap bool
-	// MemoryBytes and Descriptors are the process's limits.
+	// MemoryBytes is the process's limit.
 	MemoryBytes int64
-	Descriptors int
-	// Heartbeat is the time between two reports of an upstream VM.
-	Heartbeat time.Duration
 	// Bounds holds what the deployment promises.
 	Bounds Bounds
 }
 
 // Bounds are the deployment's promises, from which timeouts are derived.
 type Bounds struct {
-	// ConfigApply is when a configuration is in force everywhere.
-	ConfigApply time.Duration
-	// Drain is when a leaving upstream gets no more requests.
-	Drain time.Duration
 	// Revoke is when a revoked key is refused everywhere; 0 for no bound.
 	Revoke time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
