Let a VM of the entry specs die at once

The spec 'give every caller the whole answer when a replica loses a VM in mid-stream' failed now and then: 4 replicas stayed routed for 60 s where 3 are asked for.

Cause: the spec closed the VM's connections first and its listener after. A node that connected between the two kept a connection that outlived the listener, so the VM went on answering probes and was not dead. Shown by a trial that sleeps 50 ms between the two: fails. Ruled out: load alone; the trial fails on an idle machine. Change: the VM's server aborts every request once it is dead, the listener is closed first. What the spec checks is unchanged.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,7 +37,7 @@
 	vms     *vmlist.Service
 	list    *httptest.Server
 	engines map[port.VMID]*engine.Service
-	servers map[port.VMID]*httptest.Server
+	servers map[port.VMID]*vmServer
 	plain   *plainservice.Service
 	nodes   []*running
 	urls    static.Platform
@@ -58,7 +59,7 @@
 		log:     logservice.New(logSettings),
 		vms:     vmlist.New(listSettings),
 		engines: map[port.VMID]*engine.Service{},
-		servers: map[port.VMID]*httptest.Server{},
+		servers: map[port.VMID]*vmServer{},
 	}
 	weights := weightstore.New(weightstore.Settings{Clock: time.Now, List: port.ModelList{
 		Models:         []port.Model{{Name: "draft-70b", VMsPerReplica: 2, WeightBytes: 1 << 20}},
@@ -69,6 +70,30 @@
 	return c
 }
 
+// vmServer is the server of an engine VM.
+type vmServer struct {
+	*httptest.Server
+	dead atomic.Bool
+}
+
+// mortal aborts requests once the VM is dead.
+func (s *vmServer) mortal(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.dead.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// kill ends the VM. A node may connect while the connections are being closed,
+// and that connection would outlive the listener, so requests are aborted too.
+func (s *vmServer) kill() {
+	s.dead.Store(true)
+	s.Listener.Close()
+	s.CloseClientConnections()
+}
+
 func (c *cluster) serve(h http.Handler) *httptest.Server {
 	s := httptest.NewServer(h)
 	DeferCleanup(func() {
@@ -95,7 +120,8 @@
 	for i := range count {
 		vm := port.VM{ID: port.VMID(fmt.Sprintf("%s-%d", domain, i)), Kind: port.KindEngine, Zone: "a", Domain: domain, Accelerators: 8, ChecksFencing: true}
 		e := engine.New(engine.DefaultSettings(vm.ID))
-		s := c.serve(e)
+		s := &vmServer{}
+		s.Server = c.serve(s.mortal(e))
 		vm.Address = strings.TrimPrefix(s.URL, "http://")
 		c.engines[vm.ID] = e
 		c.servers[vm.ID] = s
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -107,9 +107,7 @@
 	It("give every caller the whole answer when a replica loses a VM in mid-stream", func() {
 		c := serving(3)
 		wrong := c.ask(12, 200, func() {
-			lead := c.leads()[0]
-			c.servers[lead].CloseClientConnections()
-			c.servers[lead].Listener.Close()
+			c.servers[c.leads()[0]].kill()
 		})
 		Expect(wrong).To(BeEmpty())
 		By("forming the replica again without that VM")
