Hand streams of the log on from node to node

Ruled out: reading more rarely still, since drains and configurations must be known within two seconds. Change: package relay. The holder of the lease reads the log, one node a zone asks the holder, the others ask that node; answers carry the age of the proof, counted from the question. keyed.Stream applies what comes from the log and from peers once each.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -43,6 +43,9 @@
 	PeerEncode           = "peer.encode"
 	LogReadFailed        = "log.read_failed"
 	StreamTruncated      = "stream.truncated"
+	StreamSource         = "stream.source"
+	StreamSourceLost     = "stream.source_lost"
+	RelayFailed          = "relay.failed"
 	LogDropped           = "log.dropped"
 	NodeStarted          = "node.started"
 	NodeDraining         = "node.draining"
@@ -98,6 +101,9 @@
 		{PeerEncode, "This node's record could not be encoded."},
 		{LogReadFailed, "A read of a stream of the log failed; it is tried again."},
 		{StreamTruncated, "The log no longer keeps this node's place in a stream; the newest records are read."},
+		{StreamSource, "This node asks another peer, or none but the log, for the streams."},
+		{StreamSourceLost, "The peer that handed the streams on does not answer; the log is read until one does."},
+		{RelayFailed, "Peers' questions on streams can't be served; they read the log."},
 		{LogDropped, "Lines were dropped because the writer was behind: how many."},
 		{NodeStarted, "The process serves callers."},
 		{NodeDraining, "The process was told to stop: requests in flight."},
--- /dev/null
+++ b/gateway/follow.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/decisions"
+	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/relay"
+)
+
+const (
+	// configPause separates the reads of configurations in quick succession.
+	configPause = 100 * time.Millisecond
+	// vmPause collects the reports of all upstreams into few reads; bounds on
+	// leaving upstreams are seconds. The holder of the control lease reads
+	// more often: each repair waits for two reports.
+	vmPause       = 300 * time.Millisecond
+	vmPauseMany   = time.Second
+	vmPauseHolder = 60 * time.Millisecond
+	// manyNodes is the number of nodes from which each that reads the log for
+	// itself does so less often.
+	manyNodes = 16
+	// relayHeaderTimeout bounds the wait for a peer's header.
+	relayHeaderTimeout = time.Second
+	// relayIdle closes peers' connections without questions.
+	relayIdle = 10 * time.Second
+)
+
+// followed is a stream that the node keeps up to date.
+type followed struct {
+	stream *keyed.Stream
+	pause  func() time.Duration
+	failed func()
+}
+
+// Follow makes the node keep a stream up to date and hand it on to peers; it is
+// called before Run. Pause returns the time between reads of the log that brought
+// records, nil for none; failed is told of failed reads, and may be nil.
+func (n *Node) Follow(s *keyed.Stream, pause func() time.Duration, failed func()) {
+	n.followed = append(n.followed, followed{s, pause, failed})
+}
+
+// follow starts to read the streams, from the log or from a peer.
+func (n *Node) follow(ctx context.Context) {
+	var streams []*keyed.Stream
+	for _, f := range n.followed {
+		streams = append(streams, f.stream)
+	}
+	relayed := func(string) bool { return false }
+	if n.peers != nil {
+		go n.peers.Run(ctx)
+		go n.serveRelay(ctx, streams)
+		subscriber := relay.NewSubscriber(streams, n.source, n.logger)
+		go subscriber.Run(ctx)
+		relayed = subscriber.Serves
+	}
+	for _, f := range n.followed {
+		follower := &keyed.Follower{
+			Log: n.outside.Log, Stream: f.stream, Wait: relay.LogWait, Pause: f.pause, Logger: n.logger,
+			Relayed: func() bool { return !n.isHolder() && relayed(f.stream.Name) },
+			Failed:  func(err error) { n.readFailed(f, err) },
+		}
+		go follower.Run(ctx)
+	}
+}
+
+// readFailed notes a failed read of the log.
+func (n *Node) readFailed(f followed, err error) {
+	n.count("log.read_failed")
+	n.logger.Warn(decisions.LogReadFailed, "stream", f.stream.Name, "age_ms", f.stream.Age().Milliseconds(), "error", err)
+	if f.failed != nil {
+		f.failed()
+	}
+}
+
+// source returns the peer that hands the streams on to this node.
+func (n *Node) source() (relay.Peer, bool) {
+	self := relay.Peer{ID: n.id, Zone: n.Settings().Zone, Cores: n.Settings().Cores}
+	return relay.Source(self, n.peers.Peers(), n.holder())
+}
+
+// serveRelay answers peers' questions on streams until the context ends. Peers
+// read the log where this node can't listen.
+func (n *Node) serveRelay(ctx context.Context, streams []*keyed.Stream) {
+	l, err := net.Listen("tcp", n.PeerAddress().String())
+	if err != nil {
+		n.logger.Error(decisions.RelayFailed, "address", n.PeerAddress().String(), "error", err)
+		return
+	}
+	server := &http.Server{
+		Handler: relay.Handler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdle, ErrorLog: n.httpErrors(),
+	}
+	context.AfterFunc(ctx, func() {
+		// The process ends; peers ask another node.
+		_ = server.Close()
+	})
+	if err := server.Serve(l); ctx.Err() == nil {
+		n.logger.Error(decisions.RelayFailed, "address", n.PeerAddress().String(), "error", err)
+	}
+}
+
+// isHolder reports whether this node reads the log for the others.
+func (n *Node) isHolder() bool { return n.holder() == n.id }
+
+// configPause returns the pause between reads of the configuration.
+func (n *Node) configPause() time.Duration { return configPause }
+
+// vmPause returns the pause between reads of the upstreams' reports.
+func (n *Node) vmPause() time.Duration {
+	switch {
+	case n.isHolder():
+		return vmPauseHolder
+	case n.peers != nil && n.peers.Live() >= manyNodes:
+		return vmPauseMany
+	}
+	return vmPause
+}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -46,27 +46,6 @@
 	watchEvery = 50 * time.Millisecond
 	// sweepEvery is how often idle connections are checked.
 	sweepEvery = time.Second
-	// configWait is how long the log holds a read of the configuration. Each
-	// answer proves that it is current, so twice the wait stays below the
-	// bound on revoked keys; configWaitMany is for deployments of many nodes,
-	// whose calls add up.
-	configWait     = time.Second
-	configWaitMany = 2 * time.Second
-	// vmWait is how long the log holds a read of upstreams' reports.
-	vmWait = time.Second
-	// vmPause collects the reports of all upstreams into few reads; bounds on
-	// leaving upstreams are seconds. The node that repairs replicas reads
-	// more often: each repair waits for two reports.
-	vmPause       = 300 * time.Millisecond
-	vmPauseMany   = time.Second
-	vmPauseHolder = 60 * time.Millisecond
-	// controlPauseMany separates reads of the lease by nodes that don't hold
-	// it, where they are many.
-	controlPauseMany = 1500 * time.Millisecond
-	// manyNodes is the number of nodes from which each reads less often.
-	manyNodes = 16
-	// configPause separates the reads of configurations in quick succession.
-	configPause = 100 * time.Millisecond
 	// maxHeader bounds a request's header before a configuration says more.
 	maxHeader = 64 << 10
 )
@@ -101,8 +80,11 @@
 	crashes  *crashes
 	onSilent func(vm string)
 	dead     func() []string
-	repairs  func() bool
 	peers    *gossip.Gossip
+	// followed holds the streams of the log, holder names the node that reads
+	// them for the others.
+	followed []followed
+	holder   func() string
 	// asked says that this node or a peer was asked by a caller.
 	asked    atomic.Bool
 	draining atomic.Bool
@@ -130,11 +112,13 @@
 		crashes:  newCrashes(),
 		onSilent: func(string) {},
 		dead:     func() []string { return nil },
-		repairs:  func() bool { return false },
+		holder:   func() string { return "" },
 		budgets:  map[string]*retry.Window{},
 		times:    map[string]*hdrhistogram.Histogram{},
 	}
 	n.settings.Store(&s)
+	n.Follow(keyed.NewStream(o.Streams.Config, n.state.applyConfig), n.configPause, nil)
+	n.Follow(keyed.NewStream(o.Streams.VMs, n.state.applyVMs), n.vmPause, n.state.readFailed)
 	n.pool = exchange.NewPool(exchange.Options{
 		DialTimeout: dialUpstream,
 		UserTimeout: userTimeout,
@@ -153,9 +137,9 @@
 // count adds one to a counter.
 func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
 
-// Repairs makes the node read the upstreams' reports often while f returns
-// true; it is set before Run.
-func (n *Node) Repairs(f func() bool) { n.repairs = f }
+// Holder tells the node the id of the holder of the control lease, which reads
+// the log for the others; it is set before Run.
+func (n *Node) Holder(f func() string) { n.holder = f }
 
 // TellDead makes the node tell its peers of the VMs that f returns; it is set
 // before Run.
@@ -211,7 +195,7 @@
 func (n *Node) tell() gossip.Message {
 	dead := n.dead()
 	n.avoidDead(time.Now(), dead)
-	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
+	return gossip.Message{Zone: n.Settings().Zone, Cores: n.Settings().Cores, Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
 }
 
 // heard takes a peer's message.
@@ -242,9 +226,6 @@
 	defer stop()
 	n.follow(background)
 	go n.watch(background)
-	if n.peers != nil {
-		go n.peers.Run(background)
-	}
 	front := n.callerServer()
 	health := &http.Server{Handler: n.readyHandler(), ErrorLog: n.httpErrors()}
 	failed := make(chan error, 2)
@@ -285,54 +266,6 @@
 	return slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug)
 }
 
-// follow starts to read the streams of the log.
-func (n *Node) follow(ctx context.Context) {
-	s := n.outside.Streams
-	config := &keyed.Follower{Stream: s.Config, Wait: n.configWait, Pause: func() time.Duration { return configPause }, Apply: n.state.applyConfig}
-	vms := &keyed.Follower{Stream: s.VMs, Wait: func() time.Duration { return vmWait }, Pause: n.vmPause, Apply: n.state.applyVMs}
-	for _, f := range []*keyed.Follower{config, vms} {
-		f.Log, f.Logger = n.outside.Log, n.logger
-		f.Failed = func(err error) {
-			n.count("log.read_failed")
-			n.logger.Warn(decisions.LogReadFailed, "stream", f.Stream, "error", err)
-			if f.Stream == s.VMs {
-				n.state.readFailed()
-			}
-		}
-		go f.Run(ctx)
-	}
-}
-
-// many reports whether the deployment has many nodes.
-func (n *Node) many() bool { return n.peers != nil && n.peers.Live() >= manyNodes }
-
-// configWait returns how long the log holds a read of the configuration.
-func (n *Node) configWait() time.Duration {
-	if n.many() {
-		return configWaitMany
-	}
-	return configWait
-}
-
-// vmPause returns the pause between reads of the upstreams' reports.
-func (n *Node) vmPause() time.Duration {
-	switch {
-	case n.repairs():
-		return vmPauseHolder
-	case n.many():
-		return vmPauseMany
-	}
-	return vmPause
-}
-
-// ControlPause returns the pause between reads of the control stream.
-func (n *Node) ControlPause() time.Duration {
-	if n.many() && !n.repairs() {
-		return controlPauseMany
-	}
-	return 0
-}
-
 // readyHandler answers the balancer.
 func (n *Node) readyHandler() http.Handler {
 	r := mux.NewRouter()
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -158,15 +158,15 @@
 	return nil
 }
 
-// unknownFor beyond twice the wait is the age of the configuration's last proof
-// from which the node may have missed a change: a read that the log holds proves
-// nothing until it is answered, so a sound node is at most twice the wait behind.
-const unknownFor = 500 * time.Millisecond
+// unknownAfter is the age of the configuration's last proof from which the node
+// may have missed a change that has to be in force: the bound on changes is two
+// seconds. A sound node's proof is at most 1.3 s old.
+const unknownAfter = 1800 * time.Millisecond
 
 // unknown refuses what the configuration doesn't know. A node that may have
 // missed the newest configuration doesn't claim to know.
 func (f *flight) unknown(reason verdict.Reason, detail string) *verdict.Error {
-	if f.node.state.configAge() > 2*f.node.configWait()+unknownFor {
+	if f.node.state.configAge() > unknownAfter {
 		return verdict.Refuse(verdict.ReasonConfigStale, "%s, but the configuration may be old", detail).
 			WithRetryAfter(retryAfterFailure)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,8 @@
 	PeerPort int
 	// Bootstrap says that the whole deployment starts for the first time.
 	Bootstrap bool
+	// Cores is the VM's share of a processor core.
+	Cores float64
 	// MemoryBytes is the process's limit.
 	MemoryBytes int64
 	// Bounds holds what the deployment promises.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -19,6 +19,7 @@
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
 const (
@@ -36,6 +37,9 @@
 type Message struct {
 	// Node is the sender's id, unique to its process.
 	Node string `json:"node"`
+	// Zone is the sender's availability zone, Cores its processor share.
+	Zone  string  `json:"zone,omitempty"`
+	Cores float64 `json:"cores,omitempty"`
 	// Loads holds the sender's requests by VM.
 	Loads map[string]dispatch.Load `json:"loads,omitempty"`
 	// Silent lists heads of replicas that send nothing.
@@ -61,6 +65,8 @@
 // peer is another node.
 type peer struct {
 	address netip.AddrPort
+	zone    string
+	cores   float64
 	heardAt time.Time
 	live    bool
 }
@@ -121,6 +127,19 @@
 	return n
 }
 
+// Peers returns the peers heard of lately.
+func (g *Gossip) Peers() []relay.Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]relay.Peer, 0, len(g.peers))
+	for id, p := range g.peers {
+		if p.live && time.Since(p.heardAt) < liveFor {
+			out = append(out, relay.Peer{ID: id, Zone: p.zone, Address: p.address, Cores: p.cores})
+		}
+	}
+	return out
+}
+
 // Run sends and receives until the context ends.
 func (g *Gossip) Run(ctx context.Context) {
 	go g.receive(ctx)
@@ -213,13 +232,14 @@
 		if m.Node == "" || m.Node == g.id {
 			continue
 		}
-		g.note(m.Node, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		g.note(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		g.heard(m)
 	}
 }
 
-// note keeps the time and address of a peer's message.
-func (g *Gossip) note(id string, from netip.AddrPort) {
+// note keeps the time and origin of a peer's message.
+func (g *Gossip) note(m Message, from netip.AddrPort) {
+	id := m.Node
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p, known := g.peers[id]
@@ -227,6 +247,7 @@
 		p = &peer{address: from}
 		g.peers[id] = p
 	}
+	p.zone, p.cores = m.Zone, m.Cores
 	p.heardAt = time.Now()
 	if !p.live {
 		p.live = true
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -19,19 +19,23 @@
 	// what must be known are seconds, so the pause stays well below one.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// relayedPoll is how often a follower whose stream comes from a peer
+	// looks whether it still does.
+	relayedPoll = 100 * time.Millisecond
 )
 
-// Follower reads one stream without gaps.
+// Follower reads a stream from the log.
 type Follower struct {
 	Log    Log
-	Stream string
-	// Wait returns how long the log may hold a read.
-	Wait func() time.Duration
+	Stream *Stream
+	// Wait is how long the log may hold a read.
+	Wait time.Duration
 	// Pause returns the time between a read that brought records and the
 	// next, so that a busy stream is read in batches; nil for none.
 	Pause func() time.Duration
-	// Apply takes each batch in order.
-	Apply func(Batch)
+	// Relayed reports whether a peer hands the stream on, so that the log
+	// need not be asked; nil for never.
+	Relayed func() bool
 	// Failed is told of a failed read.
 	Failed func(error)
 	Logger *slog.Logger
@@ -41,26 +45,31 @@
 func (f *Follower) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
-	next, based := int64(0), false
+	truncated := false
 	for ctx.Err() == nil {
-		var err error
+		next, based := f.Stream.Next()
+		if based && f.Relayed != nil && f.Relayed() {
+			truncated = false
+			sleep(ctx, relayedPoll)
+			continue
+		}
 		var n int
-		if based {
-			n, next, err = f.read(ctx, next)
+		var err error
+		if based && !truncated {
+			n, err = f.read(ctx, next)
 		} else {
-			next, err = f.rebase(ctx)
-			n = 1
+			n, err = f.rebase(ctx)
 		}
 		switch {
 		case errors.Is(err, ErrTruncated):
-			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream, "from", next)
-			based = false
+			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream.Name, "from", next)
+			truncated = true
 		case err != nil && ctx.Err() == nil:
 			f.Failed(err)
 			sleep(ctx, pause.NextBackOff())
 		case err == nil:
 			pause.Reset()
-			based = true
+			truncated = false
 			if n > 0 && f.Pause != nil {
 				sleep(ctx, f.Pause())
 			}
@@ -68,32 +77,35 @@
 	}
 }
 
-// rebase reads the whole stream.
-func (f *Follower) rebase(ctx context.Context) (int64, error) {
+// errOld marks an answer that is older than what a peer handed on.
+var errOld = errors.New("the log answered with an older state")
+
+// rebase reads the whole stream and returns the number of records.
+func (f *Follower) rebase(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readSlack)
 	defer cancel()
 	at := bootclock.Now()
-	records, next, err := f.Log.Newest(ctx, f.Stream)
+	records, next, err := f.Log.Newest(ctx, f.Stream.Name)
 	if err != nil {
 		return 0, err
 	}
-	f.Apply(Batch{Records: records, Whole: true, Next: next, SentAt: at})
-	return next, nil
+	if !f.Stream.Take(Batch{Records: records, Whole: true, Next: next, SentAt: at}) {
+		return 0, errors.Wrapf(errOld, "end at %d", next)
+	}
+	return len(records), nil
 }
 
-// read reads on from an offset. It returns the number of records and the next
-// offset, which stays the same after a failure.
-func (f *Follower) read(ctx context.Context, from int64) (int, int64, error) {
-	wait := f.Wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
+// read reads on from an offset and returns the number of records.
+func (f *Follower) read(ctx context.Context, from int64) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+readSlack)
 	defer cancel()
 	at := bootclock.Now()
-	records, next, err := f.Log.Read(ctx, f.Stream, from, wait)
+	records, next, err := f.Log.Read(ctx, f.Stream.Name, from, f.Wait)
 	if err != nil {
-		return 0, from, err
+		return 0, err
 	}
-	f.Apply(Batch{Records: records, Next: next, SentAt: at})
-	return len(records), next, nil
+	f.Stream.Take(Batch{Records: records, From: from, Next: next, SentAt: at})
+	return len(records), nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -99,19 +99,19 @@
 		state = map[string]string{}
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
+		stream := keyed.NewStream("s", func(b keyed.Batch) {
+			mu.Lock()
+			defer mu.Unlock()
+			last = b
+			if b.Whole {
+				state = map[string]string{}
+			}
+			for _, r := range b.Records {
+				state[r.Key] = string(r.Value)
+			}
+		})
 		f := &keyed.Follower{
-			Log: log, Stream: "s", Wait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
-			Apply: func(b keyed.Batch) {
-				mu.Lock()
-				defer mu.Unlock()
-				last = b
-				if b.Whole {
-					state = map[string]string{}
-				}
-				for _, r := range b.Records {
-					state[r.Key] = string(r.Value)
-				}
-			},
+			Log: log, Stream: stream, Wait: 20 * time.Millisecond, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
 		}
 		log.put("a", "1")
 		go f.Run(ctx)
--- a/keyed/keyed.go
+++ b/keyed/keyed.go
@@ -21,8 +21,9 @@
 
 // Log is the log as far as followers need it.
 type Log interface {
-	// Newest returns the newest record of each key of a stream and the
-	// offset from which to read on.
+	// Newest returns the newest record of each key of a stream and an offset
+	// from which to read on: all records before it are covered, some after it
+	// may be.
 	Newest(ctx context.Context, stream string) ([]Record, int64, error)
 	// Read returns the records from an offset and the offset after them. If
 	// there is none yet, the log holds its answer for as long as wait. It
@@ -35,8 +36,9 @@
 	Records []Record
 	// Whole says that Records holds all keys of the stream; others are gone.
 	Whole bool
-	// Next is the offset after the batch.
-	Next int64
+	// From is the offset of the first record, and Next the one after the
+	// last; From says nothing of a whole batch.
+	From, Next int64
 	// SentAt is when the read was sent, by the boot clock. The stream was
 	// read as it stood then or later.
 	SentAt time.Duration
--- /dev/null
+++ b/keyed/stream_test.go
@@ -0,0 +1,87 @@
+package keyed_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/keyed"
+)
+
+var _ = Describe("Stream", func() {
+	var (
+		applied []keyed.Record
+		proofs  []time.Duration
+		stream  *keyed.Stream
+	)
+	// batch returns a batch of records from an offset.
+	batch := func(sentAt time.Duration, from int64, keys ...string) keyed.Batch {
+		b := keyed.Batch{From: from, Next: from + int64(len(keys)), SentAt: sentAt}
+		for i, k := range keys {
+			b.Records = append(b.Records, keyed.Record{Key: k, Offset: from + int64(i)})
+		}
+		return b
+	}
+	keys := func() []string {
+		var out []string
+		for _, r := range applied {
+			out = append(out, r.Key)
+		}
+		return out
+	}
+	BeforeEach(func() {
+		applied, proofs = nil, nil
+		stream = keyed.NewStream("s", func(b keyed.Batch) {
+			applied = append(applied, b.Records...)
+			proofs = append(proofs, b.SentAt)
+		})
+		Expect(stream.Take(keyed.Batch{Whole: true, Next: 5, SentAt: 10})).To(BeTrue())
+	})
+
+	It("takes nothing before it has a base", func() {
+		fresh := keyed.NewStream("s", func(keyed.Batch) { Fail("applied") })
+		Expect(fresh.Take(batch(10, 5, "a"))).To(BeFalse())
+		Expect(fresh.Age()).To(BeNumerically(">", time.Hour))
+	})
+
+	It("applies each record once when a peer and the log hand on the same", func() {
+		Expect(stream.Take(batch(20, 5, "a", "b"))).To(BeTrue())
+		Expect(stream.Take(batch(21, 5, "a", "b", "c"))).To(BeTrue())
+		Expect(stream.Take(batch(22, 6, "b", "c"))).To(BeTrue())
+		Expect(keys()).To(Equal([]string{"a", "b", "c"}))
+	})
+
+	It("refuses a batch that leaves a gap", func() {
+		Expect(stream.Take(batch(20, 6, "b"))).To(BeFalse())
+		Expect(keys()).To(BeEmpty())
+	})
+
+	It("refuses a whole state older than what it knows", func() {
+		Expect(stream.Take(batch(20, 5, "a"))).To(BeTrue())
+		Expect(stream.Take(keyed.Batch{Whole: true, Next: 5, SentAt: 30})).To(BeFalse())
+	})
+
+	It("never lets a proof go back", func() {
+		Expect(stream.Take(batch(20, 5, "a"))).To(BeTrue())
+		Expect(stream.Take(batch(15, 6, "b"))).To(BeTrue())
+		Expect(proofs).To(Equal([]time.Duration{10, 20, 20}))
+	})
+
+	It("hands its tail on, and says when it no longer has a part of it", func() {
+		changed := stream.Changed()
+		for i := range int64(300) {
+			Expect(stream.Take(batch(bootclock.Now(), 5+i, "k"))).To(BeTrue())
+		}
+		Expect(changed).To(BeClosed())
+		b, ok := stream.Tail(303)
+		Expect(ok).To(BeTrue())
+		Expect(b.Records).To(HaveLen(2))
+		Expect(b.Next).To(Equal(int64(305)))
+		_, ok = stream.Tail(6)
+		Expect(ok).To(BeFalse())
+		_, ok = stream.Tail(306)
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -142,6 +142,13 @@
 	return l.term, l.holds(bootclock.Now())
 }
 
+// Holder returns the id of the holder as far as it is known; empty for none.
+func (l *Lease) Holder() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current.Holder
+}
+
 func (l *Lease) holds(now time.Duration) bool {
 	return !l.stopped && l.current.Holder == l.id && now < l.validUntil
 }
