--- a/decisions/events.go
+++ b/decisions/events.go
@@ -29,12 +29,14 @@
 	OrderNotAccepted     = "order.not_accepted"
 	LeaseChanged         = "lease.changed"
 	LeaseHeld            = "lease.held"
+	LeaseHolderEnded     = "lease.holder_ended"
 	LeaseAppendFailed    = "lease.append_failed"
 	LeaseUnreadable      = "lease.unreadable"
 	LeaseEncode          = "lease.encode"
 	PeerRegistered       = "peer.registered"
 	PeerHeard            = "peer.heard"
 	PeerSilent           = "peer.silent"
+	PeerParentLost       = "peer.parent_lost"
 	PeerUnreadable       = "peer.unreadable"
 	PeerUnreadableRecord = "peer.unreadable_record"
 	PeerRegisterFailed   = "peer.register_failed"
@@ -87,12 +89,14 @@
 		{OrderNotAccepted, "A VM did not accept an order or did not answer; it may be carried out late."},
 		{LeaseChanged, "The control lease has another holder or term."},
 		{LeaseHeld, "This node began or ceased to hold the control lease."},
+		{LeaseHolderEnded, "Another process has the holder's address, so the holder's has ended; its lease is not waited for."},
 		{LeaseAppendFailed, "A claim or renewal was not confirmed; what became of it is read back."},
 		{LeaseUnreadable, "A record of the lease could not be decoded and is skipped."},
 		{LeaseEncode, "A record of the lease could not be encoded."},
 		{PeerRegistered, "Another node was found through the log."},
 		{PeerHeard, "A peer's messages arrive."},
 		{PeerSilent, "A peer's messages ceased; its loads count no more."},
+		{PeerParentLost, "The node through which this one hears of the others fell silent; another one is chosen."},
 		{PeerUnreadable, "A peer's message could not be decoded."},
 		{PeerUnreadableRecord, "A node's record in the log could not be decoded."},
 		{PeerRegisterFailed, "This node's record was not confirmed; it is tried again."},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -13,6 +13,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
 const (
@@ -38,6 +39,9 @@
 	ID string `json:"id"`
 	// Address is where peers reach it.
 	Address netip.AddrPort `json:"address"`
+	// Zone is its availability zone, Cores its processor share.
+	Zone  string  `json:"zone,omitempty"`
+	Cores float64 `json:"cores,omitempty"`
 }
 
 // Directory registers this node and hands on the others.
@@ -46,15 +50,19 @@
 	Stream string
 	// Name is the name of the VM; a restarted process replaces its record.
 	Name string
-	// ID and Address are this process's.
-	ID      string
-	Address netip.AddrPort
-	Log     Log
+	// Self is this process.
+	Self relay.Peer
+	Log  Log
 	// Found is called for each other node.
-	Found  func(id string, address netip.AddrPort)
+	Found func(relay.Peer)
+	// Ended is called with the id of a process that has ended: another one
+	// has its address.
+	Ended  func(id string)
 	Logger *slog.Logger
 
 	registered atomic.Bool
+	// processes holds those found, by address; batches come one at a time.
+	processes map[netip.AddrPort]process
 }
 
 // Apply takes a batch of the stream.
@@ -68,17 +76,43 @@
 			d.Logger.Warn(decisions.PeerUnreadableRecord, "key", r.Key, "offset", r.Offset, "error", err)
 			continue
 		}
-		if e.ID == d.ID {
+		d.noteEnd(e, r.Offset)
+		if e.ID == d.Self.ID {
 			d.registered.Store(true)
 			continue
 		}
-		d.Found(e.ID, e.Address)
+		d.Found(relay.Peer{ID: e.ID, Zone: e.Zone, Address: e.Address, Cores: e.Cores})
+	}
+}
+
+// process is the newest record of an address.
+type process struct {
+	id     string
+	offset int64
+}
+
+// noteEnd tells of the former process at an address. Processes bind their
+// address before they register, so it has ended.
+func (d *Directory) noteEnd(e entry, offset int64) {
+	if d.processes == nil {
+		d.processes = map[netip.AddrPort]process{}
+	}
+	newest, other := process{e.ID, offset}, process{}
+	if known, ok := d.processes[e.Address]; ok {
+		other = known
+		if known.offset > offset {
+			newest, other = known, newest
+		}
+	}
+	d.processes[e.Address] = newest
+	if other.id != "" && other.id != newest.id {
+		d.Ended(other.id)
 	}
 }
 
 // Run registers this node until its record was read back.
 func (d *Directory) Run(ctx context.Context) {
-	value, err := json.Marshal(entry{ID: d.ID, Address: d.Address})
+	value, err := json.Marshal(entry{ID: d.Self.ID, Address: d.Self.Address, Zone: d.Self.Zone, Cores: d.Self.Cores})
 	if err != nil {
 		d.Logger.Error(decisions.PeerEncode, "error", err)
 		return
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/directory"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
 // stream is a log whose answers can be lost.
@@ -41,15 +42,17 @@
 	var (
 		log   *stream
 		found map[string]netip.AddrPort
+		ended []string
 	)
 	node := func(id string) *directory.Directory {
 		return &directory.Directory{
-			Stream: "s", Name: id, ID: id, Address: netip.MustParseAddrPort("10.0.0.1:7000"), Log: log,
-			Found:  func(id string, a netip.AddrPort) { found[id] = a },
+			Stream: "s", Name: id, Self: relay.Peer{ID: id, Address: netip.MustParseAddrPort("10.0.0.1:7000")}, Log: log,
+			Found:  func(p relay.Peer) { found[p.ID] = p.Address },
+			Ended:  func(id string) { ended = append(ended, id) },
 			Logger: slog.New(slog.DiscardHandler),
 		}
 	}
-	BeforeEach(func() { log, found = &stream{}, map[string]netip.AddrPort{} })
+	BeforeEach(func() { log, found, ended = &stream{}, map[string]netip.AddrPort{}, nil })
 
 	It("registers until its record is read back, also when answers are lost", func() {
 		log.mute = true
@@ -76,4 +79,19 @@
 		b.Apply(log.batch())
 		Expect(found).To(HaveKey("a"))
 	})
+
+	It("tells that a process has ended once another one has its address", func() {
+		a := node("a")
+		put := func(key, value string) {
+			Expect(log.Append(context.Background(), "s", key, []byte(value))).To(Succeed())
+			a.Apply(log.batch())
+		}
+		put("node/b", `{"id":"b/1","address":"10.0.0.2:7000"}`)
+		put("node/b", `{"id":"b/1","address":"10.0.0.2:7000"}`)
+		// A replacement at another address says nothing of the first one.
+		put("node/c", `{"id":"c/1","address":"10.0.0.3:7000"}`)
+		Expect(ended).To(BeEmpty())
+		put("node/b", `{"id":"b/2","address":"10.0.0.2:7000"}`)
+		Expect(ended).To(Equal([]string{"b/1"}))
+	})
 })
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -78,8 +78,7 @@
 
 // source returns the peer that hands the streams on to this node.
 func (n *Node) source() (relay.Peer, bool) {
-	self := relay.Peer{ID: n.id, Zone: n.Settings().Zone, Cores: n.Settings().Cores}
-	return relay.Source(self, n.peers.Peers(), n.holder())
+	return relay.Source(n.Self(), n.peers.Peers(), n.holder())
 }
 
 // serveRelay answers peers' questions on streams until the context ends. Peers
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -33,6 +33,7 @@
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 )
 
@@ -171,10 +172,16 @@
 	return netip.AddrPortFrom(n.Settings().PeerIP, uint16(n.Settings().PeerPort))
 }
 
+// Self returns this node as peers see it.
+func (n *Node) Self() relay.Peer {
+	s := n.Settings()
+	return relay.Peer{ID: n.id, Zone: s.Zone, Address: n.PeerAddress(), Cores: s.Cores}
+}
+
 // RegisterPeer adds another node.
-func (n *Node) RegisterPeer(id string, address netip.AddrPort) {
+func (n *Node) RegisterPeer(p relay.Peer) {
 	if n.peers != nil {
-		n.peers.Register(id, address)
+		n.peers.Register(p)
 	}
 }
 
@@ -185,7 +192,7 @@
 		return nil
 	}
 	g, err := gossip.New(gossip.Options{
-		ID: n.id, Listen: n.PeerAddress(), Local: n.tell, Heard: n.heard, Logger: n.logger,
+		Self: n.Self(), Local: n.tell, Heard: n.heard, Logger: n.logger,
 	})
 	n.peers = g
 	return err
@@ -195,7 +202,7 @@
 func (n *Node) tell() gossip.Message {
 	dead := n.dead()
 	n.avoidDead(time.Now(), dead)
-	return gossip.Message{Zone: n.Settings().Zone, Cores: n.Settings().Cores, Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
+	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
 }
 
 // heard takes a peer's message.
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
 // node is one end of the gossip.
@@ -35,7 +36,7 @@
 	n := &node{address: probe.LocalAddr().(*net.UDPAddr).AddrPort()}
 	Expect(probe.Close()).To(Succeed())
 	n.Gossip, err = gossip.New(gossip.Options{
-		ID: id, Listen: n.address, Logger: slog.New(slog.DiscardHandler),
+		Self: relay.Peer{ID: id, Address: n.address}, Logger: slog.New(slog.DiscardHandler),
 		Local: func() gossip.Message {
 			return gossip.Message{Loads: map[string]dispatch.Load{id + "-vm": {InFlight: 3}}}
 		},
@@ -56,7 +57,7 @@
 var _ = Describe("Gossip", func() {
 	It("tells a registered peer, which answers without a registration of its own", func() {
 		a, b := start("a"), start("b")
-		a.Register("b", b.address)
+		a.Register(relay.Peer{ID: "b", Address: b.address})
 		Eventually(func() int { return b.heard().Loads["a-vm"].InFlight }).Should(Equal(3))
 		Eventually(func() int { return a.heard().Loads["b-vm"].InFlight }).Should(Equal(3))
 		Expect(a.Live()).To(Equal(1))
@@ -64,7 +65,7 @@
 
 	It("notes a peer that falls silent", func() {
 		a, b := start("a"), start("b")
-		a.Register("b", b.address)
+		a.Register(relay.Peer{ID: "b", Address: b.address})
 		Eventually(a.Live).Should(Equal(1))
 		b.stop()
 		Eventually(a.Live, "4s").Should(Equal(0))
@@ -72,7 +73,7 @@
 
 	It("skips what it can't read and itself", func() {
 		a, b := start("a"), start("b")
-		a.Register("a", a.address)
+		a.Register(relay.Peer{ID: "a", Address: a.address})
 		conn, err := net.Dial("udp4", a.address.String())
 		Expect(err).NotTo(HaveOccurred())
 		defer conn.Close()
@@ -80,14 +81,14 @@
 			_, err := conn.Write([]byte(bad))
 			Expect(err).NotTo(HaveOccurred())
 		}
-		a.Register("b", b.address)
+		a.Register(relay.Peer{ID: "b", Address: b.address})
 		Eventually(a.Live).Should(Equal(1))
 	})
 
 	It("forgets a former process at an address", func() {
 		a, b := start("a"), start("b")
-		a.Register("before", b.address)
-		a.Register("b", b.address)
+		a.Register(relay.Peer{ID: "before", Address: b.address})
+		a.Register(relay.Peer{ID: "b", Address: b.address})
 		Eventually(a.Live).Should(Equal(1))
 		Consistently(a.Live, "300ms").Should(Equal(1))
 	})
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -142,6 +142,19 @@
 	return l.term, l.holds(bootclock.Now())
 }
 
+// Ended says that a node's process has ended, so that its lease need not be
+// waited for: it can't act any more.
+func (l *Lease) Ended(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if id != l.current.Holder || id == l.id {
+		return
+	}
+	now := bootclock.Now()
+	l.claimAfter = min(l.claimAfter, now+l.jitter())
+	l.logger.Info(decisions.LeaseHolderEnded, "holder", id, "term", l.current.Term, "renewed_ms", (now - l.heardAt).Milliseconds())
+}
+
 // Holder returns the id of the holder as far as it is known; empty for none.
 func (l *Lease) Holder() string {
 	l.mu.Lock()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -66,7 +66,7 @@
 		if p.ID == holder {
 			head, known = p, true
 		}
-		if p.Zone == self.Zone && before(p, first) {
+		if p.Zone == self.Zone && Before(p, first) {
 			first = p
 		}
 	}
@@ -79,8 +79,8 @@
 	return head, known
 }
 
-// before orders the nodes of a zone; the first one hands on to the others.
-func before(a, b Peer) bool {
+// Before orders nodes; the first one of a zone hands on to the others.
+func Before(a, b Peer) bool {
 	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.ID, b.ID)) < 0
 }
 
