Stage the other model on every host, and trade replicas between models

Ruled out: too slow a detection (0.5 s from the crash to the order). Change: hosts stage the model that their VM has not loaded, all before the first request and within the loads' rate later; a replica of a model that has its part is closed for one further behind if no load is needed; no load in a domain whose free VMs just grew in number; loads before the first request are not limited. Tests: three specs of the planner fail without staging, trade or the wait.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -27,6 +27,8 @@
 	ReplicaDismantled    = "replica.dismantled"
 	ReplicaReleased      = "replica.released"
 	OrderNotAccepted     = "order.not_accepted"
+	ReplicaTraded        = "replica.traded"
+	ModelStaged          = "model.staged"
 	LeaseChanged         = "lease.changed"
 	LeaseHeld            = "lease.held"
 	LeaseHolderEnded     = "lease.holder_ended"
@@ -86,6 +88,8 @@
 		{ReplicaAdopted, "A new holder of the lease found a replica of a former one."},
 		{ReplicaDismantled, "A replica lost a member or is to lose one: planned or not, members reporting."},
 		{ReplicaReleased, "The members of a replica are free for others: why."},
+		{ReplicaTraded, "A replica is closed for one of a model that is further behind its part: ranks of both, free VMs."},
+		{ModelStaged, "A VM's host loads another model, so that the VM can join its replicas at once."},
 		{OrderNotAccepted, "A VM did not accept an order or did not answer; it may be carried out late."},
 		{LeaseChanged, "The control lease has another holder or term."},
 		{LeaseHeld, "This node began or ceased to hold the control lease."},
--- a/formation/form.go
+++ b/formation/form.go
@@ -98,7 +98,9 @@
 // reports whether one still waits for its VMs to answer or for room.
 func (r *round) form(s fleet.Service) bool {
 	for {
-		c, ok := r.bestCandidate(s)
+		free := r.freeByDomain(s.Name)
+		r.trade(s, free)
+		c, ok := r.bestCandidate(s, free)
 		if !ok {
 			return false
 		}
@@ -124,9 +126,12 @@
 
 // bestCandidate returns the replica to form next: that of the model that is
 // furthest behind its part, and among its domains the one that is ready first.
-func (r *round) bestCandidate(s fleet.Service) (candidate, bool) {
+func (r *round) bestCandidate(s fleet.Service, free map[string][]fleet.VM) (candidate, bool) {
 	ranks := r.ranks(s)
-	free := r.freeByDomain(s.Name)
+	steady := map[string]bool{}
+	for domain, vms := range free {
+		steady[domain] = r.steady(domain, len(vms))
+	}
 	var best candidate
 	found := false
 	for _, m := range s.Engine.Models {
@@ -135,7 +140,7 @@
 		}
 		for _, domain := range slices.Sorted(maps.Keys(free)) {
 			c, ok := newCandidate(m, free[domain])
-			if !ok || !r.worthLoading(c, ranks) {
+			if !ok || !r.reservedFor(domain, m.Name) || !r.worthLoading(c, ranks) || c.loads > 0 && !steady[domain] {
 				continue
 			}
 			c.rank = ranks[m.Name]
@@ -151,17 +156,27 @@
 // those that it should have by its share of the work. A model that should have
 // none ranks 1.
 func (r *round) ranks(s fleet.Service) map[string]float64 {
-	counts, total := r.counts(s.Name), float64(r.total(s.Name))
+	counts, want := r.counts(s.Name), r.want(s)
 	out := map[string]float64{}
 	for _, m := range s.Engine.Models {
 		out[m.Name] = 1
-		if want := m.Share * total / float64(m.Size); want > 0 {
-			out[m.Name] = float64(counts[m.Name]) / want
+		if want[m.Name] > 0 {
+			out[m.Name] = float64(counts[m.Name]) / want[m.Name]
 		}
 	}
 	return out
 }
 
+// want returns the replicas that each model should have by its share of the work.
+func (r *round) want(s fleet.Service) map[string]float64 {
+	total := float64(r.total(s.Name))
+	out := map[string]float64{}
+	for _, m := range s.Engine.Models {
+		out[m.Name] = m.Share * total / float64(m.Size)
+	}
+	return out
+}
+
 // worthLoading reports whether a candidate may load weights. Where its model is
 // not scarce, only a few VMs do, and none that is the last spare of a model
 // further behind.
@@ -249,7 +264,7 @@
 // store allows.
 func (r *round) mayLoad(e *fleet.Engine, n int) bool {
 	if r.s.Idle() {
-		return r.loadsUnderWay() < idleFactor*e.LoadsAtOnce
+		return true
 	}
 	r.loads = slices.DeleteFunc(r.loads, func(at time.Duration) bool { return r.now-at > r.s.LoadWindow })
 	allowed := int(e.LoadsPerSecond * r.s.LoadWindow.Seconds())
@@ -261,9 +276,6 @@
 }
 
 const (
-	// idleFactor times the loads that don't slow each other may be under way
-	// before the first request: a load that starts before it stays quick.
-	idleFactor = 3
 	// repairLoads is the number of loads up to which a replica counts as
 	// repaired rather than formed; repairs may slow other loads by
 	// repairFactor.
@@ -287,7 +299,7 @@
 			}
 		}
 	}
-	return n
+	return n + len(r.staging)
 }
 
 // noteLoads counts loads that start now.
@@ -325,6 +337,9 @@
 	}
 	a.expect = longest * loadSlowdown
 	r.replicas[name] = a
+	if res, ok := r.reserved[c.vms[0].Domain]; ok && res.model == c.model.Name && !a.standby {
+		delete(r.reserved, c.vms[0].Domain)
+	}
 	r.noteLoads(len(a.cold))
 	r.s.Logger.Info(decisions.ReplicaFormed, "replica", name, "generation", generation, "model", a.model, "standby", a.standby,
 		"domain", c.vms[0].Domain, "members", a.members, "loads", len(a.cold), "expect_ms", longest.Milliseconds())
@@ -353,12 +368,9 @@
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
 		held := r.standbys(s.Name, domain)
 		for _, vm := range free[domain] {
-			if vm.Holds() != "" || !r.mayLoad(s.Engine, 1) {
-				continue
-			}
-			m, ok := r.incomplete(s, free[domain])
+			m, ok := r.standbyModel(s, vm, free[domain], held)
 			if !ok {
-				m = fewestSpares(s.Engine.Models, held)
+				continue
 			}
 			held[m.Name]++
 			r.start(s, candidate{model: m, vms: []fleet.VM{vm}}, standbyPrefix)
@@ -366,6 +378,24 @@
 	}
 }
 
+// standbyModel returns the model that a free VM should get ready for; false for
+// one that has a model loaded, or must wait for its load.
+func (r *round) standbyModel(s fleet.Service, vm fleet.VM, free []fleet.VM, held map[string]int) (fleet.Model, bool) {
+	if vm.LastModel != "" {
+		return fleet.Model{}, false
+	}
+	if len(vm.Staged) > 0 {
+		return s.Engine.Model(vm.Staged[0])
+	}
+	if !r.mayLoad(s.Engine, 1) {
+		return fleet.Model{}, false
+	}
+	if m, ok := r.incomplete(s, free); ok {
+		return m, true
+	}
+	return fewestSpares(s.Engine.Models, held), true
+}
+
 // incomplete returns the model of a lost replica whose members wait in a domain
 // for one more VM; of several, the one that is furthest behind its part.
 func (r *round) incomplete(s fleet.Service, free []fleet.VM) (fleet.Model, bool) {
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -33,6 +33,8 @@
 	// is out of reach.
 	leftAt   time.Duration
 	released bool
+	// traded says that the replica is closed for one of another model.
+	traded bool
 	// standby says that the only member holds the model for a repair; such a
 	// replica is never opened.
 	standby bool
@@ -139,6 +141,8 @@
 		}
 	}
 	switch {
+	case a.traded && a.openSent && present == size && !leaving:
+		r.dismantle(a, rep, true)
 	case a.openSent && (present < size || leaving):
 		r.dismantle(a, rep, leaving && present == size)
 	case !a.openSent && ready == size && !leaving:
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -22,13 +22,16 @@
 // OrderKind is what an order asks of a VM.
 type OrderKind string
 
-// Kinds of orders. A close lets requests in flight finish. A probe changes nothing: it asks whether the VM answers.
+// Kinds of orders. A close lets requests in flight finish. A probe changes
+// nothing: it asks whether the VM answers. Stage loads a model onto the VM's host
+// while the VM goes on as it is.
 const (
 	Join  OrderKind = "join"
 	Open  OrderKind = "open"
 	Close OrderKind = "close"
 	Leave OrderKind = "leave"
 	Probe OrderKind = "probe"
+	Stage OrderKind = "stage"
 )
 
 // Order is an order to one VM.
@@ -103,6 +106,12 @@
 	generation int64
 	replicas   map[string]*replica
 	probes     map[string]*probeState
+	// staging holds loads onto hosts by VM, reserved domains that are kept for
+	// a model.
+	staging  map[string]staging
+	reserved map[string]reservation
+	// grown says when the number of free VMs last grew, by domain.
+	grown map[string]growth
 	// loads holds the starts of loads within the window.
 	loads []time.Duration
 	// changed says that a result calls for a plan at once.
@@ -124,6 +133,7 @@
 	p.term, p.generation = term, 0
 	p.replicas = map[string]*replica{}
 	p.probes = map[string]*probeState{}
+	p.staging, p.reserved, p.grown = map[string]staging{}, map[string]reservation{}, map[string]growth{}
 	p.loads, p.listed = nil, 0
 }
 
@@ -152,6 +162,7 @@
 		if s := v.Config.Services[name]; s.Engine != nil {
 			if !round.form(s) {
 				round.prepare(s)
+				round.stageAhead(s)
 			}
 		}
 	}
@@ -171,6 +182,29 @@
 	return !r.s.Idle() || r.now-r.grownAt >= settleFor
 }
 
+// growth is when a number last grew.
+type growth struct {
+	n  int
+	at time.Duration
+}
+
+// steady reports whether a domain's free VMs have not grown in number for a
+// while. VMs that were dark together come back one after the other.
+func (r *round) steady(domain string, free int) bool {
+	g, known := r.grown[domain]
+	if !known || free > g.n {
+		g.at = r.now
+	}
+	g.n = free
+	r.grown[domain] = g
+	return r.s.Idle() || r.now-g.at >= steadyFor
+}
+
+// steadyFor is how long the number of a domain's free VMs must not have grown
+// before any of them loads: a load takes more than ten seconds, and a VM that
+// needs none may be back in less than one.
+const steadyFor = 700 * time.Millisecond
+
 // Done takes the result of an order and returns those that follow from it.
 func (p *Planner) Done(now time.Duration, o Order, res Result) []Order {
 	switch o.Kind {
@@ -180,7 +214,7 @@
 		if r, ok := p.replicas[o.Replica]; ok {
 			p.left(now, r, o.VM, res)
 		}
-	case Open, Close, Join:
+	case Open, Close, Join, Stage:
 		if !res.Accepted {
 			p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
 				"generation", o.Generation, "model", o.Model, "status", res.Status)
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -143,6 +143,67 @@
 		w.run(20*time.Second, nil)
 	})
 
+	It("has each VM hold one model and stage the other before the first request", func() {
+		settled(2, 2, 11, 11)
+		for id, e := range w.engines {
+			Expect(append([]string{e.vm.LastModel}, e.vm.Staged...)).To(ContainElements("large", "small"), id)
+		}
+	})
+
+	// On scale-2 of jll-kolkata a domain's second loss cost its large replica a
+	// load of 16 s while a spare of the small model stood beside it.
+	It("repairs a replica with a spare of the other model once its own are used up", func() {
+		settled(1, 1, 11)
+		for range 2 {
+			w.member("large", 3).dark = true
+			w.suspect(w.stalledHead("large"))
+			Expect(w.run(4*time.Second, w.serves(1, 1))).To(BeTrue())
+		}
+	})
+
+	// The same day, where domains lose a third VM: the large model fell to half
+	// of its replicas while the small one had all.
+	It("closes a replica of a model that has its part for one that is behind and short of VMs", func() {
+		settled(2, 2, 11, 11)
+		domain := w.member("large", 0).vm.Domain
+		for range 3 {
+			e := w.memberIn("large", domain)
+			e.dark = true
+			w.suspect(w.stalledHead("large"))
+			w.run(5*time.Second, nil)
+		}
+		Expect(w.run(8*time.Second, w.serves(2, 1))).To(BeTrue())
+	})
+
+	It("does not trade replicas to and fro", func() {
+		settled(2, 2, 11, 11)
+		for range 3 {
+			w.memberIn("large", "d0").dark = true
+			w.suspect(w.stalledHead("large"))
+			w.run(5*time.Second, nil)
+		}
+		w.run(10*time.Second, nil)
+		before := w.planner.generation
+		w.run(time.Minute, nil)
+		Expect(w.planner.generation).To(Equal(before))
+	})
+
+	// On quiet-1 of anpes-booking-grown a domain that had been dark came back VM
+	// by VM, and two loads of 12 s began for a replica whose VMs were back 0.2 s
+	// later.
+	It("starts no load in a domain whose VMs are still coming back", func() {
+		settled(1, 1, 11)
+		before := w.coldJoins
+		for i, staged := range []string{"small", "small", "large", "large", "large", "large", "large", "large"} {
+			id := fmt.Sprintf("back-%d", i)
+			w.add(id, "d1")
+			w.engines[id].vm.Staged = []string{staged}
+			w.run(400*time.Millisecond, nil)
+		}
+		Expect(w.run(5*time.Second, w.serves(2, 1))).To(BeTrue())
+		Expect(w.coldJoins).To(Equal(before))
+	})
+
 	It("starts loads within the weight store's rate once requests have come", func() {
 		w = newWorld(1, 11, 11, 11, 11, 11, 11)
 		w.busy = true
--- /dev/null
+++ b/formation/stage.go
@@ -0,0 +1,123 @@
+package formation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/decisions"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
+)
+
+// staging is a load onto a VM's host that was ordered and is not reported yet.
+type staging struct {
+	model string
+	boot  int64
+	at    time.Duration
+	until time.Duration
+}
+
+// stageAhead loads onto hosts the models that their VMs don't have at hand. A VM
+// with one model loaded and another one staged joins replicas of either within a
+// second or two, where a load takes more than ten. Standbys come first, because
+// they are used first.
+func (r *round) stageAhead(s fleet.Service) {
+	r.endStaging()
+	vms := r.stageable(s.Name)
+	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(r.use(a), r.use(b)) })
+	for _, vm := range vms {
+		m, ok := r.missing(s, vm)
+		if !ok || !r.mayStage(s.Engine) {
+			continue
+		}
+		r.stage(s, vm, m)
+	}
+}
+
+// use ranks a VM by what it does now.
+func (r *round) use(vm fleet.VM) int {
+	if vm.Member.State == fleet.MemberOpen || len(r.membersOf(vm.Member.Replica)) > 1 {
+		return 1
+	}
+	return 0
+}
+
+func (r *round) membersOf(replica string) []string {
+	if a, ok := r.replicas[replica]; ok {
+		return a.members
+	}
+	return nil
+}
+
+// stageable returns the VMs that have a model loaded and load none, by id.
+func (r *round) stageable(service string) []fleet.VM {
+	var out []fleet.VM
+	for _, id := range sortedNames(r.view.VMs) {
+		vm := r.view.VMs[id]
+		_, underWay := r.staging[id]
+		joined := vm.Member.State == fleet.MemberReady || vm.Member.State == fleet.MemberOpen
+		if vm.Service == service && joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Lapsed && !r.dead(vm) {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// missing returns the model that the fewest VMs of a VM's domain have at hand,
+// in proportion to its replicas' size, if the VM itself has not.
+func (r *round) missing(s fleet.Service, vm fleet.VM) (fleet.Model, bool) {
+	held := map[string]int{}
+	for _, other := range r.view.VMs {
+		if other.Service != s.Name || other.Domain != vm.Domain {
+			continue
+		}
+		for _, m := range s.Engine.Models {
+			if r.atHand(other, m.Name) {
+				held[m.Name]++
+			}
+		}
+	}
+	var best fleet.Model
+	found := false
+	for _, m := range s.Engine.Models {
+		if m.Share <= 0 || r.atHand(vm, m.Name) {
+			continue
+		}
+		if !found || held[m.Name]*best.Size < held[best.Name]*m.Size {
+			best, found = m, true
+		}
+	}
+	return best, found
+}
+
+// atHand reports whether a VM can join a replica of a model without a load from
+// the weight store, now or when the load under way is done.
+func (r *round) atHand(vm fleet.VM, model string) bool {
+	st, underWay := r.staging[vm.ID]
+	return vm.LastModel == model || slices.Contains(vm.Staged, model) || underWay && st.model == model
+}
+
+// mayStage reports whether a load ahead may start: only while loads for replicas
+// and standbys leave room.
+func (r *round) mayStage(e *fleet.Engine) bool {
+	return r.s.Idle() || r.loadsUnderWay() < e.LoadsAtOnce && r.mayLoad(e, 1)
+}
+
+// stage orders a load onto a VM's host.
+func (r *round) stage(s fleet.Service, vm fleet.VM, m fleet.Model) {
+	r.staging[vm.ID] = staging{model: m.Name, boot: vm.Boot, at: r.now, until: r.now + loadSlowdown*m.LoadTime + joinSlack}
+	r.noteLoads(1)
+	r.s.Logger.Info(decisions.ModelStaged, "upstream", vm.ID, "model", m.Name, "loaded", vm.LastModel, "staged", vm.Staged,
+		"service", s.Name, "under_way", r.loadsUnderWay())
+	r.order(Order{Kind: Stage, VM: vm.ID, Address: vm.Address, Model: m.Name})
+}
+
+// endStaging forgets loads that are done, or that can't be any more.
+func (r *round) endStaging() {
+	for id, st := range r.staging {
+		vm, known := r.view.VMs[id]
+		if !known || vm.Boot != st.boot || slices.Contains(vm.Staged, st.model) || r.now > st.until {
+			delete(r.staging, id)
+		}
+	}
+}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -33,6 +33,9 @@
 	// brokenAt is when a head that stands still breaks.
 	brokenAt time.Duration
 	seen     int64
+	// staging is the model that the host loads until stagedAt.
+	staging  string
+	stagedAt time.Duration
 }
 
 // world is a fleet of engines with one planner.
@@ -50,6 +53,8 @@
 	busy      bool
 	config    *fleet.Config
 	loads     []time.Duration
+	// coldJoins counts loads by VMs that joined a replica or standby.
+	coldJoins int
 	problems  []string
 }
 
@@ -181,6 +186,10 @@
 			return false
 		}
 		m.State, e.openAt = fleet.MemberReady, 0
+	case Stage:
+		m, _ := w.config.Services[service].Engine.Model(o.Model)
+		w.loads = append(w.loads, w.now)
+		e.staging, e.stagedAt = o.Model, w.now+m.LoadTime
 	case Leave:
 		if !current {
 			return false
@@ -205,10 +214,14 @@
 	wait, load := joinTime(e.vm, model)
 	if load {
 		w.loads = append(w.loads, w.now)
+		w.coldJoins++
 	}
 	rank := slices.Index(o.Members, o.VM)
 	*m = fleet.Membership{Replica: o.Replica, Generation: o.Generation, Rank: rank, State: fleet.MemberJoining}
-	e.vm.Model, e.vm.LastModel, e.vm.Staged = o.Model, o.Model, []string{o.Model}
+	e.vm.Model, e.vm.LastModel = o.Model, o.Model
+	if load {
+		e.vm.Staged = []string{o.Model}
+	}
 	e.members, e.seen, e.readyAt, e.openAt, e.brokenAt = o.Members, o.Generation, w.now+wait, 0, 0
 	return true
 }
@@ -251,6 +264,9 @@
 		return
 	}
 	e.vm.HeardAt = w.now
+	if e.staging != "" && w.now >= e.stagedAt {
+		e.vm.Staged, e.staging = []string{e.staging}, ""
+	}
 	if m.State == fleet.MemberJoining && w.now >= e.readyAt {
 		m.State = fleet.MemberReady
 	}
@@ -313,6 +329,17 @@
 	return nil
 }
 
+// memberIn returns a member of a serving replica of a model in a domain.
+func (w *world) memberIn(model, domain string) *engine {
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		e := w.engines[id]
+		if !e.dark && e.vm.Domain == domain && e.vm.Model == model && e.vm.Member.State == fleet.MemberOpen && w.whole(e) {
+			return w.engines[e.members[len(e.members)-1]]
+		}
+	}
+	return nil
+}
+
 // suspect tells the planner that a head stands still.
 func (w *world) suspect(head string) {
 	v := fleet.NewView(w.config, w.now, w.listed[0].vms)
