Tell a crashed VM from one that cut a connection, and tell peers of crashes at once

A process that ends closes its connections before its port, so the question whether a VM has crashed could be taken and cut; the crash was not counted and the request crashed a third VM. Besides, another node may not have read of a crash in the log when the refused request comes to it. Change: the question is asked again until it is answered, refused or its second is over; after a crash all live peers are told before the refusal is answered.

--- a/entry/node.go
+++ b/entry/node.go
@@ -270,13 +270,26 @@
 func (n *Node) hasCrashed(u balance.Upstream) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	report, err := n.upstream.Report(ctx, u.Address)
-	if err == nil {
-		return report.Replica != u.ID || report.Generation != u.Generation
+	for {
+		report, err := n.upstream.Report(ctx, u.Address)
+		switch {
+		case err == nil:
+			return report.Replica != u.ID || report.Generation != u.Generation
+		case ctx.Err() != nil:
+			return false
+		case verdict.From(err).Reason == verdict.ReasonConnect:
+			return true
+		}
+		// A process that ends closes its connections before its port, so the
+		// question may still have been taken and then cut.
+		time.Sleep(crashProbeGap)
 	}
-	return verdict.From(err).Reason == verdict.ReasonConnect && ctx.Err() == nil
 }
 
+// crashProbeGap is the time between two questions to a VM whose process may be
+// ending just now; the end takes some milliseconds.
+const crashProbeGap = 10 * time.Millisecond
+
 // sortedKeys returns the keys of a map in order.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
--- a/entry/suspicion.go
+++ b/entry/suspicion.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/peers"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
 	"github.com/tamarackcleat/tamarackcleat/record"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
@@ -76,4 +79,28 @@
 		report.Ask = id
 		return report
 	})
+	g.node.tellPeers(ctx)
 }
+
+// tellPeers sends heartbeats to all live peers and waits for their answers. A
+// caller that is refused sends its request to another node, which may not have
+// read of the crash in the log yet.
+func (n *Node) tellPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	var beat peers.Heartbeat
+	var live []peers.Peer
+	n.read(ctx, func(now time.Time) { beat, live = n.Heartbeat(now), n.peers.Live(now) })
+	var wg sync.WaitGroup
+	for _, p := range live {
+		wg.Go(func() {
+			// A peer that does not answer reads of the crash in the log.
+			_, _ = n.peerClient.heartbeat(ctx, p.Address, beat)
+		})
+	}
+	wg.Wait()
+}
+
+// tellTimeout bounds the wait for peers' answers; they take milliseconds, and the
+// refusal waits meanwhile.
+const tellTimeout = 300 * time.Millisecond
