Take slow members out of replicas, probe once for all that tell of a silence

Ruled out: dead members (probes are answered). Change: probes read the pace; a member twice found slow is taken out if its replica can be formed anew without a load, and used again when its pace is back; a VM is probed on suspicion at most every 0.15 s.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -20,6 +20,7 @@
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
 	UpstreamDead         = "upstream.dead"
+	UpstreamEvicted      = "upstream.evicted"
 	UpstreamBack         = "upstream.back"
 	ReplicaFormed        = "replica.formed"
 	ReplicaOpening       = "replica.opening"
@@ -82,6 +83,7 @@
 		{UpstreamSilent, "A replica sent nothing for too long; its requests were moved."},
 		{UpstreamSuspected, "A request failed in a way that says the upstream can't take others."},
 		{UpstreamDead, "A VM left probes unanswered; its replica is repaired without it."},
+		{UpstreamEvicted, "A slow VM is taken out of its replica, which is formed anew without it: pace and its age."},
 		{UpstreamBack, "A dead VM answers again."},
 		{ReplicaFormed, "VMs were ordered to join a replica or a standby: model, members, loads, expected time."},
 		{ReplicaOpening, "All members are ready and the head was ordered to open."},
--- a/formation/form.go
+++ b/formation/form.go
@@ -22,7 +22,7 @@
 
 // free reports whether a VM can join a replica.
 func (r *round) free(vm fleet.VM) bool {
-	if vm.Leaving || vm.Lapsed || r.dead(vm) {
+	if vm.Leaving || vm.Lapsed || r.lost(vm) {
 		return false
 	}
 	for _, a := range r.replicas {
@@ -50,7 +50,7 @@
 	}
 	vm, ok := r.view.VMs[a.members[0]]
 	elsewhere := vm.Member.Replica != "" && vm.Member.Replica != a.name && vm.Member.Generation > a.generation
-	if !ok || r.dead(vm) || vm.Leaving || vm.Lapsed || elsewhere {
+	if !ok || r.lost(vm) || vm.Leaving || vm.Lapsed || elsewhere {
 		r.release(a, "standby_lost")
 		return
 	}
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -131,7 +131,7 @@
 	size := r.size(a)
 	present, ready, leaving := 0, 0, false
 	for _, m := range rep.Members {
-		if m.Member.Generation != a.generation || r.dead(m) {
+		if m.Member.Generation != a.generation || r.lost(m) {
 			continue
 		}
 		present++
@@ -199,7 +199,7 @@
 	lost := leaving
 	for _, id := range a.members {
 		vm, ok := r.view.VMs[id]
-		if !ok || r.dead(vm) || vm.Leaving {
+		if !ok || r.lost(vm) || vm.Leaving {
 			lost = true
 		}
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -55,6 +55,9 @@
 	Answered bool
 	// State is the state of its membership that a probed VM answered.
 	State fleet.MemberState
+	// Pace is the factor on its times that a probed VM answered; over 1 is
+	// slow, 0 unknown.
+	Pace float64
 	// Status is for log lines.
 	Status string
 }
@@ -158,11 +161,13 @@
 		round.advance(p.replicas[name])
 	}
 	round.reprobe()
+	round.watchSlow()
 	if !round.settled() {
 		return round.orders
 	}
 	for _, name := range sortedNames(v.Config.Services) {
 		if s := v.Config.Services[name]; s.Engine != nil {
+			round.evictSlow(s)
 			if !round.form(s) {
 				round.prepare(s)
 				round.stageAhead(s)
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -175,6 +175,55 @@
 		Expect(w.run(8*time.Second, w.serves(2, 1))).To(BeTrue())
 	})
 
+	// On trouble-2 of jll-kolkata slow replicas got requests again every two
+	// seconds, and they were moved away each time.
+	It("forms a replica anew without a member that is slow, and uses it again later", func() {
+		settled(1, 1, 11)
+		e := w.member("large", 3)
+		e.pace = 5
+		replica := e.vm.Member.Replica
+		w.suspect(e.members[0])
+		Expect(w.run(4*time.Second, func() bool {
+			h := w.member("large", 0)
+			return h != nil && h.vm.Member.Replica != replica && !slices.Contains(h.members, e.vm.ID)
+		})).To(BeTrue())
+		e.pace = 1
+		w.run(3*time.Second, nil)
+		for range 2 {
+			w.member("large", 4).dark = true
+			w.suspect(w.stalledHead("large"))
+			Expect(w.run(6*time.Second, w.serves(1, 1))).To(BeTrue())
+		}
+	})
+
+	It("keeps a slow replica where there is no VM to replace the member", func() {
+		settled(1, 1, 9)
+		e := w.member("large", 3)
+		e.pace = 5
+		before := e.vm.Member
+		w.suspect(e.members[0])
+		w.run(10*time.Second, nil)
+		Expect(e.vm.Member).To(Equal(before))
+		Expect(w.serving()).To(HaveKeyWithValue("large", 1))
+	})
+
+	// On trouble-2 of jll-kolkata 10,200 probes were sent in 50 s: each message
+	// of each node on a silence had all members probed.
+	It("probes the members of a silent replica once for all that tell of it", func() {
+		settled(1, 1, 11)
+		head := w.member("large", 0)
+		probes := 0
+		for range 20 {
+			v := fleet.NewView(w.config, w.now, w.listed[0].vms)
+			for _, o := range w.planner.Suspect(w.now, v, head.vm.ID) {
+				probes++
+				w.send([]Order{o})
+			}
+			w.now += 5 * time.Millisecond
+		}
+		Expect(probes).To(Equal(6))
+	})
+
 	It("does not trade replicas to and fro", func() {
 		settled(2, 2, 11, 11)
 		for range 3 {
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -16,10 +16,20 @@
 	answeredAt time.Duration
 	// state is the membership's state in the last answer.
 	state fleet.MemberState
+	// pace is the factor on its times in the last answer, slow the number of
+	// answers in a row that were slow.
+	pace float64
+	slow int
+	// evicted says that the VM is kept out of replicas because it is slow.
+	evicted bool
 	// deadAt is when the VM was taken for dead; 0 if it wasn't.
 	deadAt time.Duration
 }
 
+// suspectGap separates probes of a VM on suspicion: all nodes tell of a silence,
+// each several times, and one answer is as good as many.
+const suspectGap = 150 * time.Millisecond
+
 // Suspect asks to probe the members of a replica that stands still.
 func (p *Planner) Suspect(now time.Duration, v *fleet.View, head string) []Order {
 	vm, ok := v.VMs[head]
@@ -32,7 +42,9 @@
 			continue
 		}
 		for _, m := range r.Members {
-			round.probe(m)
+			if s, ok := p.probes[m.ID]; !ok || now-s.sentAt >= suspectGap {
+				round.probe(m)
+			}
 		}
 	}
 	return round.orders
@@ -50,7 +62,8 @@
 		if s.deadAt > 0 {
 			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
-		*s = probeState{answeredAt: now, sentAt: s.sentAt, state: res.State}
+		*s = probeState{answeredAt: now, sentAt: s.sentAt, state: res.State, slow: s.slow, evicted: s.evicted}
+		s.notePace(res.Pace)
 		p.changed = p.changed || p.confirming
 		return nil
 	}
@@ -74,11 +87,11 @@
 	return ok && s.deadAt > 0 && vm.HeardAt <= s.deadAt
 }
 
-// Dead returns the VMs that don't answer.
+// Dead returns the VMs that don't answer or were taken out.
 func (p *Planner) Dead() []string {
 	var out []string
 	for id, s := range p.probes {
-		if s.deadAt > 0 {
+		if s.deadAt > 0 || s.evicted {
 			out = append(out, id)
 		}
 	}
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -56,7 +56,7 @@
 		vm := r.view.VMs[id]
 		_, underWay := r.staging[id]
 		joined := vm.Member.State == fleet.MemberReady || vm.Member.State == fleet.MemberOpen
-		if vm.Service == service && joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Lapsed && !r.dead(vm) {
+		if vm.Service == service && joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Lapsed && !r.lost(vm) {
 			out = append(out, vm)
 		}
 	}
--- a/formation/trade.go
+++ b/formation/trade.go
@@ -110,7 +110,7 @@
 func (r *round) vmsOf(a *replica) []fleet.VM {
 	var out []fleet.VM
 	for _, id := range a.members {
-		if vm, ok := r.view.VMs[id]; ok && vm.Member.Replica == a.name && !vm.Leaving && !vm.Lapsed && !r.dead(vm) {
+		if vm, ok := r.view.VMs[id]; ok && vm.Member.Replica == a.name && !vm.Leaving && !vm.Lapsed && !r.lost(vm) {
 			out = append(out, vm)
 		}
 	}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -27,9 +27,11 @@
 	dark bool
 	// unlisted engines work, but their reports are not listed.
 	unlisted bool
-	members  []string
-	readyAt  time.Duration
-	openAt   time.Duration
+	// pace is the factor on the engine's times; 0 is as 1.
+	pace    float64
+	members []string
+	readyAt time.Duration
+	openAt  time.Duration
 	// brokenAt is when a head that stands still breaks.
 	brokenAt time.Duration
 	seen     int64
@@ -152,7 +154,7 @@
 		case e == nil || e.dark:
 			w.send(w.planner.Done(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
-			w.send(w.planner.Done(w.now, o, Result{Answered: true, Accepted: true, State: e.vm.Member.State}))
+			w.send(w.planner.Done(w.now, o, Result{Answered: true, Accepted: true, State: e.vm.Member.State, Pace: max(1, e.pace)}))
 		case w.rng.Float64() < w.lateShare:
 			delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 			w.late = append(w.late, lateOrder{w.now + delay, o})
