Let larger nodes hold the lease, plan cheaper, end replicas sooner and say so

A small node of 0.19 cores held the lease after the first holder was killed; planning took it 5 to 10 ms at 223 VMs and up to 50 times a second, so its probes ended late by its own doing and 17 sound VMs counted as dead. Before that, 14 replicas whose heads had lost the store were closed within a second, their members waited up to 4 s for streams, and nodes went on sending there (5,884 of 17,730 arrivals refused). Ruled out: dead members (the engines answered others). Change: smaller nodes claim the lease 0.5 s later; a probe that ended beyond its limit says nothing; owners of VMs and models at hand are indexed once a plan, plans are 15 ms apart; a planned end waits one second for streams, which then go on elsewhere; the holder tells peers which replicas are being ended; a new replica of a VM that was tried before may be picked.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,7 +30,7 @@
 type Job struct {
 	// PromptTokens is the size of the prompt; 0 for a plain service.
 	PromptTokens int
-	// Exclude lists ids of upstreams that were tried before.
+	// Exclude lists the instances of upstreams that were tried before.
 	Exclude []string
 	// Moved says that the request was moved away from an upstream that
 	// stands still. All nodes move theirs at the same moment.
@@ -116,7 +116,7 @@
 	var bestScore time.Duration
 	for pass := 0; pass < 2 && !found; pass++ {
 		for _, t := range targets {
-			if slices.Contains(j.Exclude, t.ID) || pass == 0 && b.suspect(now, t) {
+			if slices.Contains(j.Exclude, t.Instance()) || pass == 0 && b.suspect(now, t) {
 				continue
 			}
 			score, ok := b.score(now, engine, t, j)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -112,11 +112,17 @@
 		for range 4 {
 			Expect(pick(dispatch.Job{}).Target.ID).NotTo(Equal("a"))
 		}
-		Expect(pick(dispatch.Job{Exclude: []string{"b", "c"}}).Target.ID).To(Equal("a"))
+		Expect(pick(dispatch.Job{Exclude: []string{"b r-b", "c r-c"}}).Target.ID).To(Equal("a"))
+	})
+
+	// A broken replica is formed anew with the same head.
+	It("picks a new replica of a VM whose former one was tried", func() {
+		targets[0].Replica = "later"
+		Expect(pick(dispatch.Job{Exclude: []string{"a r-a", "b r-b", "c r-c"}}).Target.ID).To(Equal("a"))
 	})
 
 	It("never picks an excluded upstream", func() {
-		Expect(pick(dispatch.Job{Exclude: []string{"a", "b", "c"}})).To(BeNil())
+		Expect(pick(dispatch.Job{Exclude: []string{"a r-a", "b r-b", "c r-c"}})).To(BeNil())
 	})
 
 	It("finds an upstream silent by the requests that it is answering", func() {
@@ -133,7 +139,7 @@
 	})
 
 	It("does not carry loads over to another life of a VM", func() {
-		pick(dispatch.Job{Exclude: []string{"b", "c"}})
+		pick(dispatch.Job{Exclude: []string{"b r-b", "c r-c"}})
 		reborn := targets[0]
 		reborn.Boot = 7
 		Expect(b.Silent(now.Add(time.Minute), []fleet.Target{reborn}, dispatch.Limits{})).To(BeEmpty())
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -36,6 +36,9 @@
 	targets map[pool][]Target
 }
 
+// Instance tells the target from others and from former replicas of its VM.
+func (t *Target) Instance() string { return t.ID + " " + t.Replica }
+
 type pool struct{ service, model string }
 
 // NewView derives the targets from the VMs.
--- a/formation/driver.go
+++ b/formation/driver.go
@@ -17,6 +17,12 @@
 	orderTimeout = time.Second
 	// probeTimeout bounds a probe; VMs answer within a few milliseconds.
 	probeTimeout = 150 * time.Millisecond
+	// lateBy is the time beyond its limit after which an order's end shows
+	// that this process was held up.
+	lateBy = 30 * time.Millisecond
+	// planGap separates plans, so that changes that come together are
+	// planned together.
+	planGap = 15 * time.Millisecond
 )
 
 // Sender sends orders. The fence is the term of the lease; a VM that checks it
@@ -43,6 +49,7 @@
 	results  chan outcome
 	suspects chan string
 	dead     atomic.Pointer[[]string]
+	closing  atomic.Pointer[[]string]
 }
 
 // outcome is an order with its result.
@@ -86,12 +93,19 @@
 }
 
 // Dead returns the VMs that don't answer this node, if it gives the orders.
-func (d *Driver) Dead() []string {
+func (d *Driver) Dead() []string { return d.told(&d.dead) }
+
+// Closing returns the heads of replicas that are being ended, if this node gives
+// the orders.
+func (d *Driver) Closing() []string { return d.told(&d.closing) }
+
+// told returns a list of the last plan while this node holds the lease.
+func (d *Driver) told(list *atomic.Pointer[[]string]) []string {
 	if _, held := d.Lease.Held(); !held {
 		return nil
 	}
-	if dead := d.dead.Load(); dead != nil {
-		return *dead
+	if l := list.Load(); l != nil {
+		return *l
 	}
 	return nil
 }
@@ -101,11 +115,13 @@
 	t := time.NewTicker(planEvery)
 	defer t.Stop()
 	term := int64(0)
+	planned := time.Time{}
 	plan := func() []Order {
 		now, held := d.Lease.Held()
 		if !held {
 			return nil
 		}
+		planned = time.Now()
 		if now != term {
 			term = now
 			d.Planner.Reset(term)
@@ -118,6 +134,7 @@
 		case <-ctx.Done():
 			return
 		case <-d.changed:
+			time.Sleep(planGap - time.Since(planned))
 			orders = plan()
 		case o := <-d.results:
 			orders = d.Planner.Done(bootclock.Now(), o.order, o.result)
@@ -131,8 +148,9 @@
 		case <-t.C:
 			orders = plan()
 		}
-		dead := d.Planner.Dead()
+		dead, closing := d.Planner.Dead(), d.Planner.Closing()
 		d.dead.Store(&dead)
+		d.closing.Store(&closing)
 		for _, o := range orders {
 			go d.send(ctx, o, term)
 		}
@@ -150,7 +168,9 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	started := time.Now()
 	res := d.Sender.Send(bounded, o, term)
+	res.Late = time.Since(started) > limit+lateBy
 	select {
 	case d.results <- outcome{o, res}:
 	case <-ctx.Done():
--- a/formation/form.go
+++ b/formation/form.go
@@ -25,10 +25,8 @@
 	if vm.Leaving || vm.Lapsed || r.lost(vm) {
 		return false
 	}
-	for _, a := range r.replicas {
-		if !a.released && slices.Contains(a.members, vm.ID) {
-			return a.standby && !r.loadingStandby(a, vm)
-		}
+	if a, ok := r.ownerOf(vm.ID); ok {
+		return a.standby && !r.loadingStandby(a, vm)
 	}
 	if vm.Member.Replica == "" {
 		return true
@@ -37,6 +35,23 @@
 	return ok && (a.released || a.standby && !r.loadingStandby(a, vm))
 }
 
+// ownerOf returns the replica or standby that a VM was ordered to join.
+func (r *round) ownerOf(vm string) (*replica, bool) {
+	if r.owners == nil {
+		r.owners = make(map[string]*replica, len(r.view.VMs))
+		for _, a := range r.replicas {
+			for _, id := range a.members {
+				// A replica goes before a standby that it takes a VM from.
+				if other, taken := r.owners[id]; !a.released && (!taken || other.standby) {
+					r.owners[id] = a
+				}
+			}
+		}
+	}
+	a, ok := r.owners[vm]
+	return a, ok
+}
+
 // loadingStandby reports whether a standby still loads its model.
 func (r *round) loadingStandby(a *replica, vm fleet.VM) bool {
 	joining := vm.Member.Replica != a.name || vm.Member.State == fleet.MemberJoining
@@ -337,6 +352,7 @@
 	}
 	a.expect = longest * loadSlowdown
 	r.replicas[name] = a
+	r.owners = nil
 	if res, ok := r.reserved[c.vms[0].Domain]; ok && res.model == c.model.Name && !a.standby {
 		delete(r.reserved, c.vms[0].Domain)
 	}
@@ -353,7 +369,7 @@
 func (r *round) endStandby(vm string) {
 	for _, a := range r.replicas {
 		if a.standby && slices.Contains(a.members, vm) {
-			a.released = true
+			a.released, r.owners = true, nil
 		}
 	}
 }
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -141,7 +141,7 @@
 		}
 	}
 	switch {
-	case a.traded && a.openSent && present == size && !leaving:
+	case a.traded && a.openSent && present == size:
 		r.dismantle(a, rep, true)
 	case a.openSent && (present < size || leaving):
 		r.dismantle(a, rep, leaving && present == size)
@@ -150,7 +150,7 @@
 	case !a.openSent:
 		r.await(a, rep, leaving)
 	case a.lostAt > 0:
-		// It was being dismantled, so it can't be trusted to be whole.
+		// It was being ended, so it can't be trusted to be whole.
 		r.dismantle(a, rep, false)
 	case rep.Members[0].Member.State == fleet.MemberBroken:
 		r.release(a, "broken")
@@ -246,7 +246,7 @@
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.dead(head) {
 		switch state := r.state(head); {
-		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing):
+		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing) && r.now-a.lostAt < closeFor:
 			if r.due(a, "close") {
 				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
 			}
@@ -259,6 +259,22 @@
 	r.abandon(a, rep)
 }
 
+// closeFor is how long the requests of a replica that is ended as planned may go
+// on there. Streams that take longer go on at other replicas, which costs each a
+// pause; the members that wait for them cost a whole replica.
+const closeFor = time.Second
+
+// Closing returns the heads of replicas that are being ended.
+func (p *Planner) Closing() []string {
+	var out []string
+	for _, name := range sortedNames(p.replicas) {
+		if a := p.replicas[name]; a.lostAt > 0 && !a.released && !a.standby && len(a.members) > 0 {
+			out = append(out, a.members[0])
+		}
+	}
+	return out
+}
+
 // retire takes the head out of a replica. An order to open it that is still on
 // its way has no effect then.
 func (r *round) retire(a *replica, head fleet.VM) {
@@ -286,7 +302,7 @@
 
 // release frees the members for other replicas.
 func (r *round) release(a *replica, why string) {
-	a.released = true
+	a.released, r.owners = true, nil
 	r.s.Logger.Info(decisions.ReplicaReleased, "replica", a.name, "generation", a.generation, "why", why,
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -55,6 +55,9 @@
 	Answered bool
 	// State is the state of its membership that a probed VM answered.
 	State fleet.MemberState
+	// Late says that this process was held up meanwhile, so that a missing
+	// answer says nothing of the VM.
+	Late bool
 	// Pace is the factor on its times that a probed VM answered; over 1 is
 	// slow, 0 unknown.
 	Pace float64
@@ -238,6 +241,8 @@
 	view     *fleet.View
 	reported map[string]fleet.Replica
 	orders   []Order
+	// owners holds the replica of each VM; nil when it must be found anew.
+	owners map[string]*replica
 }
 
 func (r *round) order(o Order) {
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -85,6 +85,25 @@
 		})).To(BeTrue())
 	})
 
+	// On scale-2 of jll-kolkata-grown 14 replicas lost their heads' entries within
+	// a second, and their members waited for streams for up to four seconds.
+	It("does not wait longer than a second for the requests of a replica that is ended", func() {
+		settled(1, 1, 11)
+		w.lasting = 20 * time.Second
+		head := w.member("large", 0)
+		head.unlisted = true
+		Expect(w.run(4*time.Second, w.serves(1, 1))).To(BeTrue())
+		Expect(w.planner.Closing()).To(BeEmpty())
+	})
+
+	It("tells which replicas are being ended", func() {
+		settled(1, 1, 11)
+		w.lasting = 20 * time.Second
+		head := w.member("large", 0)
+		head.unlisted = true
+		Expect(w.run(time.Second, func() bool { return slices.Contains(w.planner.Closing(), head.vm.ID) })).To(BeTrue())
+	})
+
 	// The fault behind TWO on hunt-f7d5-3: the head still reports ready.
 	It("takes the head out of a replica that lost a member while it opened", func() {
 		w = newWorld(1, 6)
@@ -224,6 +243,21 @@
 		Expect(probes).To(Equal(6))
 	})
 
+	// On scale-2 of jll-kolkata-grown a small node held the lease; its probes ended
+	// late by its own doing, and it took 17 sound VMs for dead.
+	It("takes no VM for dead when its own process was held up", func() {
+		settled(1, 1, 11)
+		head := w.member("large", 0)
+		v := fleet.NewView(w.config, w.now, w.listed[0].vms)
+		for range 4 {
+			for _, o := range w.planner.Suspect(w.now, v, head.vm.ID) {
+				Expect(w.planner.Done(w.now, o, Result{Status: "timeout", Late: true})).To(BeEmpty())
+			}
+			w.now += suspectGap
+		}
+		Expect(w.planner.Dead()).To(BeEmpty())
+	})
+
 	It("does not trade replicas to and fro", func() {
 		settled(2, 2, 11, 11)
 		for range 3 {
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -67,10 +67,10 @@
 		p.changed = p.changed || p.confirming
 		return nil
 	}
-	s.unanswered++
-	if s.deadAt > 0 {
+	if s.deadAt > 0 || res.Late {
 		return nil
 	}
+	s.unanswered++
 	if s.unanswered < probesToDead {
 		s.pending, s.sentAt = true, now
 		return []Order{o}
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -24,13 +24,21 @@
 func (r *round) stageAhead(s fleet.Service) {
 	r.endStaging()
 	vms := r.stageable(s.Name)
+	if len(vms) == 0 {
+		return
+	}
+	held := r.heldByDomain(s)
 	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(r.use(a), r.use(b)) })
 	for _, vm := range vms {
-		m, ok := r.missing(s, vm)
-		if !ok || !r.mayStage(s.Engine) {
+		m, ok := r.missing(s, vm, held[vm.Domain])
+		if !ok {
 			continue
 		}
+		if !r.mayStage(s.Engine) {
+			return
+		}
 		r.stage(s, vm, m)
+		held[vm.Domain][m.Name]++
 	}
 }
 
@@ -65,18 +73,7 @@
 
 // missing returns the model that the fewest VMs of a VM's domain have at hand,
 // in proportion to its replicas' size, if the VM itself has not.
-func (r *round) missing(s fleet.Service, vm fleet.VM) (fleet.Model, bool) {
-	held := map[string]int{}
-	for _, other := range r.view.VMs {
-		if other.Service != s.Name || other.Domain != vm.Domain {
-			continue
-		}
-		for _, m := range s.Engine.Models {
-			if r.atHand(other, m.Name) {
-				held[m.Name]++
-			}
-		}
-	}
+func (r *round) missing(s fleet.Service, vm fleet.VM, held map[string]int) (fleet.Model, bool) {
 	var best fleet.Model
 	found := false
 	for _, m := range s.Engine.Models {
@@ -90,6 +87,25 @@
 	return best, found
 }
 
+// heldByDomain counts the VMs that have each model at hand, by domain.
+func (r *round) heldByDomain(s fleet.Service) map[string]map[string]int {
+	out := map[string]map[string]int{}
+	for _, vm := range r.view.VMs {
+		if vm.Service != s.Name {
+			continue
+		}
+		if out[vm.Domain] == nil {
+			out[vm.Domain] = map[string]int{}
+		}
+		for _, m := range s.Engine.Models {
+			if r.atHand(vm, m.Name) {
+				out[vm.Domain][m.Name]++
+			}
+		}
+	}
+	return out
+}
+
 // atHand reports whether a VM can join a replica of a model without a load from
 // the weight store, now or when the load under way is done.
 func (r *round) atHand(vm fleet.VM, model string) bool {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -32,6 +33,8 @@
 	members []string
 	readyAt time.Duration
 	openAt  time.Duration
+	// closedAt is when the last request of a closing head ends.
+	closedAt time.Duration
 	// brokenAt is when a head that stands still breaks.
 	brokenAt time.Duration
 	seen     int64
@@ -48,6 +51,8 @@
 	engines map[string]*engine
 	// late holds orders that are carried out later than their answer.
 	late []lateOrder
+	// lasting is how long requests of a closing replica take.
+	lasting time.Duration
 	// lateShare of the orders get no answer and are carried out seconds
 	// later; listed holds the reports as the planner sees them.
 	lateShare float64
@@ -184,10 +189,13 @@
 		e.openAt = w.now + openTime
 		w.checkComplete(e)
 	case Close:
-		if !current || m.State != fleet.MemberOpen {
+		if !current || m.State != fleet.MemberOpen && m.State != fleet.MemberClosing {
 			return false
 		}
 		m.State, e.openAt = fleet.MemberReady, 0
+		if w.lasting > 0 {
+			m.State, e.closedAt = fleet.MemberClosing, cmp.Or(e.closedAt, w.now+w.lasting)
+		}
 	case Stage:
 		m, _ := w.config.Services[service].Engine.Model(o.Model)
 		w.loads = append(w.loads, w.now)
@@ -196,7 +204,7 @@
 		if !current {
 			return false
 		}
-		*m, e.members, e.openAt, e.brokenAt = fleet.Membership{}, nil, 0, 0
+		*m, e.members, e.openAt, e.closedAt, e.brokenAt = fleet.Membership{}, nil, 0, 0, 0
 	}
 	return true
 }
@@ -242,7 +250,7 @@
 
 // mayServe reports whether a head is open, or stands still and is not broken.
 func (w *world) mayServe(head *engine) bool {
-	return !head.dark && head.vm.Member.State == fleet.MemberOpen
+	return !head.dark && (head.vm.Member.State == fleet.MemberOpen || head.vm.Member.State == fleet.MemberClosing)
 }
 
 // checkComplete notes a replica that opens without all of its members.
@@ -275,6 +283,9 @@
 	if e.openAt > 0 && w.now >= e.openAt && m.State == fleet.MemberReady {
 		m.State, e.openAt = fleet.MemberOpen, 0
 	}
+	if m.State == fleet.MemberClosing && w.now >= e.closedAt {
+		m.State, e.closedAt = fleet.MemberReady, 0
+	}
 	if m.State != fleet.MemberOpen {
 		return
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 			WithRetryAfter(retryAfterFailure)
 	}
 	defer func() { f.node.balancer.Done(time.Now(), &ticket) }()
-	f.exclude = append(f.exclude, ticket.Target.ID)
+	f.exclude = append(f.exclude, ticket.Target.Instance())
 	f.node.tellLoad(ticket.Target.ID)
 	f.node.logger.Info(decisions.RequestSent, f.fields("upstream", ticket.Target.ID, "replica", ticket.Target.Replica,
 		"load", ticket.Load, "unread", ticket.Unread, "prompt", f.req.PromptTokens, "predicted_ms", ticket.Predicted.Milliseconds(),
--- a/gateway/flights.go
+++ b/gateway/flights.go
@@ -151,6 +151,24 @@
 	}
 }
 
+// avoidClosing sends nothing new to replicas that are being ended. The log tells
+// the same later.
+func (n *Node) avoidClosing(now time.Time, heads []string) {
+	if len(heads) == 0 {
+		return
+	}
+	v := n.state.View()
+	for _, id := range heads {
+		vm, known := v.VMs[id]
+		if !known || vm.Member.Replica == "" {
+			continue
+		}
+		if t, ok := v.TargetOf(vm.Member.Replica); ok && t.ID == id {
+			n.balancer.Suspect(now, t)
+		}
+	}
+}
+
 const (
 	// silentLeast is the least silence after which a replica is suspected;
 	// a lost packet alone costs 200 ms or more.
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -81,6 +81,9 @@
 	return relay.Source(n.Self(), n.peers.Peers(), n.holder())
 }
 
+// Yields reports whether larger nodes should hold the control lease.
+func (n *Node) Yields() bool { return n.peers != nil && !relay.Largest(n.Self(), n.peers.Peers()) }
+
 // serveRelay answers peers' questions on streams until the context ends. Peers
 // read the log where this node can't listen.
 func (n *Node) serveRelay(ctx context.Context, streams []*keyed.Stream) {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -85,6 +85,7 @@
 	crashes  *crashes
 	onSilent func(vm string)
 	dead     func() []string
+	ending   func() []string
 	peers    *gossip.Gossip
 	// followed holds the streams of the log, holder names the node that reads
 	// them for the others.
@@ -117,6 +118,7 @@
 		crashes:  newCrashes(),
 		onSilent: func(string) {},
 		dead:     func() []string { return nil },
+		ending:   func() []string { return nil },
 		holder:   func() string { return "" },
 		budgets:  map[string]*retry.Window{},
 		times:    map[string]*hdrhistogram.Histogram{},
@@ -154,6 +156,10 @@
 // before Run.
 func (n *Node) TellDead(f func() []string) { n.dead = f }
 
+// TellClosing makes the node tell its peers of the replicas whose heads f
+// returns: they are being ended and take no new requests. It is set before Run.
+func (n *Node) TellClosing(f func() []string) { n.ending = f }
+
 // Settings returns the settings in force.
 func (n *Node) Settings() *Settings { return n.settings.Load() }
 
@@ -217,7 +223,11 @@
 func (n *Node) tell() gossip.Message {
 	dead := n.dead()
 	n.avoidDead(time.Now(), dead)
-	return gossip.Message{Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Crashes: n.crashes.recent()}
+	closing := n.ending()
+	n.avoidClosing(time.Now(), closing)
+	return gossip.Message{
+		Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Closing: closing, Crashes: n.crashes.recent(),
+	}
 }
 
 // heard takes a peer's message.
@@ -232,6 +242,7 @@
 		n.asked.Store(true)
 	}
 	n.avoidDead(now, m.Dead)
+	n.avoidClosing(now, m.Closing)
 	n.crashes.learn(m.Crashes)
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -42,6 +42,8 @@
 	Crashes []quarantine.LocalSuspect `json:"crashes,omitempty"`
 	// Dead lists VMs that don't answer the holder of the control lease.
 	Dead []string `json:"dead,omitempty"`
+	// Closing lists heads of replicas that the holder is ending.
+	Closing []string `json:"closing,omitempty"`
 }
 
 // add makes a message speak also for those of another one.
@@ -50,6 +52,7 @@
 	m.Loads = sumLoads(m.Loads, other.Loads)
 	m.Silent = union(m.Silent, other.Silent)
 	m.Dead = union(m.Dead, other.Dead)
+	m.Closing = union(m.Closing, other.Closing)
 }
 
 // sumLoads adds loads by VM without changing either.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,6 +32,9 @@
 	margin = 300 * time.Millisecond
 	// claimJitter spreads claims, so that most nodes see the first one's.
 	claimJitter = 250 * time.Millisecond
+	// yieldFor is how much later a node claims that yields to others: the
+	// holder's work takes a large part of a small VM's processor.
+	yieldFor = 500 * time.Millisecond
 	// appendTimeout bounds one append; the log answers within milliseconds
 	// when it is well.
 	appendTimeout = 600 * time.Millisecond
@@ -84,15 +87,22 @@
 	renewedAt  time.Duration
 	sent       map[uint64]time.Duration
 	claimAfter time.Duration
-	stopped    bool
-	held       bool
+	// yields says that other nodes should claim before this one.
+	yields   func() bool
+	yielding bool
+	stopped  bool
+	held     bool
 }
 
 // New returns the lease of a stream and key. The id is unique to this process.
 func New(id, stream, key string, log Log, logger *slog.Logger) *Lease {
-	return &Lease{id: id, stream: stream, key: key, log: log, logger: logger, sent: map[uint64]time.Duration{}}
+	return &Lease{id: id, stream: stream, key: key, log: log, logger: logger, sent: map[uint64]time.Duration{}, yields: func() bool { return false }}
 }
 
+// Yield makes the node claim later than others while f returns true; it is called
+// before Run.
+func (l *Lease) Yield(f func() bool) { l.yields = f }
+
 // Apply takes a batch of the stream.
 func (l *Lease) Apply(b keyed.Batch) {
 	l.mu.Lock()
@@ -195,7 +205,9 @@
 // keep appends a claim or a renewal if one is due.
 func (l *Lease) keep(ctx context.Context) {
 	now := bootclock.Now()
+	yielding := l.yields()
 	l.mu.Lock()
+	l.yielding = yielding
 	held := l.holds(now)
 	if held != l.held {
 		l.held = held
@@ -212,7 +224,11 @@
 		if l.claimAfter == 0 {
 			l.claimAfter = now + l.jitter()
 		}
-		due = now >= l.claimAfter && now-l.renewedAt >= appendTimeout
+		after := l.claimAfter
+		if l.yielding {
+			after += yieldFor
+		}
+		due = now >= after && now-l.renewedAt >= appendTimeout
 	}
 	at := l.end
 	if due {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -84,6 +84,11 @@
 	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.ID, b.ID)) < 0
 }
 
+// Largest reports whether no reachable node has more processor share.
+func Largest(self Peer, reachable []Peer) bool {
+	return !slices.ContainsFunc(reachable, func(p Peer) bool { return p.Cores > self.Cores })
+}
+
 // question asks for what came after an offset of each stream.
 type question struct {
 	After map[string]int64 `json:"after"`
