--- a/gateway/node.go
+++ b/gateway/node.go
@@ -16,7 +16,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +32,6 @@
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
-	"github.com/tamarackcleat/tamarackcleat/relay"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 )
 
@@ -178,77 +176,6 @@
 // Asked reports whether this node or a peer had a request of a caller.
 func (n *Node) Asked() bool { return n.asked.Load() }
 
-// PeerAddress returns where peers reach this node; invalid if they can't.
-func (n *Node) PeerAddress() netip.AddrPort {
-	if n.Settings().PeerPort == 0 {
-		return netip.AddrPort{}
-	}
-	return netip.AddrPortFrom(n.Settings().PeerIP, uint16(n.Settings().PeerPort))
-}
-
-// Self returns this node as peers see it.
-func (n *Node) Self() relay.Peer {
-	s := n.Settings()
-	return relay.Peer{ID: n.id, Zone: s.Zone, Address: n.PeerAddress(), Cores: s.Cores}
-}
-
-// RegisterPeer adds another node.
-func (n *Node) RegisterPeer(p relay.Peer) {
-	if n.peers != nil {
-		n.peers.Register(p)
-	}
-}
-
-// OpenPeers opens the socket for messages between nodes; it is called before
-// Run.
-func (n *Node) OpenPeers() error {
-	if !n.PeerAddress().IsValid() {
-		return nil
-	}
-	g, err := gossip.New(gossip.Options{
-		Self: n.Self(), Local: n.tell, Heard: n.heard, Logger: n.logger,
-	})
-	n.peers = g
-	return err
-}
-
-// tellLoad tells peers that this node sent a request to an upstream.
-func (n *Node) tellLoad(vm string) {
-	if n.peers != nil {
-		n.peers.Changed(vm)
-	}
-}
-
-// tell returns what peers should know.
-func (n *Node) tell() gossip.Message {
-	dead := n.dead()
-	n.avoidDead(time.Now(), dead)
-	closing := n.ending()
-	n.avoidClosing(time.Now(), closing)
-	return gossip.Message{
-		Loads: n.balancer.Own(), Silent: n.flights.silentNow(time.Now()), Dead: dead, Closing: closing, Crashes: n.crashes.recent(),
-	}
-}
-
-// heard takes a peer's message.
-func (n *Node) heard(m gossip.Message) {
-	now := time.Now()
-	if m.Partial {
-		n.balancer.HeardChanges(now, m.Node, m.Loads)
-		return
-	}
-	n.balancer.Heard(now, m.Node, m.Loads)
-	if len(m.Loads) > 0 {
-		n.asked.Store(true)
-	}
-	n.avoidDead(now, m.Dead)
-	n.avoidClosing(now, m.Closing)
-	n.crashes.learn(m.Crashes)
-	for _, vm := range m.Silent {
-		n.onSilent(vm)
-	}
-}
-
 // Run serves until the context ends and then drains.
 func (n *Node) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp", n.Settings().ListenCaller)
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -50,7 +50,7 @@
 		next, based := f.Stream.Next()
 		if based && f.Relayed != nil && f.Relayed() {
 			truncated = false
-			sleep(ctx, relayedPoll)
+			Sleep(ctx, relayedPoll)
 			continue
 		}
 		var n int
@@ -66,12 +66,12 @@
 			truncated = true
 		case err != nil && ctx.Err() == nil:
 			f.Failed(err)
-			sleep(ctx, pause.NextBackOff())
+			Sleep(ctx, pause.NextBackOff())
 		case err == nil:
 			pause.Reset()
 			truncated = false
 			if n > 0 && f.Pause != nil {
-				sleep(ctx, f.Pause())
+				Sleep(ctx, f.Pause())
 			}
 		}
 	}
@@ -108,7 +108,8 @@
 	return len(records), nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// Sleep waits for a time, or less if the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -53,10 +54,13 @@
 		stops []context.CancelFunc
 	)
 	// start runs nodes; each stops by its cancel function.
-	start := func(n int) []*lease.Lease {
+	start := func(n int, each ...func(int, *lease.Lease)) []*lease.Lease {
 		for i := range n {
 			l := lease.New(string(rune('a'+i)), "control", "lease", log, slog.New(slog.DiscardHandler))
 			l.Apply(keyed.Batch{})
+			for _, f := range each {
+				f(i, l)
+			}
 			log.nodes = append(log.nodes, l)
 		}
 		for _, l := range log.nodes {
@@ -115,6 +119,31 @@
 		Eventually(holders, "1500ms").Should(Equal([]int{1 - first}))
 	})
 
+	It("is not waited for once its holder's process has ended", func() {
+		nodes := start(2)
+		Eventually(one, "2s").Should(Equal(1))
+		first := holders()[0]
+		stops[first]()
+		nodes[1-first].Ended(string(rune('a' + 1 - first)))
+		nodes[1-first].Ended(string(rune('a' + first)))
+		Eventually(func() bool { _, held := nodes[1-first].Held(); return held }, "1s").Should(BeTrue())
+	})
+
+	// On scale-2 of jll-kolkata-grown a small node held the lease, whose work
+	// takes most of its processor.
+	It("is claimed by a node that does not yield, and else by one that does", func() {
+		var yields [3]atomic.Bool
+		for i := range yields {
+			yields[i].Store(i != 1)
+		}
+		nodes := start(3, func(i int, l *lease.Lease) { l.Yield(yields[i].Load) })
+		Eventually(holders, "2s").Should(Equal([]int{1}))
+		stops[1]()
+		nodes[1].Release(context.Background())
+		Eventually(one, "3s").Should(Equal(1))
+		Expect(holders()).NotTo(ContainElement(1))
+	})
+
 	It("skips a record that can't be read", func() {
 		start(1)
 		log.mu.Lock()
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -88,7 +88,7 @@
 				pause = 0
 			}
 		}
-		sleep(ctx, pause)
+		keyed.Sleep(ctx, pause)
 	}
 }
 
@@ -188,15 +188,3 @@
 	}
 	return a, errors.Wrap(json.Unmarshal(data, &a), "decoding a peer's answer")
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
