--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -244,7 +244,7 @@
 	})
 
 	// On scale-2 of jll-kolkata-grown a small node held the lease; its probes ended
-	// late by its own doing, and it took 17 sound VMs for dead.
+	// late by its own doing, and it took sound VMs for dead.
 	It("takes no VM for dead when its own process was held up", func() {
 		settled(1, 1, 11)
 		head := w.member("large", 0)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -25,7 +25,7 @@
 	manyNodes = 16
 	// relayHeaderTimeout bounds the wait for a peer's header.
 	relayHeaderTimeout = time.Second
-	// relayIdle closes peers' connections without questions.
+	// relayIdle closes peers' connections without polls.
 	relayIdle = 10 * time.Second
 )
 
@@ -84,7 +84,7 @@
 // Yields reports whether larger nodes should hold the control lease.
 func (n *Node) Yields() bool { return n.peers != nil && !relay.Largest(n.Self(), n.peers.Peers()) }
 
-// serveRelay answers peers' questions on streams until the context ends. Peers
+// serveRelay serves peers' polls of streams until the context ends. Peers
 // read the log where this node can't listen.
 func (n *Node) serveRelay(ctx context.Context, streams []*keyed.Stream) {
 	l, err := net.Listen("tcp", n.PeerAddress().String())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,13 +2,13 @@
 // number of reads of the log does not grow with the number of nodes.
 //
 // The holder of the control lease reads the log. One node in each availability
-// zone asks the holder, and the others of the zone ask that node. A question is
-// held until there are records, as a read of the log is.
+// zone polls the holder, and the others of the zone poll that node. Polls are long:
+// one is held until there are records, as a read of the log is.
 //
-// The guarantees: records are handed on once each and in order; an answer tells
-// how old the proof is that nothing is missing, and the receiver counts that
-// age from the sending of its question, so neither a frozen node nor a late
-// answer makes a stream look newer than it is. A node whose stream gets older
+// The guarantees: records are handed on once each and in order; a response
+// tells how old the proof is that nothing is missing, and the receiver counts that
+// age from the sending of its poll, so neither a frozen node nor a late response
+// makes a stream look newer than it is. A node whose stream gets older
 // than a bound reads the log itself.
 package relay
 
@@ -25,25 +25,26 @@
 	// LogWait is how long the log holds a read of a node that hands the
 	// stream on; it bounds the age of the proof at the first node.
 	LogWait = 400 * time.Millisecond
-	// hold is how long a node holds a peer's question without records. Each
+	// pollHold is how long a node holds a peer's poll without records. Each
 	// of at most two nodes on the way adds two holds to the age: that of the
-	// answer and that of the next one.
-	hold = 150 * time.Millisecond
-	// freshFor is the age from which a node reads the log itself. It covers
+	// response and that of the next one.
+	pollHold = 150 * time.Millisecond
+	// maxStaleness is the age from which a node reads the log itself. It covers
 	// LogWait and four holds, and leaves time for a read within the two
 	// seconds in which a change must be known.
-	freshFor = 1300 * time.Millisecond
-	// answerSlack is added to hold before a question counts as lost; peers
-	// answer within a few milliseconds.
-	answerSlack = 250 * time.Millisecond
-	// askAgainAfter is the pause after a question that failed.
-	askAgainAfter = 200 * time.Millisecond
-	// gatherFor is the pause after an answer with records, so that a busy
-	// stream is handed on in batches.
-	gatherFor = 40 * time.Millisecond
+	maxStaleness = 1300 * time.Millisecond
+	// pollSlack is added to pollHold before a poll times out; peers respond
+	// within a few milliseconds.
+	pollSlack = 250 * time.Millisecond
+	// retryDelay is the pause after a poll that failed; a node that needs the
+	// records sooner reads the log.
+	retryDelay = 200 * time.Millisecond
+	// batchDelay is the pause after a response with records, so that a busy
+	// stream is handed on in batches; it is far below the bounds of seconds.
+	batchDelay = 40 * time.Millisecond
 )
 
-// Path is where a node answers its peers' questions.
+// Path is where a node serves its peers' polls.
 const Path = "/v1/peers/streams"
 
 // Peer is a node that may hand streams on.
@@ -55,7 +56,7 @@
 	Cores float64
 }
 
-// Source returns the peer that a node asks, if it need not read the log itself.
+// Source returns the peer that a node polls, if it need not read the log itself.
 // Live holds the peers heard lately, holder is the id of the lease's holder.
 func Source(self Peer, live []Peer, holder string) (Peer, bool) {
 	if holder == self.ID {
@@ -89,17 +90,17 @@
 	return !slices.ContainsFunc(reachable, func(p Peer) bool { return p.Cores > self.Cores })
 }
 
-// question asks for what came after an offset of each stream.
-type question struct {
+// pollRequest asks for what came after an offset of each stream.
+type pollRequest struct {
 	After map[string]int64 `json:"after"`
 }
 
-// answer holds what came after the question's offsets.
-type answer struct {
+// pollResponse holds what came after the request's offsets.
+type pollResponse struct {
 	Streams map[string]part `json:"streams"`
 }
 
-// part is the answer for one stream.
+// part is the response for one stream.
 type part struct {
 	Records []record `json:"records,omitempty"`
 	// Next is the offset after the records.
@@ -122,7 +123,7 @@
 	return p
 }
 
-// decodePart returns the batch of an answer to a question sent at a time.
+// decodePart returns the batch of a response to a poll sent at a time.
 func decodePart(p part, from int64, askedAt time.Duration) (keyed.Batch, bool) {
 	if p.AgeMillis < 0 || p.Next != from+int64(len(p.Records)) {
 		return keyed.Batch{}, false
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -100,7 +100,7 @@
 		}
 	})
 
-	It("carries the age of the proof, counted from the question", func() {
+	It("carries the age of the proof, counted from the poll", func() {
 		c := newChain()
 		Eventually(c.serves).Should(BeTrue())
 		proved := bootclock.Now()
@@ -130,10 +130,10 @@
 })
 
 var _ = Describe("Handler", func() {
-	It("says what is wrong with a question it can't read", func() {
+	It("says what is wrong with a poll it can't read", func() {
 		w := httptest.NewRecorder()
 		relay.Handler(nil).ServeHTTP(w, httptest.NewRequest(http.MethodPost, relay.Path, strings.NewReader("{")))
 		Expect(w.Code).To(Equal(http.StatusBadRequest))
-		Expect(w.Body.String()).To(ContainSubstring("decoding the question"))
+		Expect(w.Body.String()).To(ContainSubstring("decoding the poll"))
 	})
 })
--- a/relay/server.go
+++ b/relay/server.go
@@ -13,27 +13,27 @@
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
 
-// maxQuestion bounds a question in bytes: a name and an offset a stream.
-const maxQuestion = 4 << 10
+// maxRequest bounds a poll in bytes: a name and an offset a stream.
+const maxRequest = 4 << 10
 
-// Handler answers peers' questions on streams.
+// Handler serves peers' polls of streams.
 func Handler(streams []*keyed.Stream) http.Handler {
 	h := &server{streams: map[string]*keyed.Stream{}}
 	for _, s := range streams {
 		h.streams[s.Name] = s
 	}
 	r := mux.NewRouter()
-	r.HandleFunc(Path, h.answer).Methods(http.MethodPost)
+	r.HandleFunc(Path, h.poll).Methods(http.MethodPost)
 	return r
 }
 
 type server struct{ streams map[string]*keyed.Stream }
 
-// answer holds a question until a stream has records for it.
-func (h *server) answer(w http.ResponseWriter, r *http.Request) {
-	var q question
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuestion)).Decode(&q); err != nil {
-		http.Error(w, "decoding the question: "+err.Error(), http.StatusBadRequest)
+// poll holds a poll until a stream has records for it.
+func (h *server) poll(w http.ResponseWriter, r *http.Request) {
+	var q pollRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&q); err != nil {
+		http.Error(w, "decoding the poll: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	// The channels are taken before the look at the streams, so that no
@@ -41,18 +41,18 @@
 	changed := h.changes(q)
 	a, news := h.collect(q)
 	if !news {
-		wait(r.Context(), changed, hold)
+		wait(r.Context(), changed, pollHold)
 		a, _ = h.collect(q)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	// A peer that went away asks another node.
+	// A peer that went away polls another node.
 	_ = json.NewEncoder(w).Encode(a)
 }
 
-// collect returns what streams hold after the question's offsets, and whether
+// collect returns what streams hold after the request's offsets, and whether
 // any has records.
-func (h *server) collect(q question) (answer, bool) {
-	a, news := answer{Streams: map[string]part{}}, false
+func (h *server) collect(q pollRequest) (pollResponse, bool) {
+	a, news := pollResponse{Streams: map[string]part{}}, false
 	for name, from := range q.After {
 		s, ok := h.streams[name]
 		if !ok {
@@ -66,8 +66,8 @@
 	return a, news
 }
 
-// changes returns the channels that tell of records in the streams asked for.
-func (h *server) changes(q question) []<-chan struct{} {
+// changes returns the channels that tell of records in the streams polled.
+func (h *server) changes(q pollRequest) []<-chan struct{} {
 	var out []<-chan struct{}
 	for name := range q.After {
 		if s, ok := h.streams[name]; ok {
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -22,10 +22,10 @@
 	// dialTimeout bounds the time to connect to a peer, which takes a few
 	// milliseconds.
 	dialTimeout = 200 * time.Millisecond
-	// maxAnswer bounds an answer in bytes: the tails of all streams with
+	// maxResponse bounds a response in bytes: the tails of all streams with
 	// records of some hundred bytes.
-	maxAnswer = 1 << 20
-	// sourceIdle closes connections to peers that are no longer asked.
+	maxResponse = 1 << 20
+	// sourceIdle closes connections to peers that are no longer polled.
 	sourceIdle = 5 * time.Second
 )
 
@@ -53,7 +53,7 @@
 		logger:   logger,
 		provenAt: map[string]time.Duration{},
 		client: &http.Client{
-			Timeout: hold + answerSlack,
+			Timeout: pollHold + pollSlack,
 			Transport: &http.Transport{
 				DialContext:        dialer.DialContext,
 				DisableCompression: true,
@@ -70,20 +70,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.provenAt[stream]
-	return ok && bootclock.Now()-at < freshFor
+	return ok && bootclock.Now()-at < maxStaleness
 }
 
-// Run asks until the context ends.
+// Run polls until the context ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := askAgainAfter
+		pause := retryDelay
 		if peer, ok := s.choose(); ok {
-			news, err := s.ask(ctx, peer)
+			news, err := s.poll(ctx, peer)
 			switch {
 			case err != nil:
 				s.failed(ctx, peer, err)
 			case news:
-				pause = gatherFor
+				pause = batchDelay
 			default:
 				pause = 0
 			}
@@ -92,7 +92,7 @@
 	}
 }
 
-// choose returns the peer to ask and notes a change.
+// choose returns the peer to poll and notes a change.
 func (s *Subscriber) choose() (Peer, bool) {
 	peer, ok := s.source()
 	s.mu.Lock()
@@ -120,10 +120,10 @@
 	}
 }
 
-// ask sends one question and applies the answer. It reports whether there were
+// poll sends one poll and applies the response. It reports whether there were
 // records.
-func (s *Subscriber) ask(ctx context.Context, peer Peer) (bool, error) {
-	q := question{After: map[string]int64{}}
+func (s *Subscriber) poll(ctx context.Context, peer Peer) (bool, error) {
+	q := pollRequest{After: map[string]int64{}}
 	for _, st := range s.streams {
 		if next, based := st.Next(); based {
 			q.After[st.Name] = next
@@ -162,29 +162,29 @@
 	s.provenAt[stream] = max(s.provenAt[stream], at)
 }
 
-// exchange sends a question to a peer.
-func (s *Subscriber) exchange(ctx context.Context, peer Peer, q question) (answer, error) {
-	var a answer
+// exchange sends a poll to a peer.
+func (s *Subscriber) exchange(ctx context.Context, peer Peer, q pollRequest) (pollResponse, error) {
+	var a pollResponse
 	body, err := json.Marshal(q)
 	if err != nil {
-		return a, errors.Wrap(err, "encoding the question")
+		return a, errors.Wrap(err, "encoding a poll")
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.Address.String()+Path, bytes.NewReader(body))
 	if err != nil {
-		return a, errors.Wrap(err, "asking a peer")
+		return a, errors.Wrap(err, "polling a peer")
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return a, errors.Wrap(err, "asking a peer")
+		return a, errors.Wrap(err, "polling a peer")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponse))
 	if err != nil {
-		return a, errors.Wrap(err, "reading a peer's answer")
+		return a, errors.Wrap(err, "reading a peer's response")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return a, errors.Newf("a peer answered with status %d", resp.StatusCode)
+		return a, errors.Newf("a peer responded with status %d", resp.StatusCode)
 	}
-	return a, errors.Wrap(json.Unmarshal(data, &a), "decoding a peer's answer")
+	return a, errors.Wrap(json.Unmarshal(data, &a), "decoding a peer's response")
 }
