Keep one queue of timed events for the kernel, the bench and the failure tests

Cause: the same heap ordered by time and sequence stood in the kernel's timers, the bench's loop and failuretest's world, found among the places that share lines. Ruled out: bench/formation's schedule, whose times are durations since the start, and the heaps of jobs, which are ordered by other things; the pairs of message types and of specs that differ in names only are not the same logic. Change: package eventqueue, with a spec; the three use it. No behaviour changed: order and due times are as before.

--- a/failuretest/world_test.go
+++ b/failuretest/world_test.go
@@ -1,7 +1,6 @@
 package failuretest
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/calls"
 	"github.com/tamarackcleat/tamarackcleat/configuration"
+	"github.com/tamarackcleat/tamarackcleat/eventqueue"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/port"
@@ -60,7 +60,6 @@
 // event is a message due at a time.
 type event struct {
 	at   time.Time
-	seq  int
 	node *node
 	to   string
 	msg  kernel.Message
@@ -68,25 +67,6 @@
 	run func()
 }
 
-// eventHeap orders events by time, then by the order they were pushed.
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // node is one entry process with the services that use the log.
 type node struct {
 	world    *world
@@ -105,8 +85,7 @@
 	now    time.Time
 	log    *fakeLog
 	nodes  []*node
-	events eventHeap
-	seq    int
+	events eventqueue.Queue[event]
 	ids    int
 	asks   kernel.AskID
 	onAsk  map[kernel.AskID]func(kernel.Message)
@@ -182,9 +161,7 @@
 }
 
 func (w *world) push(e event) {
-	w.seq++
-	e.seq = w.seq
-	heap.Push(&w.events, e)
+	w.events.Push(e.at, e)
 }
 
 // after runs fn after a delay.
@@ -208,15 +185,15 @@
 // step handles the next event and reports whether there was one before the
 // limit.
 func (w *world) step(limit time.Time) bool {
-	if len(w.events) == 0 {
+	if _, any := w.events.Next(); !any {
 		return false
 	}
-	if w.events[0].at.After(limit) {
+	at, e, due := w.events.PopDue(limit)
+	if !due {
 		w.now = limit
 		return false
 	}
-	e := heap.Pop(&w.events).(event)
-	w.now = e.at
+	w.now = at
 	w.deliver(e)
 	return true
 }
--- a/kernel/node.go
+++ b/kernel/node.go
@@ -1,12 +1,13 @@
 package kernel
 
 import (
-	"container/heap"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/eventqueue"
 )
 
 // Errors of a Node.
@@ -32,8 +33,7 @@
 
 	mu      sync.Mutex
 	queue   []envelope
-	timers  timerHeap
-	seq     uint64
+	timers  eventqueue.Queue[envelope]
 	asks    map[AskID]chan Message
 	nextAsk AskID
 	wake    chan struct{}
@@ -179,9 +179,12 @@
 func (n *Node) Step() (next time.Time, pending bool) {
 	now := n.clock()
 	n.mu.Lock()
-	for len(n.timers) > 0 && !n.timers[0].at.After(now) {
-		t := heap.Pop(&n.timers).(timer)
-		n.queue = append(n.queue, t.envelope)
+	for {
+		_, due, ok := n.timers.PopDue(now)
+		if !ok {
+			break
+		}
+		n.queue = append(n.queue, due)
 	}
 	var e envelope
 	have := len(n.queue) > 0
@@ -195,9 +198,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if len(n.timers) > 0 {
-		next = n.timers[0].at
-	}
+	next, _ = n.timers.Next()
 	return next, len(n.queue) > 0
 }
 
@@ -233,12 +234,7 @@
 func (n *Node) addTimer(e SetTimer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.seq++
-	heap.Push(&n.timers, timer{
-		at:       n.clock().Add(e.After),
-		seq:      n.seq,
-		envelope: envelope{to: e.To, msg: e.Msg},
-	})
+	n.timers.Push(n.clock().Add(e.After), envelope{to: e.To, msg: e.Msg})
 }
 
 func (n *Node) reply(e Reply) {
@@ -265,33 +261,3 @@
 		n.OnUnhandled(what)
 	}
 }
-
-// timer is a message that is due at a time; seq keeps equal times in order.
-type timer struct {
-	at  time.Time
-	seq uint64
-	envelope
-}
-
-// timerHeap orders timers by time, then by the order they were set.
-type timerHeap []timer
-
-func (h timerHeap) Len() int { return len(h) }
-func (h timerHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].seq < h[j].seq
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
