Log reports of VMs that can't be read; say what a constant or a package rests on

Cause: the read as a newcomer found that a report that can't be decoded became an empty state and a pace of zero without a line, that the dispatch package claimed to refuse by prediction, which it does not, and constants without a reason. Ruled out: treating such a report as no answer, which would change behaviour. Change: the adapter hands the error on, the planner logs it; comments. No decision changed.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -77,7 +77,7 @@
 		{ConfigInForce, "A configuration took effect: version, offset, routes, services, keys."},
 		{ConfigUnreadable, "A record of the configuration could not be decoded; the one before stays in force."},
 		{UpstreamChanged, "An upstream reported something new: boot, replica, rank, state, models."},
-		{UpstreamUnreadable, "An entry could not be decoded and names no upstream."},
+		{UpstreamUnreadable, "An upstream's entry or its answer to a probe could not be decoded; an entry names no upstream then."},
 		{UpstreamLapsed, "A member of a replica is no longer listed; it is remembered for a while."},
 		{UpstreamGone, "An upstream is no longer listed."},
 		{UpstreamSilent, "A replica sent nothing for too long; its requests were moved."},
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -3,8 +3,8 @@
 //
 // A replica's load is what this node has sent there and not seen end, plus what
 // other nodes said of theirs. The predicted time to the first event follows
-// from it and the engine's figures; a request whose prediction misses its
-// target by too much is refused at once.
+// from it and the engine's figures; a request for which no upstream has room is
+// refused at once.
 package dispatch
 
 import (
--- a/formation/evict.go
+++ b/formation/evict.go
@@ -11,11 +11,13 @@
 	// slowPace is the factor on its times from which a VM counts as slow: its
 	// replica runs at its pace, and a repair without it costs about a second.
 	slowPace = 1.8
-	// soundPace is the factor up to which a slow VM counts as recovered.
+	// soundPace is the factor up to which a slow VM counts as recovered. It lies
+	// well below slowPace, so that a VM is not taken out and in by turns.
 	soundPace = 1.2
-	// slowProbes is the number of probes in a row that must find a VM slow.
+	// slowProbes is the number of probes in a row that must find a VM slow; one
+	// may meet a short delay.
 	slowProbes = 2
-	// paceAge is how often a slow VM is probed again.
+	// paceAge is how often a slow VM is probed again; VMs are slow for seconds.
 	paceAge = 700 * time.Millisecond
 )
 
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -61,6 +61,8 @@
 	// Pace is the factor on its times that a probed VM answered; over 1 is
 	// slow, 0 unknown.
 	Pace float64
+	// Problem says why an answer could not be read; empty if it could.
+	Problem string
 	// Status is for log lines.
 	Status string
 }
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -58,6 +58,9 @@
 		return nil
 	}
 	s.pending = false
+	if res.Problem != "" {
+		p.s.Logger.Warn(decisions.UpstreamUnreadable, "upstream", o.VM, "status", res.Status, "error", res.Problem)
+	}
 	if res.Answered {
 		if s.deadAt > 0 {
 			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -16,7 +16,8 @@
 	configPause = 100 * time.Millisecond
 	// vmPause collects the reports of all upstreams into few reads; bounds on
 	// leaving upstreams are seconds. The holder of the control lease reads
-	// more often: each repair waits for two reports.
+	// more often, because each repair waits for two reports. Many nodes that
+	// all read the log for themselves do so more rarely, within those bounds.
 	vmPause       = 300 * time.Millisecond
 	vmPauseMany   = time.Second
 	vmPauseHolder = 30 * time.Millisecond
