Share the link and the child process of tests, for a soak on real processes

Cause: a soak needs the proxy and the process handling that only processtest had. Ruled out: a second copy of each.

--- a/processtest/calls_test.go
+++ b/processtest/calls_test.go
@@ -213,7 +213,7 @@
 		c.awaitRefusal(verdict.ReasonLogUnavailable)
 		w.outage("")
 		c.awaitProgress()
-		w.nodes[1].kill()
+		w.nodes[1].Kill()
 		w.nodes[0].resume()
 		c.awaitProgress()
 		w.nodes[1].start()
--- a/processtest/config_test.go
+++ b/processtest/config_test.go
@@ -35,20 +35,20 @@
 			winner := w.race(round, version)
 			version, text = winner.view.Version, winner.document
 			for _, n := range w.nodes {
-				Eventually(func() int64 { return n.status().ConfigVersion }).Should(Equal(version), n.name)
-				Expect(n.config().Document).To(Equal(text), n.name)
+				Eventually(func() int64 { return n.status().ConfigVersion }).Should(Equal(version), n.Name)
+				Expect(n.config().Document).To(Equal(text), n.Name)
 			}
 		}
 		for _, n := range w.nodes {
-			n.kill()
+			n.Kill()
 		}
 		for _, n := range w.nodes {
 			n.start()
 		}
 		for _, n := range w.nodes {
-			Eventually(n.ready).Should(BeTrue(), n.name)
-			Expect(n.status().ConfigVersion).To(Equal(version), n.name)
-			Expect(n.config().Document).To(Equal(text), n.name)
+			Eventually(n.ready).Should(BeTrue(), n.Name)
+			Expect(n.status().ConfigVersion).To(Equal(version), n.Name)
+			Expect(n.config().Document).To(Equal(text), n.Name)
 		}
 		w.awaitServing(wantedReplicas, w.nodes...)
 		expectWhole(w.streams("after", nodeCount, shortAnswer, w.nodes...))
--- a/processtest/daemons_test.go
+++ b/processtest/daemons_test.go
@@ -6,6 +6,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/standin/link"
+
 	"github.com/tamarackcleat/tamarackcleat/api"
 )
 
@@ -24,12 +26,12 @@
 		Expect(found).To(BeTrue())
 		formerName := former.status().Node
 		former.pause()
-		members[1].kill()
+		members[1].Kill()
 		for _, n := range others {
 			Eventually(func() bool {
 				s := n.status()
 				return s.LeaseHolder != "" && s.LeaseHolder != formerName
-			}).Should(BeTrue(), n.name)
+			}).Should(BeTrue(), n.Name)
 		}
 		w.awaitFollowing(wantedReplicas, others...)
 		for _, r := range w.control().live {
@@ -64,13 +66,13 @@
 
 	It("are not ready while cut off, and ready with the newest version after", func() {
 		cut, others := w.nodes[2], w.without(w.nodes[2])
-		cut.toLog.set(linkDrop)
+		cut.toLog.Set(link.Drop)
 		for _, n := range w.nodes {
-			n.inbound.set(linkRefuse)
+			n.inbound.Set(link.Refuse)
 		}
 		Eventually(cut.ready).Should(BeFalse())
 		for _, n := range others {
-			Expect(n.ready()).To(BeTrue(), n.name)
+			Expect(n.ready()).To(BeTrue(), n.Name)
 		}
 		view, failure := others[0].publish("while-cut", w.version, document(1001))
 		Expect(failure).To(BeNil())
@@ -80,9 +82,9 @@
 		}
 		Expect(cut.status().ConfigVersion).To(Equal(w.version))
 		Expect(cut.ready()).To(BeFalse())
-		cut.toLog.set(linkPass)
+		cut.toLog.Set(link.Pass)
 		for _, n := range w.nodes {
-			n.inbound.set(linkPass)
+			n.inbound.Set(link.Pass)
 		}
 		Eventually(cut.ready).Should(BeTrue())
 		Eventually(func() int64 { return cut.status().ConfigVersion }).Should(Equal(view.Version))
@@ -119,7 +121,7 @@
 		Error *api.ErrorDetail `json:"error"`
 	}
 	_, err := ask("POST", "http://"+n.address+api.PathConfig,
-		api.PublishRequest{ID: id, Base: base, Document: text, Author: n.name}, &answer)
+		api.PublishRequest{ID: id, Base: base, Document: text, Author: n.Name}, &answer)
 	if err != nil {
 		return api.ConfigView{}, &api.ErrorDetail{Message: err.Error()}
 	}
--- a/processtest/engines_test.go
+++ b/processtest/engines_test.go
@@ -20,7 +20,7 @@
 			expectUnderWay(streams)
 			members := w.busyReplica()
 			expectUnderWay(streams)
-			members[rank].kill()
+			members[rank].Kill()
 			expectWhole(streams)
 			w.awaitFollowing(wantedReplicas, w.nodes...)
 			expectWhole(w.streams("after", nodeCount, shortAnswer, w.nodes...))
--- a/processtest/log_test.go
+++ b/processtest/log_test.go
@@ -17,9 +17,9 @@
 			expectUnderWay(streams)
 			w.outage(kind)
 			for _, n := range w.nodes {
-				Eventually(func() bool { return n.status().LogReachable }).Should(BeFalse(), n.name)
+				Eventually(func() bool { return n.status().LogReachable }).Should(BeFalse(), n.Name)
 			}
-			restarted.kill()
+			restarted.Kill()
 			restarted.start()
 			Eventually(restarted.ready).Should(BeTrue())
 			Expect(restarted.status().ConfigVersion).To(Equal(w.version))
@@ -29,7 +29,7 @@
 			expectWhole(streams)
 			w.outage("")
 			for _, n := range w.nodes {
-				Eventually(func() bool { return n.status().LogReachable }).Should(BeTrue(), n.name)
+				Eventually(func() bool { return n.status().LogReachable }).Should(BeTrue(), n.Name)
 			}
 			w.awaitFollowing(wantedReplicas, w.nodes...)
 			w.expectOneReplicaPerVM()
@@ -44,7 +44,7 @@
 		members := w.busyReplica()
 		w.outage("refuse")
 		expectUnderWay(streams)
-		members[0].kill()
+		members[0].Kill()
 		expectWhole(streams)
 		expectWhole(w.streams("meanwhile", 2*nodeCount, shortAnswer, w.nodes...))
 		Expect(w.retries()).To(BeNumerically(">", 0))
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"sync/atomic"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/standin/link"
+	"github.com/tamarackcleat/tamarackcleat/standin/process"
 )
 
 // Ports lie below the range from which the kernel takes ports of outgoing
@@ -39,69 +40,40 @@
 	return ""
 }
 
-// process is one process that the test started.
-type process struct {
-	name string
-	path string
-	args []string
-	log  string
-
-	cmd    *exec.Cmd
-	exited chan struct{}
-}
+// proc is a process of a spec; it ends with the spec.
+type proc struct{ *process.Process }
 
-// newProcess describes a process, whose output goes to a file in dir.
-func newProcess(dir, name, path string, args ...string) *process {
-	return &process{name: name, path: path, args: args, log: filepath.Join(dir, name+".log")}
+// newProc describes a process, whose output goes to a file in dir.
+func newProc(dir, name, path string, args ...string) *proc {
+	return &proc{process.New(dir, name, path, args...)}
 }
 
 // start runs the process and stops it at the end of the spec.
-func (p *process) start() *process {
-	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	Expect(err).NotTo(HaveOccurred())
-	cmd := exec.Command(p.path, p.args...)
-	cmd.Stdout, cmd.Stderr = out, out
-	Expect(cmd.Start()).To(Succeed())
-	exited := make(chan struct{})
-	go func() {
-		_ = cmd.Wait()
-		_ = out.Close()
-		close(exited)
-	}()
-	p.cmd, p.exited = cmd, exited
-	DeferCleanup(func() {
-		_ = cmd.Process.Kill()
-		<-exited
-	})
+func (p *proc) start() *proc {
+	Expect(p.Start()).To(Succeed())
+	DeferCleanup(p.Kill)
 	return p
 }
 
 // signal sends a signal to the process.
-func (p *process) signal(s syscall.Signal) { Expect(p.cmd.Process.Signal(s)).To(Succeed(), p.name) }
-
-// kill ends the process as a crash does and waits until it is gone.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.exited
-}
+func (p *proc) signal(s syscall.Signal) { Expect(p.Signal(s)).To(Succeed()) }
 
 // pause and resume stop and continue the process.
-func (p *process) pause()  { p.signal(syscall.SIGSTOP) }
-func (p *process) resume() { p.signal(syscall.SIGCONT) }
-
-// gone reports whether the process has ended.
-func (p *process) gone() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
+func (p *proc) pause()  { p.signal(syscall.SIGSTOP) }
+func (p *proc) resume() { p.signal(syscall.SIGCONT) }
 
 // exitCode waits for the end of the process.
-func (p *process) exitCode() int {
+func (p *proc) exitCode() int {
 	GinkgoHelper()
-	Eventually(p.exited).Should(BeClosed(), p.name)
-	return p.cmd.ProcessState.ExitCode()
+	Eventually(p.Exited()).Should(BeClosed(), p.Name)
+	return p.ExitCode()
+}
+
+// newLink returns a link to an address that passes everything; it ends with the
+// spec.
+func newLink(target string) *link.Link {
+	k, err := link.New(freeAddress(), target)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(k.Close)
+	return k
 }
--- a/processtest/world_test.go
+++ b/processtest/world_test.go
@@ -10,6 +10,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/standin/link"
+
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
@@ -59,7 +61,7 @@
 
 // vm is an engine VM.
 type vm struct {
-	*process
+	*proc
 	id      port.VMID
 	address string
 	domain  int
@@ -67,20 +69,20 @@
 
 // node is an entry VM. It reaches the log, and others reach it, over links.
 type node struct {
-	*process
+	*proc
 	// address is where callers of the test connect.
 	address string
-	toLog   *link
-	inbound *link
+	toLog   *link.Link
+	inbound *link.Link
 }
 
 // world is a whole system on loopback.
 type world struct {
 	dir                    string
-	log, list, weights     *process
+	log, list, weights     *proc
 	logAddress             string
 	listAddress, weightsAt string
-	plain                  *process
+	plain                  *proc
 	plainAddress           string
 	vms                    []*vm
 	nodes                  []*node
@@ -99,7 +101,7 @@
 	}
 	DeferCleanup(w.printLogs)
 	for _, n := range w.nodes {
-		Eventually(n.alive).Should(BeTrue(), n.name)
+		Eventually(n.alive).Should(BeTrue(), n.Name)
 	}
 	Eventually(w.publishFirst).Should(Succeed())
 	w.awaitServing(wantedReplicas, w.nodes...)
@@ -114,14 +116,14 @@
 		return
 	}
 	for _, n := range w.nodes {
-		data, _ := os.ReadFile(n.log)
-		AddReportEntry(n.name, string(data[max(0, len(data)-shownLogBytes):]))
-		AddReportEntry(n.name+" status", fmt.Sprintf("%+v", n.status()))
-		AddReportEntry(n.name+" counters", fmt.Sprint(n.counters()))
+		data, _ := os.ReadFile(n.Log)
+		AddReportEntry(n.Name, string(data[max(0, len(data)-shownLogBytes):]))
+		AddReportEntry(n.Name+" status", fmt.Sprintf("%+v", n.status()))
+		AddReportEntry(n.Name+" counters", fmt.Sprint(n.counters()))
 	}
 	for _, v := range w.vms {
 		if r, ok := v.report(); ok {
-			AddReportEntry(v.name, fmt.Sprintf("%+v", r))
+			AddReportEntry(v.Name, fmt.Sprintf("%+v", r))
 		}
 	}
 }
@@ -143,8 +145,8 @@
 	}
 }
 
-func (w *world) standin(name string, args ...string) *process {
-	return newProcess(w.dir, name, binaries.standin, args...).start()
+func (w *world) standin(name string, args ...string) *proc {
+	return newProc(w.dir, name, binaries.standin, args...).start()
 }
 
 func (w *world) startUpstreams() {
@@ -154,7 +156,7 @@
 			id, address := fmt.Sprintf("engine-%d-%d", d, i), freeAddress()
 			p := w.standin(id, "engine", "--listen", address, "--id", id, "--list", list, "--weights", weights,
 				"--domain", fmt.Sprintf("domain-%d", d), "--zone", fmt.Sprintf("zone-%d", d))
-			w.vms = append(w.vms, &vm{process: p, id: port.VMID(id), address: address, domain: d})
+			w.vms = append(w.vms, &vm{proc: p, id: port.VMID(id), address: address, domain: d})
 		}
 	}
 	w.plainAddress = freeAddress()
@@ -175,10 +177,10 @@
   log: http://%s
   vms: http://%s
   weights: http://%s
-`, n.address, n.inbound.address(), zone, n.toLog.address(), w.listAddress, w.weightsAt)
+`, n.address, n.inbound.Address(), zone, n.toLog.Address(), w.listAddress, w.weightsAt)
 	Expect(os.WriteFile(settings, []byte(text), 0o600)).To(Succeed())
-	n.process = newProcess(w.dir, name, binaries.daemon, "--settings", settings).start()
-	line := port.VM{ID: port.VMID(name), Kind: port.KindEntry, Address: n.inbound.address(), Zone: zone}
+	n.proc = newProc(w.dir, name, binaries.daemon, "--settings", settings).start()
+	line := port.VM{ID: port.VMID(name), Kind: port.KindEntry, Address: n.inbound.Address(), Zone: zone}
 	code, err := ask(http.MethodPost, "http://"+w.listAddress+"/v1/vms", vmlist.Change{Verb: vmlist.Register, VM: line}, nil)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(code).To(Equal(http.StatusOK))
@@ -258,7 +260,7 @@
 func (w *world) awaitServing(count int, nodes ...*node) {
 	GinkgoHelper()
 	for _, n := range nodes {
-		Eventually(n.serving).Should(Equal(count), n.name)
+		Eventually(n.serving).Should(Equal(count), n.Name)
 	}
 }
 
@@ -273,7 +275,7 @@
 				}
 			}
 			return false
-		}).Should(BeTrue(), n.name)
+		}).Should(BeTrue(), n.Name)
 	}
 }
 
@@ -282,7 +284,7 @@
 	var out []*stream
 	for i := range count {
 		n := nodes[i%len(nodes)]
-		out = append(out, newStream(n.address, fmt.Sprintf("%s %d by %s", label, i, n.name), tokens, ""))
+		out = append(out, newStream(n.address, fmt.Sprintf("%s %d by %s", label, i, n.Name), tokens, ""))
 	}
 	return out
 }
