--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo soak
+.PHONY: build test demo soak proof-soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -12,5 +12,10 @@
 SEED ?= 1
 TIME ?= 5m
 
+# Real gateway processes under overlapping faults, one seed after another.
 soak:
+	go test ./soak -count=1 -timeout 0 -soak.seed=$(SEED) -soak.time=$(TIME) -ginkgo.focus 'keeps its promises$$' -v
+
+# The proof tests, one seed after another.
+proof-soak:
 	prooftest/soak $(SEED) $(TIME)
