Ask the store less at starts and in outages

At a start each node's record ended every other node's read. Ruled out: fewer reads by the holder, which are 8 a second. Change: a node that hears from a peer leaves most tries to others; the lease is claimed only while the stream can be read; reads of the control stream are collected, and the log holds reads of other nodes than the holder for longer.

--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -21,9 +21,19 @@
 	vmPause       = 300 * time.Millisecond
 	vmPauseMany   = time.Second
 	vmPauseHolder = 30 * time.Millisecond
+	// controlPause collects the records of nodes that start together; a claim of
+	// the lease is read back that much later.
+	controlPause = 150 * time.Millisecond
+	// ownLogWait is how long the log holds a read of a node that is not the
+	// holder: between two holders, or at a start. The proof that such a node hands
+	// on gets that old, which leaves room below what makes others read the log.
+	ownLogWait = 800 * time.Millisecond
 	// manyNodes is the number of nodes from which each that reads the log for
 	// itself does so less often.
 	manyNodes = 16
+	// retryNodes is the number of nodes that may try an unreachable log as
+	// often as one alone would.
+	retryNodes = 8
 	// relayHeaderTimeout bounds the wait for a peer's header.
 	relayHeaderTimeout = time.Second
 	// relayIdle closes peers' connections without polls.
@@ -51,23 +61,53 @@
 		streams = append(streams, f.stream)
 	}
 	relayed := func(string) bool { return false }
+	retryMost := func() time.Duration { return keyed.RetryMost }
 	if n.peers != nil {
 		go n.peers.Run(ctx)
 		go n.serveRelay(ctx, streams)
 		subscriber := relay.NewSubscriber(streams, n.source, n.logger)
 		go subscriber.Run(ctx)
 		relayed = subscriber.Serves
+		retryMost = func() time.Duration { return n.retryMost(subscriber.Connected()) }
 	}
 	for _, f := range n.followed {
 		follower := &keyed.Follower{
-			Log: n.outside.Log, Stream: f.stream, Wait: relay.LogWait, Pause: f.pause, Logger: n.logger,
+			Log: n.outside.Log, Stream: f.stream, Wait: n.logWait, Pause: f.pause, Logger: n.logger,
 			Relayed: func() bool { return !n.isHolder() && relayed(f.stream.Name) },
-			Failed:  func(err error) { n.readFailed(f, err) },
+			Failed:  func(err error) { n.readFailed(f, err) }, RetryMost: retryMost,
 		}
 		go follower.Run(ctx)
 	}
 }
 
+// logWait returns how long the log may hold a read of this node.
+func (n *Node) logWait() time.Duration {
+	if n.isHolder() {
+		return relay.LogWait
+	}
+	return ownLogWait
+}
+
+// ControlPause returns the pause between reads of the control stream. All nodes
+// read it as they start, and each one's record there would end every read of all
+// others.
+func (n *Node) ControlPause() time.Duration {
+	if n.isHolder() {
+		return 0
+	}
+	return controlPause
+}
+
+// retryMost returns the longest pause between reads of the log that fail. A node
+// that hears from the log through a peer, once the log is back, leaves most tries
+// to others: in an outage all nodes would ask it otherwise.
+func (n *Node) retryMost(connected bool) time.Duration {
+	if !connected || n.isHolder() {
+		return keyed.RetryMost
+	}
+	return keyed.RetryMost * time.Duration(max(1, n.peers.Live()/retryNodes))
+}
+
 // readFailed notes a failed read of the log.
 func (n *Node) readFailed(f followed, err error) {
 	n.count("log.read_failed")
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -15,10 +15,11 @@
 const (
 	// readSlack is added to the log's wait before a read counts as lost.
 	readSlack = 700 * time.Millisecond
-	// retryFirst and retryMost bound the pause after a failed read; bounds on
-	// what must be known are seconds, so the pause stays well below one.
-	retryFirst = 100 * time.Millisecond
-	retryMost  = 500 * time.Millisecond
+	// RetryMost bounds the pause after a failed read where nothing else does;
+	// bounds on what must be known are seconds, so it stays well below one.
+	RetryMost = 500 * time.Millisecond
+	// retryFirst is the part of the longest pause that the first one is.
+	retryFirst = 0.2
 	// relayedPoll is how often a follower whose stream comes from a peer
 	// looks whether it still does.
 	relayedPoll = 100 * time.Millisecond
@@ -28,14 +29,17 @@
 type Follower struct {
 	Log    Log
 	Stream *Stream
-	// Wait is how long the log may hold a read.
-	Wait time.Duration
+	// Wait returns how long the log may hold a read.
+	Wait func() time.Duration
 	// Pause returns the time between a read that brought records and the
 	// next, so that a busy stream is read in batches; nil for none.
 	Pause func() time.Duration
 	// Relayed reports whether a peer hands the stream on, so that the log
 	// need not be asked; nil for never.
 	Relayed func() bool
+	// RetryMost returns the longest pause after a failed read; nil for the
+	// constant of that name.
+	RetryMost func() time.Duration
 	// Failed is told of a failed read.
 	Failed func(error)
 	Logger *slog.Logger
@@ -44,7 +48,7 @@
 // Run follows the stream until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := backoff.NewExponentialBackOff()
-	pause.InitialInterval, pause.MaxInterval = retryFirst, retryMost
+	f.resetPause(pause)
 	truncated := false
 	for ctx.Err() == nil {
 		next, based := f.Stream.Next()
@@ -68,7 +72,7 @@
 			f.Failed(err)
 			Sleep(ctx, pause.NextBackOff())
 		case err == nil:
-			pause.Reset()
+			f.resetPause(pause)
 			truncated = false
 			if n > 0 && f.Pause != nil {
 				Sleep(ctx, f.Pause())
@@ -77,6 +81,16 @@
 	}
 }
 
+// resetPause makes the next pause the first one of an outage.
+func (f *Follower) resetPause(pause *backoff.ExponentialBackOff) {
+	pause.MaxInterval = RetryMost
+	if f.RetryMost != nil {
+		pause.MaxInterval = f.RetryMost()
+	}
+	pause.InitialInterval = time.Duration(retryFirst * float64(pause.MaxInterval))
+	pause.Reset()
+}
+
 // errOld marks an answer that is older than what a peer handed on.
 var errOld = errors.New("the log answered with an older state")
 
@@ -97,10 +111,11 @@
 
 // read reads on from an offset and returns the number of records.
 func (f *Follower) read(ctx context.Context, from int64) (int, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+readSlack)
+	wait := f.Wait()
+	ctx, cancel := context.WithTimeout(ctx, wait+readSlack)
 	defer cancel()
 	at := bootclock.Now()
-	records, next, err := f.Log.Read(ctx, f.Stream.Name, from, f.Wait)
+	records, next, err := f.Log.Read(ctx, f.Stream.Name, from, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -20,6 +20,8 @@
 	first   int64
 	fail    bool
 	wholes  int
+	// failed counts reads that failed.
+	failed int
 }
 
 func (l *fakeLog) put(key, value string) {
@@ -66,6 +68,7 @@
 		l.mu.Lock()
 		switch {
 		case l.fail:
+			l.failed++
 			l.mu.Unlock()
 			return nil, 0, errors.New("away")
 		case from < l.first:
@@ -86,6 +89,7 @@
 		mu    sync.Mutex
 		state map[string]string
 		last  keyed.Batch
+		most  time.Duration
 	)
 	value := func(key string) func() string {
 		return func() string {
@@ -95,7 +99,7 @@
 		}
 	}
 	BeforeEach(func() {
-		log = &fakeLog{}
+		log, most = &fakeLog{}, keyed.RetryMost
 		state = map[string]string{}
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -111,7 +115,8 @@
 			}
 		})
 		f := &keyed.Follower{
-			Log: log, Stream: stream, Wait: 20 * time.Millisecond, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
+			Log: log, Stream: stream, Wait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), Failed: func(error) {},
+			RetryMost: func() time.Duration { mu.Lock(); defer mu.Unlock(); return most },
 		}
 		log.put("a", "1")
 		go f.Run(ctx)
@@ -144,6 +149,25 @@
 		Expect(log.wholes).To(Equal(1))
 	})
 
+	// On trouble-3 of anpes-booking-grown 86 nodes tried three streams each twice
+	// a second while the store was down.
+	It("tries an unreachable log as rarely as it is told", func() {
+		tries := func() int { log.mu.Lock(); defer log.mu.Unlock(); return log.failed }
+		log.setFail(true)
+		Eventually(tries, "3s").Should(BeNumerically(">=", 4))
+		log.setFail(false)
+		mu.Lock()
+		most = 20 * time.Second
+		mu.Unlock()
+		log.put("a", "2")
+		Eventually(value("a"), "2s").Should(Equal("2"))
+		log.put("a", "3")
+		Eventually(value("a"), "2s").Should(Equal("3"))
+		log.setFail(true)
+		before := tries()
+		Consistently(tries, "1s").Should(BeNumerically("<=", before+1))
+	})
+
 	It("says when a read was sent that brought nothing", func() {
 		sent := func() time.Duration { mu.Lock(); defer mu.Unlock(); return last.SentAt }
 		before := sent()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -38,6 +38,10 @@
 	// appendTimeout bounds one append; the log answers within milliseconds
 	// when it is well.
 	appendTimeout = 600 * time.Millisecond
+	// claimProof is the age of the stream's proof up to which a lease is claimed:
+	// a node that can't read the stream would not learn that it holds the lease.
+	// A stream that comes through peers is up to 1.3 s old.
+	claimProof = 2 * time.Second
 	// checkEvery is how often the lease is looked at.
 	checkEvery = 100 * time.Millisecond
 )
@@ -79,6 +83,8 @@
 	current entry
 	end     int64
 	known   bool
+	// provenAt is when the stream was last proved to be read to its end.
+	provenAt time.Duration
 	// heardAt is when the newest record arrived.
 	heardAt time.Duration
 	term    int64
@@ -109,6 +115,7 @@
 	defer l.mu.Unlock()
 	l.known = true
 	l.end = b.Next
+	l.provenAt = max(l.provenAt, b.SentAt)
 	for _, r := range b.Records {
 		if r.Key == l.key {
 			l.take(r)
@@ -228,7 +235,7 @@
 		if l.yielding {
 			after += yieldFor
 		}
-		due = now >= after && now-l.renewedAt >= appendTimeout
+		due = now >= after && now-l.renewedAt >= appendTimeout && now-l.provenAt < claimProof
 	}
 	at := l.end
 	if due {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -5,11 +5,13 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/lease"
 )
@@ -21,11 +23,26 @@
 	nodes   []*lease.Lease
 	// down refuses appends; mute appends without an answer.
 	down, mute bool
+	// tried counts appends, refused ones included.
+	tried int
+}
+
+// prove hands all nodes a proof that they have read the stream to its end.
+func (s *stream) prove() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return
+	}
+	for _, n := range s.nodes {
+		n.Apply(keyed.Batch{Next: int64(len(s.records)), SentAt: bootclock.Now()})
+	}
 }
 
 func (s *stream) AppendAt(_ context.Context, _, key string, at int64, value []byte) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tried++
 	if s.down {
 		return 0, errors.New("away")
 	}
@@ -34,7 +51,7 @@
 	}
 	s.records = append(s.records, keyed.Record{Key: key, Value: value, Offset: at})
 	for _, n := range s.nodes {
-		n.Apply(keyed.Batch{Records: s.records[at:], Next: at + 1})
+		n.Apply(keyed.Batch{Records: s.records[at:], Next: at + 1, SentAt: bootclock.Now()})
 	}
 	if s.mute {
 		return 0, errors.New("no answer")
@@ -69,6 +86,14 @@
 			stops = append(stops, cancel)
 			go l.Run(ctx)
 		}
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go func() {
+			for ctx.Err() == nil {
+				log.prove()
+				keyed.Sleep(ctx, 100*time.Millisecond)
+			}
+		}()
 		return log.nodes
 	}
 	holders := func() []int {
@@ -144,6 +169,20 @@
 		Expect(holders()).NotTo(ContainElement(1))
 	})
 
+	// On trouble-3 of anpes-booking-grown 86 nodes claimed the lease at a store
+	// that was down for eight seconds, each every 0.6 s.
+	It("is not claimed while the stream can't be read", func() {
+		start(4)
+		Eventually(one, "2s").Should(Equal(1))
+		log.set(true, false)
+		Eventually(one, "4s").Should(Equal(0))
+		tried := func() int { log.mu.Lock(); defer log.mu.Unlock(); return log.tried }
+		before := tried()
+		Consistently(tried, "1500ms").Should(Equal(before))
+		log.set(false, false)
+		Eventually(one, "2s").Should(Equal(1))
+	})
+
 	It("skips a record that can't be read", func() {
 		start(1)
 		log.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -114,6 +114,7 @@
 		c := newChain()
 		Eventually(c.serves).Should(BeTrue())
 		Eventually(c.serves, "3s").Should(BeFalse())
+		Expect(c.subscriber.Connected()).To(BeTrue())
 		c.put("a")
 		Eventually(c.serves).Should(BeTrue())
 	})
@@ -121,8 +122,10 @@
 	It("does not serve while the peer's answers are of no use", func() {
 		c := newChain()
 		Eventually(c.serves).Should(BeTrue())
+		Expect(c.subscriber.Connected()).To(BeTrue())
 		c.broken.Store(true)
 		Eventually(c.serves, "1s").Should(BeFalse())
+		Expect(c.subscriber.Connected()).To(BeFalse())
 		c.put("a")
 		c.broken.Store(false)
 		Eventually(c.keys).Should(Receive(Equal("a")))
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -41,6 +41,8 @@
 	// provenAt holds, by stream, the newest proof that came from a peer.
 	provenAt map[string]time.Duration
 	asked    Peer
+	// connected says that the peer responded to the last poll.
+	connected bool
 }
 
 // NewSubscriber returns a Subscriber of the peer that source returns from time
@@ -73,12 +75,24 @@
 	return ok && bootclock.Now()-at < maxStaleness
 }
 
+// Connected reports whether a peer responds to polls, whatever the age of what it
+// hands on.
+func (s *Subscriber) Connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connected
+}
+
 // Run polls until the context ends.
 func (s *Subscriber) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := retryDelay
-		if peer, ok := s.choose(); ok {
+		peer, ok := s.choose()
+		if !ok {
+			s.noteConnected(false)
+		} else {
 			news, err := s.poll(ctx, peer)
+			s.noteConnected(err == nil)
 			switch {
 			case err != nil:
 				s.failed(ctx, peer, err)
@@ -92,6 +106,12 @@
 	}
 }
 
+func (s *Subscriber) noteConnected(connected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.connected = connected
+}
+
 // choose returns the peer to poll and notes a change.
 func (s *Subscriber) choose() (Peer, bool) {
 	peer, ok := s.source()
