Let replicas with leaving members serve until their turn to be formed anew

Cause: a replica was closed as soon as one member reported to leave. Ruled out: counting such replicas as missing, so that others are formed first: trades would close replicas of the other model for them. Change: one replica of a domain is ended at a time, when its sound members and free VMs make a new one without a load; others serve on while their members stay, after which nodes leave them out. A leaving head ends its replica at once, as before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -189,7 +189,11 @@
 	if sum.InFlight+1 > t.Slots+t.Slots/queuePart {
 		return 0, false
 	}
-	return Predict(engine, t.Model, sum, j) + jitter, true
+	predicted := Predict(engine, t.Model, sum, j) + jitter
+	if t.EndingSince > 0 {
+		predicted += endingPenalty
+	}
+	return predicted, true
 }
 
 const (
@@ -199,6 +203,9 @@
 	// movedSpread is that of moved requests: about the time to read the
 	// prompts of those that other nodes move meanwhile.
 	movedSpread = 100 * time.Millisecond
+	// endingPenalty is added to a replica that ends soon: what still runs there
+	// then moves, which is a pause of about this length.
+	endingPenalty = 100 * time.Millisecond
 	// queueSlots times its slots is the number of requests that may wait at a
 	// plain service's VM.
 	queueSlots = 2
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -115,6 +115,14 @@
 		Expect(pick(dispatch.Job{Exclude: []string{"b r-b", "c r-c"}}).Target.ID).To(Equal("a"))
 	})
 
+	It("prefers replicas that don't end soon, and uses one that does when the others are full", func() {
+		targets[0].EndingSince = time.Second
+		for range 8 {
+			Expect(pick(dispatch.Job{}).Target.ID).NotTo(Equal("a"))
+		}
+		Expect(pick(dispatch.Job{}).Target.ID).To(Equal("a"))
+	})
+
 	// A broken replica is formed anew with the same head.
 	It("picks a new replica of a VM whose former one was tried", func() {
 		targets[0].Replica = "later"
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -21,6 +21,9 @@
 	Zone    string
 	Slots   int
 	Boot    int64
+	// EndingSince is since when a member other than the head has been leaving, by
+	// the boot clock; 0 if none is. The replica serves until the member is gone.
+	EndingSince time.Duration
 }
 
 // View is what a node believes at one moment.
@@ -76,12 +79,19 @@
 	if head.Member.Rank != 0 || head.Member.State != MemberOpen || head.Lapsed {
 		return
 	}
+	if head.Leaving {
+		return
+	}
+	t := Target{Replica: r.Name, Generation: r.Generation, Model: r.Model, Slots: s.Engine.Slots}
 	for _, vm := range r.Members {
-		if vm.Leaving || vm.Member.State == MemberJoining || vm.Member.State == MemberBroken {
+		if vm.Member.State == MemberJoining || vm.Member.State == MemberBroken {
 			return
 		}
+		if vm.Leaving && (t.EndingSince == 0 || vm.LeavingSince < t.EndingSince) {
+			t.EndingSince = vm.LeavingSince
+		}
 	}
-	v.add(head, Target{Replica: r.Name, Generation: r.Generation, Model: r.Model, Slots: s.Engine.Slots})
+	v.add(head, t)
 }
 
 // add completes a target by its VM.
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -41,6 +41,8 @@
 	Slots int
 	// Leaving VMs take no new requests.
 	Leaving bool
+	// LeavingSince is when it was first known to leave, by the boot clock.
+	LeavingSince time.Duration
 	// Lapsed says that the VM's report is no longer listed. It takes no new
 	// requests, but a replica whose other members are well goes on: the VM may
 	// have lost only its way to the list.
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -31,8 +31,10 @@
 	lostAt time.Duration
 	// leftAt is when the first member was told to leave a replica whose head
 	// is out of reach.
-	leftAt   time.Duration
-	released bool
+	leftAt time.Duration
+	// released says that its members are free for others, since releasedAt.
+	released   bool
+	releasedAt time.Duration
 	// traded says that the replica is closed for one of another model.
 	traded bool
 	// standby says that the only member holds the model for a repair; such a
@@ -129,13 +131,14 @@
 		return
 	}
 	size := r.size(a)
-	present, ready, leaving := 0, 0, false
+	present, ready, leaving, headLeaving := 0, 0, false, false
 	for _, m := range rep.Members {
 		if m.Member.Generation != a.generation || r.lost(m) {
 			continue
 		}
 		present++
-		leaving = leaving || m.Leaving || m.Lapsed && m.Member.Rank == 0
+		headLeaving = headLeaving || m.Member.Rank == 0 && (m.Leaving || m.Lapsed)
+		leaving = leaving || headLeaving || m.Leaving
 		if m.Member.State == fleet.MemberReady || m.Member.State == fleet.MemberOpen {
 			ready++
 		}
@@ -143,6 +146,8 @@
 	switch {
 	case a.traded && a.openSent && present == size:
 		r.dismantle(a, rep, true)
+	case a.serves(rep) && present == size && leaving && !headLeaving && r.servesOn(a, rep):
+		// It is ended when its turn comes.
 	case a.openSent && (present < size || leaving):
 		r.dismantle(a, rep, leaving && present == size)
 	case !a.openSent && ready == size && !leaving:
@@ -159,6 +164,11 @@
 	}
 }
 
+// serves reports whether a replica is open and nothing ends it.
+func (a *replica) serves(rep fleet.Replica) bool {
+	return a.openSent && a.lostAt == 0 && !a.traded && len(rep.Members) > 0 && rep.Members[0].Member.State == fleet.MemberOpen
+}
+
 // size returns the number of VMs of a replica. One of an unknown model is never
 // complete.
 func (r *round) size(a *replica) int {
@@ -302,7 +312,7 @@
 
 // release frees the members for other replicas.
 func (r *round) release(a *replica, why string) {
-	a.released, r.owners = true, nil
+	a.released, a.releasedAt, r.owners = true, r.now, nil
 	r.s.Logger.Info(decisions.ReplicaReleased, "replica", a.name, "generation", a.generation, "why", why,
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -72,6 +72,8 @@
 	// Stall is how long a replica that lost a member stands still before it
 	// breaks.
 	Stall time.Duration
+	// Drain is how long a VM goes on after it reported to leave.
+	Drain time.Duration
 	// LoadWindow is the window in which loads are counted.
 	LoadWindow time.Duration
 	// Idle reports whether no request has come since the deployment began.
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -132,6 +132,43 @@
 		})).To(BeTrue())
 	})
 
+	// On trouble-3 of both grown sites a quarter of the VMs leave at once, and all
+	// replicas with one of them were ended at the same moment.
+	It("ends replicas with leaving members one after the other", func() {
+		settled(1, 1, 11)
+		w.member("large", 4).vm.Leaving = true
+		w.member("small", 1).vm.Leaving = true
+		fewest := 2
+		w.run(10*time.Second, func() bool {
+			s := w.serving()
+			fewest = min(fewest, s["large"]+s["small"])
+			return false
+		})
+		Expect(fewest).To(Equal(1))
+		Expect(w.serves(1, 1)()).To(BeTrue())
+		for _, model := range []string{"large", "small"} {
+			for _, id := range w.member(model, 0).members {
+				Expect(w.engines[id].vm.Leaving).To(BeFalse(), id)
+			}
+		}
+	})
+
+	It("lets a replica that can't be formed anew serve until its leaving member goes", func() {
+		settled(1, 1, 9)
+		w.member("large", 4).vm.Leaving = true
+		w.run(drainFor/2, nil)
+		Expect(w.serving()["large"]).To(Equal(1))
+		w.run(drainFor/2, nil)
+		Expect(w.serving()["large"]).To(BeZero())
+	})
+
+	It("ends a replica whose head leaves at once", func() {
+		settled(1, 1, 11)
+		w.member("large", 0).vm.Leaving = true
+		Expect(w.run(time.Second, func() bool { return w.serving()["large"] == 0 })).To(BeTrue())
+		Expect(w.run(5*time.Second, w.serves(1, 1))).To(BeTrue())
+	})
+
 	It("does not form replicas of VMs that are spares of another model unless its own are scarce", func() {
 		settled(2, 2, 11, 11)
 		for range 2 {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -17,6 +17,7 @@
 	reportLag  = 150 * time.Millisecond
 	stallAfter = 4 * time.Second
 	openTime   = 300 * time.Millisecond
+	drainFor   = 2 * time.Second
 	service    = "llm"
 )
 
@@ -28,6 +29,8 @@
 	dark bool
 	// unlisted engines work, but their reports are not listed.
 	unlisted bool
+	// leavingSince is when the engine's leaving was first reported.
+	leavingSince time.Duration
 	// pace is the factor on the engine's times; 0 is as 1.
 	pace    float64
 	members []string
@@ -90,7 +93,7 @@
 		Slots: 26, Models: testModels(), LoadsPerSecond: 5.5, LoadsAtOnce: 8, OpenTime: openTime,
 	}}}
 	w.planner = NewPlanner(Settings{
-		Stall: stallAfter, LoadWindow: 5 * time.Second, Idle: func() bool { return !w.busy }, Logger: slog.New(slog.DiscardHandler),
+		Stall: stallAfter, Drain: drainFor, LoadWindow: 5 * time.Second, Idle: func() bool { return !w.busy }, Logger: slog.New(slog.DiscardHandler),
 	})
 	w.planner.Reset(1)
 	for d, n := range domains {
@@ -143,6 +146,10 @@
 	for id, e := range w.engines {
 		vm := e.vm
 		vm.Lapsed = e.unlisted || e.dark
+		if vm.Leaving && e.leavingSince == 0 {
+			e.leavingSince = w.now
+		}
+		vm.LeavingSince = e.leavingSince
 		vms[id] = vm
 	}
 	w.listed = append(w.listed, listing{w.now, vms})
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
@@ -78,7 +80,7 @@
 // attempt passes on also an upstream's own failure.
 func (f *flight) attempt(ctx context.Context, last bool) *verdict.Error {
 	view := f.node.state.View()
-	targets := view.Targets(f.service.Name, f.model())
+	targets := usable(view.Targets(f.service.Name, f.model()), bootclock.Now(), f.node.Settings().Bounds.Drain)
 	job := dispatch.Job{PromptTokens: f.req.PromptTokens, Exclude: f.exclude, Moved: f.moved}
 	ticket, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, job)
 	if !ok {
@@ -113,6 +115,20 @@
 	return e
 }
 
+// stayFactor times the time for which a leaving upstream goes on is how long its
+// replica is used: it stays while the head has work, for up to ten seconds.
+const stayFactor = 1.5
+
+// usable leaves out replicas whose leaving member may be gone by now.
+func usable(targets []fleet.Target, now, drain time.Duration) []fleet.Target {
+	most := time.Duration(stayFactor * float64(drain))
+	over := func(t fleet.Target) bool { return t.EndingSince > 0 && now-t.EndingSince >= most }
+	if !slices.ContainsFunc(targets, over) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), over)
+}
+
 // errSlow ends an attempt that takes much longer than its target.
 var errSlow = errors.New("the upstream is slow")
 
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -30,6 +30,9 @@
 type Bounds struct {
 	// Revoke is when a revoked key is refused everywhere; 0 for no bound.
 	Revoke time.Duration
+	// Drain is how long an upstream goes on after it reported to leave; no
+	// request may reach it later.
+	Drain time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// Stall is how long an upstream's work stands still before it is cut off
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -149,6 +149,12 @@
 	vm.HeardAt = now
 	delete(s.lapsed, vm.ID)
 	was, known := s.vms[vm.ID]
+	if vm.Leaving {
+		vm.LeavingSince = now
+		if known && was.Leaving && was.Boot == vm.Boot {
+			vm.LeavingSince = was.LeavingSince
+		}
+	}
 	vm.LastModel = vm.Model
 	if vm.Model == "" && known && was.Boot == vm.Boot {
 		vm.LastModel = was.LastModel
