Hand the control lease over to larger nodes, and claim it first once nodes know each other

Change: a first claim waits until nodes that start together know each other; a holder that knows of larger nodes for a while gives the lease up, at most once in 20 s.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -33,6 +33,7 @@
 	LeaseChanged         = "lease.changed"
 	LeaseHeld            = "lease.held"
 	LeaseHolderEnded     = "lease.holder_ended"
+	LeaseHandedOver      = "lease.handed_over"
 	LeaseAppendFailed    = "lease.append_failed"
 	LeaseUnreadable      = "lease.unreadable"
 	LeaseEncode          = "lease.encode"
@@ -96,6 +97,7 @@
 		{LeaseChanged, "The control lease has another holder or term."},
 		{LeaseHeld, "This node began or ceased to hold the control lease."},
 		{LeaseHolderEnded, "Another process has the holder's address, so the holder's has ended; its lease is not waited for."},
+		{LeaseHandedOver, "A holder gave the control lease up, because larger nodes are reachable."},
 		{LeaseAppendFailed, "A claim or renewal was not confirmed; what became of it is read back."},
 		{LeaseUnreadable, "A record of the lease could not be decoded and is skipped."},
 		{LeaseEncode, "A record of the lease could not be encoded."},
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -32,6 +32,15 @@
 	margin = 300 * time.Millisecond
 	// claimJitter spreads claims, so that most nodes see the first one's.
 	claimJitter = 250 * time.Millisecond
+	// claimFirst is how long a node that starts waits before it claims a lease that
+	// nobody has held: it learns of larger nodes meanwhile, which start within
+	// 0.3 s of it and register.
+	claimFirst = 600 * time.Millisecond
+	// handOverAfter is how long a holder yields before it hands the lease over, and
+	// handOverGap the least time between two such: the other node may have no way
+	// to the log.
+	handOverAfter = 1500 * time.Millisecond
+	handOverGap   = 20 * time.Second
 	// yieldFor is how much later a node claims that yields to others: the
 	// holder's work takes a large part of a small VM's processor.
 	yieldFor = 500 * time.Millisecond
@@ -96,8 +105,12 @@
 	// yields says that other nodes should claim before this one.
 	yields   func() bool
 	yielding bool
-	stopped  bool
-	held     bool
+	// yieldingSince is when it began to yield, handedOverAt when it last handed
+	// the lease over for that.
+	yieldingSince time.Duration
+	handedOverAt  time.Duration
+	stopped       bool
+	held          bool
 }
 
 // New returns the lease of a stream and key. The id is unique to this process.
@@ -214,6 +227,9 @@
 	now := bootclock.Now()
 	yielding := l.yields()
 	l.mu.Lock()
+	if yielding && !l.yielding {
+		l.yieldingSince = now
+	}
 	l.yielding = yielding
 	held := l.holds(now)
 	if held != l.held {
@@ -224,12 +240,17 @@
 	due := false
 	switch {
 	case !l.known || l.stopped:
+	case held && l.handsOver(now):
+		// It must not act any more before others can see the record.
+		l.handedOverAt, l.validUntil, l.held = now, 0, false
+		e.Holder, e.Term, due = "", l.term, true
+		l.logger.Info(decisions.LeaseHandedOver, "term", l.term, "yielding_ms", (now - l.yieldingSince).Milliseconds())
 	case held:
 		e.Term = l.term
 		due = now-l.renewedAt >= renewEvery
 	default:
 		if l.claimAfter == 0 {
-			l.claimAfter = now + l.jitter()
+			l.claimAfter = now + claimFirst + l.jitter()
 		}
 		after := l.claimAfter
 		if l.yielding {
@@ -249,6 +270,12 @@
 	}
 }
 
+// handsOver reports whether a holder should make room for a larger node.
+func (l *Lease) handsOver(now time.Duration) bool {
+	recently := l.handedOverAt > 0 && now-l.handedOverAt < handOverGap
+	return l.yielding && now-l.yieldingSince >= handOverAfter && !recently
+}
+
 // append tries one append. What became of it is read back from the stream.
 func (l *Lease) append(ctx context.Context, at int64, e entry) {
 	value, err := json.Marshal(e)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -169,6 +169,35 @@
 		Expect(holders()).NotTo(ContainElement(1))
 	})
 
+	// On trouble-1 of anpes-booking-grown a small node claimed the lease before it
+	// knew of larger ones, and took sound VMs for dead: worth 0.39 to 0.41 in two of
+	// four plays, 0.60 to 0.61 in the others.
+	It("is handed over by a holder that yields, at most once in a while", func() {
+		var yields [2]atomic.Bool
+		nodes := start(2, func(i int, l *lease.Lease) { l.Yield(yields[i].Load) })
+		Eventually(one, "2s").Should(Equal(1))
+		first := holders()[0]
+		term, _ := nodes[first].Held()
+		yields[first].Store(true)
+		Eventually(holders, "4s").Should(Equal([]int{1 - first}))
+		next, _ := nodes[1-first].Held()
+		Expect(next).To(BeNumerically(">", term))
+		Consistently(func() int { return len(holders()) }, "1s").Should(Equal(1))
+	})
+
+	It("is claimed first only once nodes that start together know of each other", func() {
+		started := time.Now()
+		var yields [3]atomic.Bool
+		nodes := start(3, func(i int, l *lease.Lease) { l.Yield(yields[i].Load) })
+		// Two of them learn half a second later that the other one is larger.
+		time.AfterFunc(500*time.Millisecond, func() { yields[0].Store(true); yields[2].Store(true) })
+		Eventually(one, "3s").Should(Equal(1))
+		Expect(holders()).To(Equal([]int{1}))
+		Expect(time.Since(started)).To(BeNumerically(">", 500*time.Millisecond))
+		_, held := nodes[1].Held()
+		Expect(held).To(BeTrue())
+	})
+
 	// On trouble-3 of anpes-booking-grown 86 nodes claimed the lease at a store
 	// that was down for eight seconds, each every 0.6 s.
 	It("is not claimed while the stream can't be read", func() {
