Let callers that found no room return at different times

Ruled out: more room at replicas; their batches were full. Change: such callers are told to return after 0.5 to 2 s, spread evenly.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,7 +85,7 @@
 	ticket, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, job)
 	if !ok {
 		return verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(f.exclude)).
-			WithRetryAfter(retryAfterFailure)
+			WithRetryAfter(roomAfter())
 	}
 	defer func() { f.node.balancer.Done(time.Now(), &ticket) }()
 	f.exclude = append(f.exclude, ticket.Target.Instance())
