Keep enough hosts of a domain with each model to form its replicas after a restart

Hosts keep one model through a restart, and members of large replicas had the small one staged, so a domain that restarted as a whole came back with the small model at six of eleven VMs. Ruled out: letting spares keep their own model only, which leaves five of the six hosts that a large replica needs. Change: a host gives a staged model up only while its domain has more of them than members that serve it; nine of eleven still hold one model and stage the other.

--- a/formation/stage.go
+++ b/formation/stage.go
@@ -20,18 +20,21 @@
 // stageAhead loads onto hosts the models that their VMs don't have at hand. A VM
 // with one model loaded and another one staged joins replicas of either within a
 // second or two, where a load takes more than ten. Standbys come first, because
-// they are used first.
+// they are used first. Hosts keep what they staged through a restart, so enough of
+// a domain's keep each model to form its replicas again if all its VMs restart.
 func (r *round) stageAhead(s fleet.Service) {
 	r.endStaging()
 	vms := r.stageable(s.Name)
 	if len(vms) == 0 {
 		return
 	}
-	held := r.heldByDomain(s)
+	most := r.hostsKeep(s)
+	held, kept := r.heldByDomain(s), r.keptByDomain(s, most)
 	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(r.use(a), r.use(b)) })
 	for _, vm := range vms {
 		m, ok := r.missing(s, vm, held[vm.Domain])
-		if !ok {
+		dropped, drops := drops(vm, most)
+		if !ok || drops && !kept[vm.Domain].spare(dropped) {
 			continue
 		}
 		if !r.mayStage(s.Engine) {
@@ -39,6 +42,10 @@
 		}
 		r.stage(s, vm, m)
 		held[vm.Domain][m.Name]++
+		kept[vm.Domain].hosts[m.Name]++
+		if drops {
+			kept[vm.Domain].hosts[dropped]--
+		}
 	}
 }
 
@@ -137,3 +144,60 @@
 		}
 	}
 }
+
+// kept says what the hosts of a domain keep through a restart.
+type kept struct {
+	// hosts counts those that keep each model, members the VMs that serve it.
+	hosts, members map[string]int
+}
+
+// spare reports whether one host more may give a model up.
+func (k *kept) spare(model string) bool { return k.hosts[model] > k.members[model] }
+
+// keptByDomain counts what hosts keep once the loads under way are done.
+func (r *round) keptByDomain(s fleet.Service, most int) map[string]*kept {
+	out := map[string]*kept{}
+	for _, vm := range r.view.VMs {
+		if vm.Service != s.Name || vm.Leaving || vm.Lapsed {
+			continue
+		}
+		k, ok := out[vm.Domain]
+		if !ok {
+			k = &kept{hosts: map[string]int{}, members: map[string]int{}}
+			out[vm.Domain] = k
+		}
+		for _, model := range vm.Staged {
+			k.hosts[model]++
+		}
+		if st, underWay := r.staging[vm.ID]; underWay {
+			k.hosts[st.model]++
+			if dropped, drops := drops(vm, most); drops {
+				k.hosts[dropped]--
+			}
+		}
+		if len(r.membersOf(vm.Member.Replica)) > 1 {
+			k.members[vm.LastModel]++
+		}
+	}
+	return out
+}
+
+// hostsKeep returns how many models hosts keep, as far as is seen: as many as the
+// one that keeps most.
+func (r *round) hostsKeep(s fleet.Service) int {
+	most := 1
+	for _, vm := range r.view.VMs {
+		if vm.Service == s.Name {
+			most = max(most, len(vm.Staged))
+		}
+	}
+	return most
+}
+
+// drops returns the model that a host gives up for one more.
+func drops(vm fleet.VM, most int) (string, bool) {
+	if len(vm.Staged) < most {
+		return "", false
+	}
+	return vm.Staged[0], true
+}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -370,6 +370,10 @@
 
 func storeFault(f standin.StoreFaults) func(*world, *rand.Rand, time.Duration) {
 	return func(w *world, _ *rand.Rand, hold time.Duration) {
+		if !w.storeBusy.TryLock() {
+			return
+		}
+		defer w.storeBusy.Unlock()
 		end := w.notes.begin(fmt.Sprintf("store: %+v", f), nil, false)
 		w.fleet.Store.SetFaults(f)
 		if f.Down {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -93,6 +93,8 @@
 	notes  *disturbances
 	config *configurations
 	log    *attemptLog
+	// storeBusy is held by the fault that has the store.
+	storeBusy sync.Mutex
 	// done ends the background work.
 	done chan struct{}
 	once sync.Once
