--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -316,9 +316,10 @@
 	end()
 }
 
-// misbehaviours are the ways in which an engine may misbehave.
+// misbehaviours are the ways in which an engine may misbehave; lost answers come
+// twice, because they alone show whether an unsafe request is repeated.
 var misbehaviours = []standin.EngineFaults{
-	{LoseAnswers: true}, {Fail: true}, {Extra: true}, {Cut: true}, {Shed: true}, {Slow: 150 * time.Millisecond},
+	{LoseAnswers: true}, {LoseAnswers: true}, {Fail: true}, {Extra: true}, {Cut: true}, {Shed: true}, {Slow: 150 * time.Millisecond},
 }
 
 func misbehave(w *world, rng *rand.Rand, hold time.Duration) {
