--- a/formation/stage.go
+++ b/formation/stage.go
@@ -29,12 +29,12 @@
 		return
 	}
 	most := r.hostsKeep(s)
-	held, kept := r.heldByDomain(s), r.keptByDomain(s, most)
+	held, hosts := r.heldByDomain(s), r.hostsByDomain(s, most)
 	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(r.use(a), r.use(b)) })
 	for _, vm := range vms {
 		m, ok := r.missing(s, vm, held[vm.Domain])
-		dropped, drops := drops(vm, most)
-		if !ok || drops && !kept[vm.Domain].spare(dropped) {
+		dropped, full := drops(vm, most)
+		if !ok || full && !hosts[vm.Domain].spare(dropped) {
 			continue
 		}
 		if !r.mayStage(s.Engine) {
@@ -42,9 +42,9 @@
 		}
 		r.stage(s, vm, m)
 		held[vm.Domain][m.Name]++
-		kept[vm.Domain].hosts[m.Name]++
-		if drops {
-			kept[vm.Domain].hosts[dropped]--
+		hosts[vm.Domain].keep[m.Name]++
+		if full {
+			hosts[vm.Domain].keep[dropped]--
 		}
 	}
 }
@@ -145,38 +145,38 @@
 	}
 }
 
-// kept says what the hosts of a domain keep through a restart.
-type kept struct {
-	// hosts counts those that keep each model, members the VMs that serve it.
-	hosts, members map[string]int
+// domainHosts says what the hosts of a domain keep through a restart.
+type domainHosts struct {
+	// keep counts the hosts that keep each model, members the VMs that serve it.
+	keep, members map[string]int
 }
 
 // spare reports whether one host more may give a model up.
-func (k *kept) spare(model string) bool { return k.hosts[model] > k.members[model] }
+func (h *domainHosts) spare(model string) bool { return h.keep[model] > h.members[model] }
 
-// keptByDomain counts what hosts keep once the loads under way are done.
-func (r *round) keptByDomain(s fleet.Service, most int) map[string]*kept {
-	out := map[string]*kept{}
+// hostsByDomain counts what hosts keep once the loads under way are done.
+func (r *round) hostsByDomain(s fleet.Service, most int) map[string]*domainHosts {
+	out := map[string]*domainHosts{}
 	for _, vm := range r.view.VMs {
 		if vm.Service != s.Name || vm.Leaving || vm.Lapsed {
 			continue
 		}
-		k, ok := out[vm.Domain]
+		h, ok := out[vm.Domain]
 		if !ok {
-			k = &kept{hosts: map[string]int{}, members: map[string]int{}}
-			out[vm.Domain] = k
+			h = &domainHosts{keep: map[string]int{}, members: map[string]int{}}
+			out[vm.Domain] = h
 		}
 		for _, model := range vm.Staged {
-			k.hosts[model]++
+			h.keep[model]++
 		}
 		if st, underWay := r.staging[vm.ID]; underWay {
-			k.hosts[st.model]++
-			if dropped, drops := drops(vm, most); drops {
-				k.hosts[dropped]--
+			h.keep[st.model]++
+			if dropped, full := drops(vm, most); full {
+				h.keep[dropped]--
 			}
 		}
 		if len(r.membersOf(vm.Member.Replica)) > 1 {
-			k.members[vm.LastModel]++
+			h.members[vm.LastModel]++
 		}
 	}
 	return out
@@ -194,7 +194,7 @@
 	return most
 }
 
-// drops returns the model that a host gives up for one more.
+// drops returns the model that a host gives up for one more; false if it has room.
 func drops(vm fleet.VM, most int) (string, bool) {
 	if len(vm.Staged) < most {
 		return "", false
