--- a/entry/bridge.go
+++ b/entry/bridge.go
@@ -23,8 +23,12 @@
 // requests go on elsewhere.
 type disrupted struct{ upstreams []string }
 
-// capacityTick is the timer that renews the capacity.
-type capacityTick struct{}
+// capacityTick is the timer that renews the capacity, capacityNow renews it once:
+// the router has taken the upstreams that were sent to it before.
+type (
+	capacityTick struct{}
+	capacityNow  struct{}
+)
 
 // bridge is the kernel service that tells the request path what health
 // checking and the configuration say.
@@ -48,7 +52,9 @@
 func (b *bridge) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
 	switch m := msg.(type) {
 	case health.Changed:
-		return append(b.upstreams(m), b.capacity(now)...)
+		return append(b.upstreams(m), kernel.Send{To: bridgeName, Msg: capacityNow{}})
+	case capacityNow:
+		return b.capacity(now)
 	case health.LoadSeen:
 		return []kernel.Effect{kernel.Send{To: router.Name, Msg: router.LoadReported{
 			ID:      m.ID,
