--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -39,27 +39,50 @@
 	retryWindow = 10 * time.Second
 )
 
-// Ports of a node; each node has an address of its own.
+// Ports of a node, the same for all: each node has an address of its own.
 const (
-	frontPort, readyPort   = 8227, 8220
-	firstPeerPort          = 7340
-	lastPeerPort           = 7355
-	replicaSize            = 3
-	mostAttempts           = 2
-	plainWork              = 15 * time.Millisecond
-	streamEvents           = 25
-	streamDeadline         = 6 * time.Second
-	callDeadline           = 1500 * time.Millisecond
-	steadyKey              = "steady-key"
-	streamKind, onceKind   = "gen", "once"
-	readKind               = "read"
-	host                   = "desk.example"
-	generatingService      = "llm"
-	plainService           = "desk"
-	tickEvery              = 50 * time.Millisecond
-	readyEvery             = 250 * time.Millisecond
-	missesToOut            = 2
-	startLimit, pollPeriod = 20 * time.Second, 50 * time.Millisecond
+	frontPort     = 8227
+	readyPort     = 8220
+	firstPeerPort = 7340
+	lastPeerPort  = 7355
+)
+
+// The deployment.
+const (
+	host              = "desk.example"
+	steadyKey         = "steady-key"
+	generatingService = "llm"
+	plainService      = "desk"
+	// replicaSize is the number of VMs of a replica, mostAttempts the number of
+	// upstreams that one request may be sent to.
+	replicaSize  = 3
+	mostAttempts = 2
+	// streamEvents is the length of an answer; it takes about 0.75 s.
+	streamEvents = 25
+	plainWork    = 15 * time.Millisecond
+	// Callers wait this long.
+	streamDeadline = 6 * time.Second
+	callDeadline   = 1500 * time.Millisecond
+)
+
+// Kinds of requests, which are also the first parts of their paths.
+const (
+	streamKind = "gen"
+	onceKind   = "once"
+	readKind   = "read"
+)
+
+const (
+	// tickEvery is how often stand-ins that stand still are looked at.
+	tickEvery = 50 * time.Millisecond
+	// readyEvery is how often the balancer asks a node whether it is ready;
+	// missesToOut misses in a row take it out. The platform's asks each second.
+	readyEvery  = 250 * time.Millisecond
+	missesToOut = 2
+	// startLimit bounds the wait for a new world to serve, pollPeriod separates
+	// two looks.
+	startLimit = 20 * time.Second
+	pollPeriod = 50 * time.Millisecond
 )
 
 // node is one gateway process that is started again after each end.
