exchange, gateway: Bound what an upstream may send for one request

Cause: http.ReadResponse bounds neither a head nor the number of interim responses, skipped bodies were read to an end that need not come, and an answer was read through io.LimitReader, which cuts off silently. An upstream that sends without end made a node hold 3.4 GB after 3 s; an answer above 8 MB would have been handed on cut off, as if complete.

Change: package bounded tells "too long" apart and names the limit. The exchange limits the head together with interim responses (64 KB), interim responses (8), skipped bodies (1 MB) and bodies (64 MB); the gateway an event (64 KB), an answer (8 MB) and the memory of all answers beyond their first 64 KB (24 MB). Over a limit the connection is closed, the request keeps its verdict (may have run), the upstream is suspected, and a counter upstream.too_long.LIMIT and a line upstream.too_long name the limit. Only events with an id count as progress: comments now and then no longer keep a stalled replica from being found silent.

processtest: -processtest.logs DIR keeps the logs of all processes, for tracing failures that show now and then.

--- /dev/null
+++ b/bounded/bounded_test.go
@@ -0,0 +1,130 @@
+package bounded_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/bounded"
+)
+
+func TestBounded(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Bounded Suite")
+}
+
+// endless is a reader without an end that counts what is read.
+type endless struct{ read int64 }
+
+func (e *endless) Read(b []byte) (int, error) {
+	e.read += int64(len(b))
+	return len(b), nil
+}
+
+var errBroken = errors.New("broken")
+
+var _ = Describe("Bounded input", func() {
+	const limit = 8
+
+	DescribeTable("is read up to its limit", func(input string, tooLong bool) {
+		data, err := bounded.ReadAll(strings.NewReader(input), "test_input", limit)
+		Expect(errors.Is(err, bounded.ErrTooLong)).To(Equal(tooLong))
+		Expect(errors.Is(bounded.Discard(strings.NewReader(input), "test_input", limit), bounded.ErrTooLong)).To(Equal(tooLong))
+		if tooLong {
+			Expect(data).To(BeNil())
+			what, ok := bounded.Exceeded(errors.Wrap(err, "reading"))
+			Expect(ok).To(BeTrue())
+			Expect(what).To(Equal("test_input"))
+			return
+		}
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(Equal(input))
+	},
+		Entry("empty", "", false),
+		Entry("at the limit", strings.Repeat("a", limit), false),
+		Entry("one byte above the limit", strings.Repeat("a", limit+1), true),
+	)
+
+	It("is not read far beyond its limit", func() {
+		e := &endless{}
+		Expect(errors.Is(bounded.Discard(e, "test_input", limit), bounded.ErrTooLong)).To(BeTrue())
+		Expect(e.read).To(BeNumerically("<=", limit+1))
+	})
+
+	It("keeps the error of its source", func() {
+		r := io.MultiReader(bytes.NewReader([]byte("ab")), &failing{})
+		_, err := bounded.ReadAll(r, "test_input", limit)
+		Expect(errors.Is(err, errBroken)).To(BeTrue())
+		_, ok := bounded.Exceeded(err)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("has a limit that can be set and removed while it is read", func() {
+		r := bounded.NewReader(&endless{})
+		buf := make([]byte, 2*limit)
+		Expect(r.Read(buf)).To(Equal(2 * limit))
+		r.SetLimit("test_input", limit)
+		Expect(r.Read(buf)).To(Equal(limit))
+		Expect(r.Cause(errBroken)).To(MatchError(errBroken))
+		_, err := r.Read(buf)
+		Expect(errors.Is(err, bounded.ErrTooLong)).To(BeTrue())
+		Expect(r.Cause(errBroken)).To(MatchError(bounded.ErrTooLong))
+		r.RemoveLimit()
+		Expect(r.Read(buf)).To(Equal(2 * limit))
+	})
+})
+
+var _ = It("ends without an error at the limit", func() {
+	r := bounded.NewReader(strings.NewReader("ab"))
+	r.SetLimit("test_input", 2)
+	Expect(io.ReadAll(r)).To(Equal([]byte("ab")))
+})
+
+var _ = Describe("A budget", func() {
+	const max = 1 << 20
+
+	It("is shared by the inputs that are read, and given back", func() {
+		b := bounded.NewBudget("test_memory", max)
+		large := strings.Repeat("a", max/2)
+		data, release, err := b.ReadAll(strings.NewReader(large), "test_input", max)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(Equal(large))
+		_, releaseFailed, err := b.ReadAll(strings.NewReader(large), "test_input", max)
+		what, _ := bounded.Exceeded(err)
+		Expect(what).To(Equal("test_memory"))
+		releaseFailed()
+		release()
+		_, release, err = b.ReadAll(strings.NewReader(large), "test_input", max)
+		Expect(err).NotTo(HaveOccurred())
+		release()
+	})
+
+	It("does not count small inputs", func() {
+		b := bounded.NewBudget("test_memory", 0)
+		small := strings.Repeat("a", 10<<10)
+		data, release, err := b.ReadAll(strings.NewReader(small), "test_input", max)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(Equal(small))
+		release()
+	})
+
+	It("keeps the limit of each input and the error of its source", func() {
+		b := bounded.NewBudget("test_memory", max)
+		_, release, err := b.ReadAll(strings.NewReader("123456789"), "test_input", 8)
+		what, _ := bounded.Exceeded(err)
+		Expect(what).To(Equal("test_input"))
+		release()
+		_, release, err = b.ReadAll(&failing{}, "test_input", 8)
+		Expect(err).To(MatchError(errBroken))
+		release()
+	})
+})
+
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, errBroken }
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -19,6 +19,7 @@
 	UpstreamGone         = "upstream.gone"
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
+	UpstreamTooLong      = "upstream.too_long"
 	UpstreamDead         = "upstream.dead"
 	UpstreamEvicted      = "upstream.evicted"
 	UpstreamBack         = "upstream.back"
@@ -83,6 +84,7 @@
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; its requests were moved to other replicas."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
+		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
 		{UpstreamBack, "A VM that was considered dead answers probes again."},
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -5,11 +5,12 @@
 // retried by this package, that an error tells whether a byte of the request may
 // have reached the upstream, and that a connection is reused only if the previous
 // response on it had a length or a transfer encoding and was read exactly to its
-// end. Responses are parsed by the standard library.
+// end. A response of any size takes a bounded amount of memory: the error for one
+// above a limit is marked as bounded.ErrTooLong, and its connection is closed.
+// Responses are parsed by the standard library.
 package exchange
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -19,6 +20,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 )
 
 // Errors of an exchange. After an error that is not marked as ErrNotSent, the
@@ -34,9 +37,31 @@
 	ErrUnmatchedResponse = errors.New("response belongs to another request")
 )
 
-// maxSkippedResponses bounds how many responses to earlier requests on the same
-// connection are skipped before the response to the current request.
-const maxSkippedResponses = 2
+// Limits on what an upstream may send for one request.
+const (
+	// maxSkippedResponses bounds how many responses to earlier requests on the same
+	// connection are skipped before the response to the current request.
+	maxSkippedResponses = 2
+	// maxInterimResponses bounds the interim (1xx) responses before a response.
+	maxInterimResponses = 8
+	// maxHeadBytes bounds the status line and header of a response together with
+	// those of the interim responses before it. The bytes of a body that arrive
+	// with them count, up to the size of the read buffer.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBodyBytes bounds the body of a response that is skipped.
+	maxSkippedBodyBytes = 1 << 20
+	// maxBodyBytes bounds the body of a response, in particular of a stream, which
+	// is handed on as it arrives.
+	maxBodyBytes = 64 << 20
+)
+
+// Names of the limits, as bounded.Exceeded returns them.
+const (
+	limitHead        = "response_head"
+	limitInterim     = "interim_responses"
+	limitSkippedBody = "skipped_body"
+	limitBody        = "response_body"
+)
 
 // Request is a request to an upstream.
 type Request struct {
@@ -76,7 +101,7 @@
 	Reused bool
 
 	conn *conn
-	body io.ReadCloser
+	body io.Reader
 	// stopAbort keeps the end of the request's context from closing the
 	// connection; it returns false if that has happened.
 	stopAbort func() bool
@@ -122,7 +147,7 @@
 		Header:    resp.Header,
 		Reused:    reused,
 		conn:      c,
-		body:      resp.Body,
+		body:      limitBodySize(resp.Body),
 		stopAbort: stopAbort,
 		framed:    resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		release:   p.put,
@@ -133,7 +158,7 @@
 // earlier requests on the connection are skipped.
 func (c *conn) readMatchingResponse(r *Request) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
-		resp, err := readFinal(c.reader, r.Method)
+		resp, err := c.readFinal(r.Method)
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the response")
 		}
@@ -145,24 +170,34 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrUnmatchedResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := bounded.Discard(resp.Body, limitSkippedBody, maxSkippedBodyBytes); err != nil {
 			return nil, errors.Mark(err, ErrUnmatchedResponse)
 		}
 	}
 	return nil, ErrUnmatchedResponse
 }
 
-// readFinal reads the next response that is not an interim (1xx) one.
-func readFinal(r *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(r, &http.Request{Method: method})
+// readFinal reads the head of the next response that is not an interim (1xx) one.
+func (c *conn) readFinal(method string) (*http.Response, error) {
+	c.source.SetLimit(limitHead, maxHeadBytes)
+	defer c.source.RemoveLimit()
+	for range maxInterimResponses + 1 {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, c.source.Cause(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
 	}
+	return nil, bounded.TooLong(limitInterim, maxInterimResponses)
+}
+
+// limitBodySize returns a reader of a body that fails above maxBodyBytes.
+func limitBodySize(body io.Reader) io.Reader {
+	r := bounded.NewReader(body)
+	r.SetLimit(limitBody, maxBodyBytes)
+	return r
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 )
 
 const (
@@ -61,7 +63,9 @@
 type conn struct {
 	net     net.Conn
 	address string
-	reader  *bufio.Reader
+	// reader buffers the bytes of source, which reads from net.
+	reader *bufio.Reader
+	source *bounded.Reader
 	// idleTimeout is how long the upstream keeps the connection while it is idle.
 	idleTimeout time.Duration
 	lastUsedAt  time.Time
@@ -70,6 +74,11 @@
 	closeAfterResponse bool
 }
 
+func newConn(n net.Conn, address string) *conn {
+	source := bounded.NewReader(n)
+	return &conn{net: n, address: address, reader: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}
+}
+
 // abort closes the connection, which ends a blocked read or write.
 func (c *conn) abort() {
 	// Nothing can be done about an error here: the connection is not used again.
@@ -116,8 +125,7 @@
 	if p.options.OnOpen != nil {
 		p.options.OnOpen()
 	}
-	c := &conn{net: n, address: address, reader: bufio.NewReaderSize(n, readBufferSize), idleTimeout: defaultIdleTimeout}
-	return c, false, nil
+	return newConn(n, address), false, nil
 }
 
 // takeIdleOrReserve takes the most recently used idle connection to an address. If
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
@@ -22,8 +23,16 @@
 // are proved not to have run it.
 const maxSends = 4
 
-// maxAnswerBytes bounds an answer that is not a stream.
-const maxAnswerBytes = 8 << 20
+// Limits on answers that are not streams, and their names.
+const (
+	// maxAnswerBytes bounds one answer.
+	maxAnswerBytes = 8 << 20
+	limitAnswer    = "answer"
+	// answersMemoryBytes bounds the memory of all answers that are being received;
+	// the smallest entry VMs have less than 200 MB.
+	answersMemoryBytes = 24 << 20
+	limitAnswersMemory = "answers_memory"
+)
 
 // run sends the request to one upstream after the other until it is answered or must
 // not be sent again. The error it returns has the verdict on all attempts together.
@@ -187,13 +196,13 @@
 		return verdict.Refuse(verdict.ReasonConnect, "%v", err).WithRetryAfter(retryAfterFailure)
 	case err != nil:
 		f.attempts++
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "%v", err)
+		return f.readFailed(assignment.Target, "no answer", err)
 	}
 	defer resp.Close()
 	f.node.balancer.RecordProgress(time.Now(), assignment)
 	a := p.Classify(resp.Status, resp.Header)
 	if a.NotRun {
-		return f.refusedByUpstream(resp, a)
+		return f.refusedByUpstream(resp, a, assignment.Target)
 	}
 	f.attempts++
 	if a.HasContentEncoding {
@@ -202,13 +211,27 @@
 	if a.Stream && resp.Status < http.StatusMultipleChoices {
 		return f.relayStream(resp, a, assignment)
 	}
-	return f.relayComplete(resp, a, last)
+	return f.relayComplete(resp, a, assignment.Target, last)
+}
+
+// readFailed returns the failure for an error while an upstream's answer was read. If
+// the upstream sent more than a limit allows, the limit is logged and counted, and the
+// upstream is suspected, because the next answer may not end either.
+func (f *forwarder) readFailed(t fleet.Target, detail string, err error) *verdict.Error {
+	limit, tooLong := bounded.Exceeded(err)
+	if !tooLong {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "%s: %v", detail, err)
+	}
+	f.node.count("upstream.too_long." + limit)
+	f.node.balancer.MarkSuspect(time.Now(), t)
+	f.node.logger.Warn(decisions.UpstreamTooLong, f.logFields("upstream", t.ID, "replica", t.Replica, "limit", limit, "error", err)...)
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%s: %v", detail, err)
 }
 
 // refusedByUpstream returns the failure for a response that says that the upstream did
 // not run the request. It reads the rest of the response, so that the connection can
 // be reused.
-func (f *forwarder) refusedByUpstream(resp *exchange.Response, a ResponseInfo) *verdict.Error {
+func (f *forwarder) refusedByUpstream(resp *exchange.Response, a ResponseInfo, t fleet.Target) *verdict.Error {
 	reason := verdict.ReasonUpstreamBusy
 	if a.Misdirected || a.FaultyVM != "" {
 		reason = verdict.ReasonUpstreamRefused
@@ -217,17 +240,18 @@
 	if a.FaultyVM != "" {
 		detail += ", faulty VM " + a.FaultyVM
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxAnswerBytes)); err != nil {
-		detail += ", reading the response failed: " + err.Error()
+	if err := bounded.Discard(resp, limitAnswer, maxAnswerBytes); err != nil {
+		detail += ", " + f.readFailed(t, "reading the response failed", err).Detail
 	}
 	return verdict.Refuse(reason, "%s", detail).WithRetryAfter(retryAfterFailure)
 }
 
 // relayComplete relays an answer that is not a stream, after all of it was received.
-func (f *forwarder) relayComplete(resp *exchange.Response, a ResponseInfo, last bool) *verdict.Error {
-	body, err := io.ReadAll(io.LimitReader(resp, maxAnswerBytes))
+func (f *forwarder) relayComplete(resp *exchange.Response, a ResponseInfo, t fleet.Target, last bool) *verdict.Error {
+	body, release, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
+	defer release()
 	if err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the answer was cut off: %v", err)
+		return f.readFailed(t, "the answer was cut off", err)
 	}
 	if f.answerStarted {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d instead of the rest of the stream", resp.Status)
@@ -281,7 +305,7 @@
 			return f.endStream(resp)
 		}
 		if err != nil {
-			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the stream was cut off: %v", err)
+			return f.readFailed(assignment.Target, "the stream was cut off", err)
 		}
 	}
 }
@@ -292,9 +316,12 @@
 
 // relayEvents takes bytes of a stream and relays the events that are complete now.
 func (f *forwarder) relayEvents(resp *exchange.Response, data []byte, assignment *dispatch.Assignment) *verdict.Error {
+	numbered := f.events.count
 	events, inOrder := f.events.add(data)
-	if len(events) > 0 {
+	if f.events.count > numbered {
 		f.node.balancer.RecordFirstEvent(time.Now(), assignment)
+	}
+	if len(events) > 0 {
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
 		}
@@ -302,6 +329,9 @@
 	if !inOrder {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", f.events.lastID)
 	}
+	if err := f.events.checkPending(); err != nil {
+		return f.readFailed(assignment.Target, "the stream was cut off", err)
+	}
 	return nil
 }
 
--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -3,6 +3,14 @@
 import (
 	"bytes"
 	"strconv"
+
+	"github.com/tamarackcleat/tamarackcleat/bounded"
+)
+
+// maxEventBytes bounds an event of a stream; limitEvent names the limit.
+const (
+	maxEventBytes = 64 << 10
+	limitEvent    = "event"
 )
 
 // eventEnd is the blank line that ends an event of a stream.
@@ -16,7 +24,8 @@
 	pending []byte
 	// lastID is the id of the last event that was relayed.
 	lastID string
-	// count is the number of events that were relayed.
+	// count is the number of events with an id that were relayed. Other blocks,
+	// such as comments, are no sign that the upstream makes progress.
 	count int
 }
 
@@ -52,8 +61,8 @@
 		case positionAfterGap:
 			return whole[start:at], false
 		case positionNext:
-			b.count++
 			if id != "" {
+				b.count++
 				b.lastID = id
 			}
 		}
@@ -88,6 +97,15 @@
 	return positionAfterGap
 }
 
+// checkPending returns an error that is marked as bounded.ErrTooLong if the event that
+// is not complete yet exceeds maxEventBytes.
+func (b *eventBuffer) checkPending() error {
+	if len(b.pending) > maxEventBytes {
+		return bounded.TooLong(limitEvent, maxEventBytes)
+	}
+	return nil
+}
+
 // discardPending drops an incomplete event whose stream was cut off, before another
 // upstream resumes the stream.
 func (b *eventBuffer) discardPending() { b.pending = b.pending[:0] }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -30,6 +30,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
@@ -82,13 +83,15 @@
 type Node struct {
 	id string
 	// settings holds the settings in force. Reload replaces only the bounds.
-	settings        atomic.Pointer[Settings]
-	deps            Dependencies
-	logger          *slog.Logger
-	registry        metrics.Registry
-	state           *state
-	balancer        *dispatch.Balancer
-	pool            *exchange.Pool
+	settings atomic.Pointer[Settings]
+	deps     Dependencies
+	logger   *slog.Logger
+	registry metrics.Registry
+	state    *state
+	balancer *dispatch.Balancer
+	pool     *exchange.Pool
+	// answersMemory bounds the memory of the answers that are being received.
+	answersMemory   *bounded.Budget
 	runningAttempts *attemptRegistry
 	crashes         *crashTable
 	onSilent        func(vm string)
@@ -132,6 +135,7 @@
 		holder:          func() string { return "" },
 		retryBudgets:    map[string]*retry.Window{},
 		durations:       map[string]*hdrhistogram.Histogram{},
+		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 	}
 	n.settings.Store(&s)
 	n.Follow(keyed.NewStream(deps.Streams.Config, n.state.applyConfig), n.configPause, nil)
--- a/processtest/suite_test.go
+++ b/processtest/suite_test.go
@@ -4,6 +4,7 @@
 package processtest_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -21,6 +22,10 @@
 	pollInterval = 50 * time.Millisecond
 )
 
+// logsDir is the directory in which the settings and logs of all processes are kept;
+// if it is empty, they are removed at the end of each spec.
+var logsDir = flag.String("processtest.logs", "", "directory in which to keep the logs of all processes")
+
 // binaries holds the paths of the built commands.
 var binaries struct{ daemon, standin string }
 
--- a/processtest/world_test.go
+++ b/processtest/world_test.go
@@ -98,7 +98,7 @@
 // newWorld starts all processes, publishes the first document and waits until every
 // node routes to all replicas and to the plain service.
 func newWorld() *world {
-	w := &world{dir: GinkgoT().TempDir()}
+	w := &world{dir: worldDir()}
 	w.startPlatform()
 	w.startUpstreams()
 	for i := range nodeCount {
@@ -115,6 +115,17 @@
 	return w
 }
 
+// worldDir returns the directory of a world's settings and logs. It is kept after the
+// spec if the flag processtest.logs is set.
+func worldDir() string {
+	if *logsDir == "" {
+		return GinkgoT().TempDir()
+	}
+	dir, err := os.MkdirTemp(*logsDir, "world-")
+	Expect(err).NotTo(HaveOccurred())
+	return dir
+}
+
 // printLogs adds to the report of a failed spec the end of each daemon's log, the
 // status and counters of the nodes and the reports of the VMs.
 func (w *world) printLogs() {
