gateway, platform, relay: Bound all other input in size and time; end a drain by closing the listener

Cause: io.LimitReader before a decoder reported input that is too long as malformed; pages of the store's newest records had no bound together; a caller that sent its body by a byte now and then, or read nothing, held its request for good; a node that drains ended its process as soon as no request was in flight, with its listener open, so requests that arrived in that moment got no answer.

Ruled out: a read deadline that is removed before the answer (net/http then waits for the rest of the body before it answers; entry did so and is mended too); Shutdown at the end of the drain limit (under load some request is always in flight, so no time was left for it).

Change: bounded.ReadAll for the store, orders, relays, peers and the operator's client, limits on response heads, read and write deadlines for callers from the request's own time, http.Server.Shutdown at the end of the drain. The memory of answers is held in blocks without copies; 24 MB of it became 16, since the test saw 69 MB of growth against its bound of 64 beside load.

--- a/bounded/bounded_test.go
+++ b/bounded/bounded_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -87,41 +88,49 @@
 
 var _ = Describe("A budget", func() {
 	const max = 1 << 20
+	text := func(in *bounded.Input) string {
+		var b bytes.Buffer
+		n, err := in.WriteTo(&b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n).To(Equal(in.Len()))
+		return b.String()
+	}
 
 	It("is shared by the inputs that are read, and given back", func() {
 		b := bounded.NewBudget("test_memory", max)
-		large := strings.Repeat("a", max/2)
-		data, release, err := b.ReadAll(strings.NewReader(large), "test_input", max)
+		large := strings.Repeat("ab", max/3)
+		first, err := b.ReadAll(iotest.OneByteReader(strings.NewReader(large)), "test_input", max)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(data)).To(Equal(large))
-		_, releaseFailed, err := b.ReadAll(strings.NewReader(large), "test_input", max)
+		Expect(text(first)).To(Equal(large))
+		second, err := b.ReadAll(strings.NewReader(large), "test_input", max)
 		what, _ := bounded.Exceeded(err)
 		Expect(what).To(Equal("test_memory"))
-		releaseFailed()
-		release()
-		_, release, err = b.ReadAll(strings.NewReader(large), "test_input", max)
+		second.Release()
+		first.Release()
+		third, err := b.ReadAll(strings.NewReader(large), "test_input", max)
 		Expect(err).NotTo(HaveOccurred())
-		release()
+		third.Release()
+		third.Release()
+		Expect(third.Len()).To(BeZero())
 	})
 
 	It("does not count small inputs", func() {
 		b := bounded.NewBudget("test_memory", 0)
 		small := strings.Repeat("a", 10<<10)
-		data, release, err := b.ReadAll(strings.NewReader(small), "test_input", max)
+		in, err := b.ReadAll(strings.NewReader(small), "test_input", max)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(data)).To(Equal(small))
-		release()
+		Expect(text(in)).To(Equal(small))
 	})
 
 	It("keeps the limit of each input and the error of its source", func() {
 		b := bounded.NewBudget("test_memory", max)
-		_, release, err := b.ReadAll(strings.NewReader("123456789"), "test_input", 8)
+		_, err := b.ReadAll(strings.NewReader("123456789"), "test_input", 8)
 		what, _ := bounded.Exceeded(err)
 		Expect(what).To(Equal("test_input"))
-		release()
-		_, release, err = b.ReadAll(&failing{}, "test_input", 8)
+		_, err = b.ReadAll(io.MultiReader(strings.NewReader("1"), &failing{}), "test_input", 8)
 		Expect(err).To(MatchError(errBroken))
-		release()
+		_, err = b.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), "test_input", 8)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 })
 
--- a/bounded/budget.go
+++ b/bounded/budget.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// initialBytes is the first size of the buffer of an input, which doubles when it
-	// is full.
-	initialBytes = 512
-	// freeBytes is the size up to which the buffer of an input does not count towards
-	// a Budget, so that large inputs can't keep small ones from being read.
-	freeBytes = 64 << 10
+	// firstBlockBytes is the size of an input's first block of memory. Each further
+	// block is twice as large as the one before, up to maxBlockBytes.
+	firstBlockBytes = 2 << 10
+	// maxBlockBytes is the size of the blocks that count towards a Budget. Smaller ones
+	// don't, so that large inputs can't keep small ones from being read.
+	maxBlockBytes = 64 << 10
 )
 
 // Budget bounds the memory that inputs which are read at the same time hold together.
@@ -27,43 +27,83 @@
 // NewBudget returns a budget of max bytes; what names it in errors, as in Error.
 func NewBudget(what string, max int64) *Budget { return &Budget{what: what, max: max} }
 
-// take takes n bytes out of the budget unless fewer are left.
-func (b *Budget) take(n int64) bool {
-	if b.used.Add(n) > b.max {
-		b.used.Add(-n)
-		return false
-	}
-	return true
+// Input is an input that was read whole. Its memory counts towards a Budget until
+// Release is called.
+type Input struct {
+	budget *Budget
+	// taken is the part of the budget that the input uses, in bytes.
+	taken  int64
+	blocks [][]byte
+	size   int64
 }
 
-// ReadAll reads r to its end. If r has more than limit bytes, or a buffer for it does
-// not fit into the budget, it returns no data and an error that is marked as
-// ErrTooLong. The caller must call release once it no longer uses the data; release is
-// never nil.
-func (b *Budget) ReadAll(r io.Reader, what string, limit int64) (data []byte, release func(), err error) {
-	taken := int64(0)
-	release = func() { b.used.Add(-taken) }
-	buf := make([]byte, 0, initialBytes)
-	for {
-		if len(buf) == cap(buf) {
-			size := 2 * int64(cap(buf))
-			if size > freeBytes {
-				if !b.take(size - taken) {
-					return nil, release, TooLong(b.what, b.max)
-				}
-				taken = size
-			}
-			buf = append(make([]byte, 0, size), buf...)
+// ReadAll reads r to its end. If r has more than limit bytes, or its data does not fit
+// into the budget, the error is marked as ErrTooLong. The input must be released, also
+// after an error; it is never nil.
+func (b *Budget) ReadAll(r io.Reader, what string, limit int64) (*Input, error) {
+	in := &Input{budget: b}
+	for blockSize := int64(firstBlockBytes); ; blockSize = min(2*blockSize, maxBlockBytes) {
+		if blockSize == maxBlockBytes && !in.take(blockSize) {
+			return in, TooLong(b.what, b.max)
 		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		block := make([]byte, blockSize)
+		n, err := fill(r, block)
+		in.blocks = append(in.blocks, block[:n])
+		in.size += int64(n)
 		switch {
-		case int64(len(buf)) > limit:
-			return nil, release, TooLong(what, limit)
+		case in.size > limit:
+			return in, TooLong(what, limit)
 		case errors.Is(err, io.EOF):
-			return buf, release, nil
+			return in, nil
 		case err != nil:
-			return nil, release, err
+			return in, err
 		}
 	}
 }
+
+// fill reads until the block is full or the read fails, and returns the error of that
+// read. Unlike io.ReadFull it keeps io.EOF, which a reader of a body that is cut off
+// tells apart from io.ErrUnexpectedEOF.
+func fill(r io.Reader, block []byte) (int, error) {
+	n := 0
+	for n < len(block) {
+		m, err := r.Read(block[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// take takes n bytes out of the budget unless fewer are left.
+func (in *Input) take(n int64) bool {
+	if in.budget.used.Add(n) > in.budget.max {
+		in.budget.used.Add(-n)
+		return false
+	}
+	in.taken += n
+	return true
+}
+
+// Len returns the size in bytes.
+func (in *Input) Len() int64 { return in.size }
+
+// WriteTo implements io.WriterTo.
+func (in *Input) WriteTo(w io.Writer) (int64, error) {
+	written := int64(0)
+	for _, block := range in.blocks {
+		n, err := w.Write(block)
+		written += int64(n)
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// Release gives the memory back to the budget. The input is empty then.
+func (in *Input) Release() {
+	in.budget.used.Add(-in.taken)
+	*in = Input{budget: in.budget}
+}
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -56,6 +56,7 @@
 	LogDropped           = "log.dropped"
 	NodeStarted          = "node.started"
 	NodeDraining         = "node.draining"
+	NodeCutRequests      = "node.cut_requests"
 	NodeStopped          = "node.stopped"
 	MetricsFailed        = "metrics.failed"
 	SettingsReloaded     = "settings.reloaded"
@@ -121,6 +122,7 @@
 		{LogDropped, "Log lines were dropped because the output could not keep up: number of lines."},
 		{NodeStarted, "The process started to serve callers."},
 		{NodeDraining, "The process received the signal to stop and is draining: requests in flight."},
+		{NodeCutRequests, "The process ends although requests are still in flight, because the time for a planned stop is over: number of requests."},
 		{NodeStopped, "The process ends: requests still in flight, time since it received the signal to stop."},
 		{MetricsFailed, "The address for metrics can't be served; requests are still served."},
 		{SettingsReloaded, "The settings were reloaded: whether any bound changed."},
--- a/entry/peerclient.go
+++ b/entry/peerclient.go
@@ -4,18 +4,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
 	"github.com/tamarackcleat/tamarackcleat/peers"
 )
 
-// maxPeerBytes limits how much of a peer's response is read.
-const maxPeerBytes = 64 << 20
+// maxPeerBytes bounds the body of a peer's response; limitPeerResponse names the limit.
+const (
+	maxPeerBytes      = 64 << 20
+	limitPeerResponse = "peer_response"
+)
 
 // peerClient sends requests to the other entry VMs.
 type peerClient struct {
@@ -60,7 +63,7 @@
 		return errors.Wrap(err, "sending a request to a peer")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBytes))
+	data, err := bounded.ReadAll(resp.Body, limitPeerResponse, maxPeerBytes)
 	if err != nil {
 		return errors.Wrap(err, "reading a peer's response")
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -61,11 +61,17 @@
 	return team[:min(len(team), maxTeamLength)]
 }
 
-// readBody reads a body of at most limit bytes within bodyTimeout.
+// readBody reads a body of at most limit bytes within bodyTimeout. If the body can't be
+// read, the connection is closed after the response: the server would otherwise wait for
+// the rest of the body before it responds.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *verdict.Error) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err != nil {
+		w.Header().Set("Connection", "close")
+	} else {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.Refuse(verdict.ReasonTooLarge, "the body is larger than %d bytes", limit)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,9 +28,9 @@
 	// maxAnswerBytes bounds one answer.
 	maxAnswerBytes = 8 << 20
 	limitAnswer    = "answer"
-	// answersMemoryBytes bounds the memory of all answers that are being received;
-	// the smallest entry VMs have less than 200 MB.
-	answersMemoryBytes = 24 << 20
+	// answersMemoryBytes bounds the memory of all large answers that are being
+	// received together; the smallest entry VMs have less than 200 MB.
+	answersMemoryBytes = 16 << 20
 	limitAnswersMemory = "answers_memory"
 )
 
@@ -248,8 +248,8 @@
 
 // relayComplete relays an answer that is not a stream, after all of it was received.
 func (f *forwarder) relayComplete(resp *exchange.Response, a ResponseInfo, t fleet.Target, last bool) *verdict.Error {
-	body, release, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
-	defer release()
+	body, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
+	defer body.Release()
 	if err != nil {
 		return f.readFailed(t, "the answer was cut off", err)
 	}
@@ -265,9 +265,9 @@
 	}
 	h := f.w.Header()
 	copyHeader(h, resp.Header)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	f.writeHeader(resp.Status)
-	if _, err := f.w.Write(body); err != nil {
+	if _, err := body.WriteTo(f.w); err != nil {
 		return verdict.New(verdict.Ran, verdict.ReasonCanceled, "%v", err)
 	}
 	return nil
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -147,7 +147,8 @@
 		return
 	}
 	server := &http.Server{
-		Handler: relay.Handler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout, ErrorLog: n.httpErrorLog(),
+		Handler: relay.Handler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	context.AfterFunc(ctx, func() {
 		// The process ends and its peers poll another node, so an error in
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -212,7 +212,10 @@
 	n.follow(background)
 	go n.watchUpstreams(background)
 	callerServer := n.newCallerServer()
-	readyServer := &http.Server{Handler: n.readyHandler(), ErrorLog: n.httpErrorLog()}
+	readyServer := &http.Server{
+		Handler: n.readyHandler(), ReadHeaderTimeout: callerHeaderTimeout, WriteTimeout: callerHeaderTimeout,
+		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- callerServer.Serve(callerListener) }()
 	go func() { failed <- readyServer.Serve(readyListener) }()
@@ -221,7 +224,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "serving")
 	case <-ctx.Done():
-		n.drain()
+		n.drain(callerServer)
 		return nil
 	}
 }
@@ -231,6 +234,7 @@
 	return &http.Server{
 		Handler:           http.HandlerFunc(n.serve),
 		ReadHeaderTimeout: callerHeaderTimeout,
+		WriteTimeout:      defaultTimeout + writeGrace,
 		IdleTimeout:       callerIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.httpErrorLog(),
@@ -245,6 +249,9 @@
 	// Callers reuse a connection for up to four fifths of the configured idle
 	// time, which is shorter than callerIdleTimeout.
 	callerIdleTimeout = 60 * time.Second
+	// writeGrace is how long after its deadline the answer to a request may still be
+	// written. A caller that reads nothing then loses its connection.
+	writeGrace = 2 * time.Second
 )
 
 // httpErrorLog returns a logger for the errors of HTTP servers, such as broken
@@ -332,18 +339,22 @@
 	return sinceSignal > drainNoticeTime && sinceSignal+answerTime > n.drainLimit()
 }
 
-// drain marks the node as not ready and waits until the load balancer has noticed
-// and all requests in flight have ended, or until drainLimit has passed.
-func (n *Node) drain() {
+// drain marks the node as not ready and waits until the load balancer has noticed and
+// no request is in flight, or until too little time is left for further requests. Then
+// it closes the listener and the idle connections and waits, no longer than until
+// drainLimit, for the requests that were accepted before that.
+func (n *Node) drain(server *http.Server) {
 	n.draining.Store(true)
 	started := time.Now()
 	n.logger.Info(decisions.NodeDraining, "in_flight", n.inFlight.Load())
 	n.drainStart.Store(&started)
-	for time.Since(started) < n.drainLimit() {
-		if time.Since(started) > drainNoticeTime && n.inFlight.Load() == 0 {
-			break
-		}
+	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || n.inFlight.Load() > 0 && !n.cannotFinish(streamAnswerTime) {
 		time.Sleep(drainPollInterval)
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.drainLimit()))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		n.logger.Warn(decisions.NodeCutRequests, "in_flight", n.inFlight.Load(), "error", err)
+	}
 	n.logger.Info(decisions.NodeStopped, "in_flight", n.inFlight.Load(), "after_ms", millisSince(started))
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -70,6 +71,7 @@
 		f.refuse(e)
 		return
 	}
+	f.setWriteDeadline()
 	ctx, cancel := context.WithDeadline(r.Context(), f.deadline)
 	defer cancel()
 	e := f.run(ctx)
@@ -106,6 +108,14 @@
 	return nil
 }
 
+// setWriteDeadline bounds the writing of the answer, so that a caller that reads
+// nothing can't hold the request beyond its deadline. The server sets the deadline anew
+// for the next request on the connection.
+func (f *forwarder) setWriteDeadline() {
+	// An error means that the connection is gone already, which the write shows.
+	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(writeGrace))
+}
+
 const (
 	// retryAfterStopping is the delay after which a caller may retry a request
 	// that a stopping node refused; another node can serve it at once.
@@ -125,7 +135,8 @@
 	return plainAnswerTime
 }
 
-// readBody reads the request's body and refuses one above the configured limit.
+// readBody reads the request's body. It refuses one above the configured limit, and one
+// that does not arrive while the caller waits for the answer.
 func (f *forwarder) readBody(r *http.Request) *verdict.Error {
 	limit := int64(f.view.Config.Limits.MaxBodyBytes)
 	if limit <= 0 {
@@ -134,9 +145,11 @@
 	if r.ContentLength > limit {
 		return verdict.Refuse(verdict.ReasonTooLarge, "the body of %d bytes is too large", r.ContentLength)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(f.w, r.Body, limit))
+	body, err := f.readAllInTime(http.MaxBytesReader(f.w, r.Body, limit), r.ContentLength != 0)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(verdict.ReasonDeadline, "the body did not arrive in time")
 	case errors.As(err, &tooLarge):
 		return verdict.Refuse(verdict.ReasonTooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
@@ -146,6 +159,29 @@
 	return nil
 }
 
+// readAllInTime reads a body to its end, no longer than the caller waits for the
+// answer. If the body can't be read, the connection is closed after the answer: the
+// server would otherwise wait for the rest of the body before it answers.
+func (f *forwarder) readAllInTime(body io.Reader, hasBody bool) ([]byte, error) {
+	if !hasBody {
+		return io.ReadAll(body)
+	}
+	wait := defaultTimeout
+	if f.req.Timeout > 0 {
+		wait = min(wait, f.req.Timeout)
+	}
+	c := http.NewResponseController(f.w)
+	// An error means that the connection is gone already, which the read shows.
+	_ = c.SetReadDeadline(f.arrivedAt.Add(wait))
+	data, err := io.ReadAll(body)
+	if err != nil {
+		f.w.Header().Set("Connection", "close")
+		return nil, err
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	return data, nil
+}
+
 // defaultBodyBytes bounds a request's body if the configuration doesn't.
 const defaultBodyBytes = 4 << 20
 
--- a/logfollow/appender.go
+++ b/logfollow/appender.go
@@ -25,9 +25,12 @@
 	AppendRecord
 	// bytes is the size of the encoded record.
 	bytes int
-	// mayBeAppended says that an entry with the record was sent. It is reset
-	// when the latest append certainly had no effect.
+	// mayBeAppended says that an entry with the record was sent whose append was
+	// not refused without effect.
 	mayBeAppended bool
+	// inDoubt says that the result of an earlier append of the record is unknown,
+	// so that a later refusal does not prove that the record is not on the log.
+	inDoubt bool
 	// confirmed says that the log confirmed an append of the record. It is not
 	// sent again, but stays in the queue until it is read back.
 	confirmed bool
@@ -116,8 +119,11 @@
 		if err == nil {
 			p.confirmed = true
 		}
-		if errors.Is(err, port.ErrNotAppended) || errors.Is(err, port.ErrRateLimited) {
-			p.mayBeAppended = p.confirmed
+		refused := errors.Is(err, port.ErrNotAppended) || errors.Is(err, port.ErrRateLimited)
+		if refused {
+			p.mayBeAppended = p.confirmed || p.inDoubt
+		} else {
+			p.inDoubt = true
 		}
 	}
 	a.inFlight = nil
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -15,11 +14,15 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
-// maxResponseBytes limits what the client reads of a response body.
-const maxResponseBytes = 8 << 20
+// maxResponseBytes bounds the body of a response; limitResponse names the limit.
+const (
+	maxResponseBytes = 8 << 20
+	limitResponse    = "response_body"
+)
 
 // client calls the HTTP interface that entry VMs offer to operators.
 type client struct {
@@ -105,7 +108,7 @@
 		return result, markUnreachable(err)
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := bounded.ReadAll(resp.Body, limitResponse, maxResponseBytes)
 	if err != nil {
 		return result, errors.Mark(err, errUnreachable)
 	}
--- a/port/porthttp/transport.go
+++ b/port/porthttp/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 )
 
 // Settings of the transport of NewHTTPClient.
@@ -90,17 +92,12 @@
 	return req, nil
 }
 
-// errResponseTooLarge marks the error of a response over its size limit.
-var errResponseTooLarge = errors.New("answer is larger than the limit")
+// limitResponse names the limit on the body of a response.
+const limitResponse = "response_body"
 
-// readAll reads a whole body. A body of more than limit bytes is an error.
+// readAll reads a whole body. The error for a body of more than limit bytes is marked
+// as bounded.ErrTooLong.
 func readAll(body io.Reader, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "reading the answer")
-	}
-	if int64(len(data)) > limit {
-		return nil, errors.Wrapf(errResponseTooLarge, "over %d bytes", limit)
-	}
-	return data, nil
+	data, err := bounded.ReadAll(body, limitResponse, limit)
+	return data, errors.Wrap(err, "reading the answer")
 }
--- a/processtest/calls_test.go
+++ b/processtest/calls_test.go
@@ -192,16 +192,32 @@
 	Eventually(c.answered.Load).Should(BeNumerically(">=", target))
 }
 
-// awaitRefusal waits until at least one more attempt is refused for a reason.
-func (c *confirmations) awaitRefusal(reason verdict.Reason) {
+// refusals returns how many attempts were refused for a reason so far.
+func (c *confirmations) refusals(reason verdict.Reason) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reasons[reason]
+}
+
+// claimTimeout is longer than a node waits until it has read a claim back.
+const claimTimeout = 3500 * time.Millisecond
+
+// failClaim starts outages of the log, of a kind of the log's stand-in, until at least
+// one more attempt was refused because its claim was in flight when an outage began. An
+// outage that begins while no claim is in flight has only refusals with another reason:
+// a node whose reads of the log fail refuses calls before it claims their keys.
+func (c *confirmations) failClaim(outage string) {
 	GinkgoHelper()
-	count := func() int {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return c.reasons[reason]
-	}
-	start := count()
-	Eventually(count).Should(BeNumerically(">", start))
+	start := c.refusals(verdict.ReasonLogUnavailable)
+	Eventually(func() int {
+		c.awaitProgress()
+		before := c.refusals(verdict.ReasonNotCaughtUp)
+		c.w.setLogOutage(outage)
+		time.Sleep(claimTimeout)
+		c.w.setLogOutage("")
+		Expect(c.refusals(verdict.ReasonNotCaughtUp)).To(BeNumerically(">", before), "no call was refused in the outage")
+		return c.refusals(verdict.ReasonLogUnavailable)
+	}).Should(BeNumerically(">", start))
 }
 
 var _ = Describe("Confirmations", func() {
@@ -220,18 +236,14 @@
 		c.awaitProgress()
 		w.nodes[0].pause()
 		c.awaitProgress()
-		w.setLogOutage("refuse")
-		c.awaitRefusal(verdict.ReasonLogUnavailable)
-		w.setLogOutage("")
+		c.failClaim("refuse")
 		c.awaitProgress()
 		w.nodes[1].Kill()
 		w.nodes[0].resume()
 		c.awaitProgress()
 		w.nodes[1].start()
 		setFault(w.plainAddress, map[string]any{"lose_answers": 3})
-		w.setLogOutage("lose")
-		c.awaitRefusal(verdict.ReasonLogUnavailable)
-		w.setLogOutage("")
+		c.failClaim("lose")
 		c.awaitProgress()
 		c.finish()
 		c.expectAtMostOnce()
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
@@ -23,8 +23,11 @@
 	// few milliseconds.
 	dialTimeout = 200 * time.Millisecond
 	// maxResponseBytes bounds the body of a response, which holds the newest
-	// records of all streams, each a few hundred bytes long.
-	maxResponseBytes = 1 << 20
+	// records of all streams, each a few hundred bytes long; limitPollResponse
+	// names the limit. maxResponseHeadBytes bounds its status line and header.
+	maxResponseBytes     = 8 << 20
+	limitPollResponse    = "poll_response"
+	maxResponseHeadBytes = 16 << 10
 	// idleConnTimeout is how long a connection to a peer that is no longer
 	// polled stays open.
 	idleConnTimeout = 5 * time.Second
@@ -60,11 +63,12 @@
 		client: &http.Client{
 			Timeout: pollWait + pollTimeoutMargin,
 			Transport: &http.Transport{
-				DialContext:        dialer.DialContext,
-				DisableCompression: true,
-				IdleConnTimeout:    idleConnTimeout,
-				ReadBufferSize:     4 << 10,
-				WriteBufferSize:    1 << 10,
+				DialContext:            dialer.DialContext,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: maxResponseHeadBytes,
+				IdleConnTimeout:        idleConnTimeout,
+				ReadBufferSize:         4 << 10,
+				WriteBufferSize:        1 << 10,
 			},
 		},
 	}
@@ -207,7 +211,7 @@
 		return a, errors.Wrap(err, "polling a peer")
 	}
 	defer resp.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := bounded.ReadAll(resp.Body, limitPollResponse, maxResponseBytes)
 	if err != nil {
 		return a, errors.Wrap(err, "reading the peer's response")
 	}
