gossip: Merge the state of a parent's children once a round

Ruled out: fewer messages (loads that are older make nodes choose the same upstream); json.RawMessage for the shared part (scans it again for each child: 2.2 ms a round against 0.6).

Change: the states are merged and encoded once; a message to a child names the loads in it that came from the child, and the child subtracts them. The field is new: a node of an older build counts its own loads twice until it is replaced. Peers is unsorted; its two readers compare all peers anyway.

The simulation's specs now pass each message through its encoding.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,8 +120,7 @@
 	return g.table.nodeCount(time.Now())
 }
 
-// Peers returns the peers that are probably reachable, in the order of
-// relay.Precedes, which is the same on all nodes.
+// Peers returns the peers that are probably reachable, in no order.
 func (g *Gossip) Peers() []relay.Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -208,7 +208,7 @@
 
 // write sends a message to its receivers, without a guarantee of arrival.
 func (g *Gossip) write(o outgoing) {
-	data, err := json.Marshal(o.message)
+	data, err := o.encode()
 	if err != nil || len(data) > maxMessageBytes {
 		g.logger.Error(decisions.PeerMessageNotSent, "bytes", len(data), "error", err)
 		return
@@ -220,6 +220,36 @@
 	}
 }
 
+// encode returns the message as it is sent.
+func (o *outgoing) encode() ([]byte, error) {
+	if o.loads == nil {
+		return json.Marshal(o.message)
+	}
+	loads, err := o.loads()
+	if err != nil {
+		return nil, err
+	}
+	rest := o.message
+	rest.Loads = nil
+	data, err := json.Marshal(rest)
+	if err != nil {
+		return nil, err
+	}
+	// The encoded loads are added as the last field. json.RawMessage would do the
+	// same, but scans them again for each receiver.
+	return slices.Concat(data[:len(data)-1], []byte(`,"loads":`), loads, []byte("}")), nil
+}
+
+// decodeMessage decodes a message as it is sent.
+func decodeMessage(data []byte) (Message, error) {
+	var m Message
+	if err := json.Unmarshal(data, &m); err != nil {
+		return Message{}, err
+	}
+	m.subtractExcess()
+	return m, nil
+}
+
 // receive receives messages until the context ends.
 func (g *Gossip) receive(ctx context.Context) {
 	buf := make([]byte, maxMessageBytes)
@@ -232,8 +262,8 @@
 			}
 			continue
 		}
-		var m Message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
+		m, err := decodeMessage(buf[:n])
+		if err != nil {
 			g.logger.Warn(decisions.PeerUnreadable, "from", from.String(), "bytes", n, "error", err)
 			continue
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
@@ -37,8 +36,11 @@
 	// Partial reports whether Loads holds only the loads that have changed since
 	// the sender's last message. The lists in such a message must be ignored.
 	Partial bool `json:"partial,omitempty"`
-	// Loads holds the loads by the id of the VM that takes the requests.
-	Loads map[string]dispatch.Load `json:"loads,omitempty"`
+	// Loads holds the loads by the id of the VM that takes the requests. Excess holds
+	// those loads in it that the receiver itself reported, and that it must subtract:
+	// thus a sender encodes Loads once for all of its children.
+	Loads  map[string]dispatch.Load `json:"loads,omitempty"`
+	Excess map[string]dispatch.Load `json:"excess,omitempty"`
 	// Silent lists the ids of the head VMs of replicas that have requests but send
 	// nothing.
 	Silent []string `json:"silent,omitempty"`
@@ -52,32 +54,47 @@
 	Closing []string `json:"closing,omitempty"`
 }
 
-// merge adds the state in another message to the message.
-func (m *Message) merge(other Message) {
-	m.Nodes += other.Nodes
-	m.Loads = sumLoads(m.Loads, other.Loads)
+// subtractExcess removes the receiver's own loads from a received message.
+func (m *Message) subtractExcess() {
+	for vm, own := range m.Excess {
+		l := m.Loads[vm]
+		l.InFlight = max(0, l.InFlight-own.InFlight)
+		l.PendingPromptTokens = max(0, l.PendingPromptTokens-own.PendingPromptTokens)
+		if l == (dispatch.Load{}) {
+			delete(m.Loads, vm)
+			continue
+		}
+		m.Loads[vm] = l
+	}
+	m.Excess = nil
+}
+
+// hasLists reports whether any of the message's lists that are merged has an entry.
+func (m *Message) hasLists() bool { return len(m.Silent)+len(m.Dead)+len(m.Closing) > 0 }
+
+// mergeLists adds the lists in another message to the message.
+func (m *Message) mergeLists(other Message) {
 	m.Silent = union(m.Silent, other.Silent)
 	m.Dead = union(m.Dead, other.Dead)
 	m.Closing = union(m.Closing, other.Closing)
 }
 
-// sumLoads returns the sum of two loads for each VM. It changes neither map, and
-// returns a itself if b is empty.
-func sumLoads(a, b map[string]dispatch.Load) map[string]dispatch.Load {
-	if len(b) == 0 {
-		return a
-	}
-	out := maps.Clone(a)
-	if out == nil {
-		out = make(map[string]dispatch.Load, len(b))
-	}
-	for vm, l := range b {
-		sum := out[vm]
-		sum.InFlight += l.InFlight
-		sum.PendingPromptTokens += l.PendingPromptTokens
-		out[vm] = sum
+// merge adds the state in another message to the message, whose Loads must not be
+// shared.
+func (m *Message) merge(other Message) {
+	m.Nodes += other.Nodes
+	addLoads(m.Loads, other.Loads)
+	m.mergeLists(other)
+}
+
+// addLoads adds loads to those in sum.
+func addLoads(sum, loads map[string]dispatch.Load) {
+	for vm, l := range loads {
+		s := sum[vm]
+		s.InFlight += l.InFlight
+		s.PendingPromptTokens += l.PendingPromptTokens
+		sum[vm] = s
 	}
-	return out
 }
 
 // union returns the ids in either of two lists, sorted and without duplicates. It
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -1,8 +1,10 @@
 package gossip
 
 import (
+	"encoding/json"
+	"maps"
 	"net/netip"
-	"slices"
+	"sync"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
@@ -167,7 +169,10 @@
 // outgoing is a message with the addresses of its receivers.
 type outgoing struct {
 	message Message
-	to      []netip.AddrPort
+	// loads encodes message.Loads if it is not nil. Messages with the same loads share
+	// the function, so that they are encoded once.
+	loads func() ([]byte, error)
+	to    []netip.AddrPort
 }
 
 // nextMessages returns the messages to send now, given the state of this node. In a
@@ -184,30 +189,60 @@
 		}
 		return []outgoing{out}
 	}
-	parent, ok := t.chooseParent(now)
-	var out []outgoing
-	if ok {
-		out = append(out, t.messageFor(now, local, parent, Up))
-	}
+	return t.treeMessages(now, local)
+}
+
+// treeMessages returns the messages for the neighbours in the tree: the state of this
+// node merged with the current state from its other neighbours. The states are merged
+// once; the message to a child names the part that came from the child itself.
+func (t *table) treeMessages(now time.Time, local Message) []outgoing {
+	parent, hasParent := t.chooseParent(now)
+	merged := local
+	merged.Loads = make(map[string]dispatch.Load, len(local.Loads))
+	addLoads(merged.Loads, local.Loads)
+	var children []*peer
 	for _, p := range t.peers {
-		if p != parent && p.lastMessage.Direction == Up && now.Sub(p.lastSeen) < parentTimeout {
-			out = append(out, t.messageFor(now, local, p, Down))
+		if p == parent || p.lastMessage.Direction != Up || !t.isCurrent(now, p) {
+			continue
+		}
+		merged.merge(p.lastMessage)
+		if now.Sub(p.lastSeen) < parentTimeout {
+			children = append(children, p)
 		}
 	}
+	var out []outgoing
+	if hasParent {
+		up := merged
+		up.Direction, up.Loads = Up, maps.Clone(merged.Loads)
+		out = append(out, outgoing{message: up, to: []netip.AddrPort{parent.Address}})
+		if t.isCurrent(now, parent) && parent.lastMessage.Direction == Down {
+			merged.merge(parent.lastMessage)
+		}
+	}
+	loads := sync.OnceValues(func() ([]byte, error) { return json.Marshal(merged.Loads) })
+	for _, p := range children {
+		out = append(out, outgoing{message: t.messageToChild(now, local, merged, p), loads: loads, to: []netip.AddrPort{p.Address}})
+	}
 	return out
 }
 
-// messageFor returns the message for a neighbour in the tree: the state of this node
-// merged with the current state from its other neighbours.
-func (t *table) messageFor(now time.Time, local Message, to *peer, d Direction) outgoing {
-	m := local
-	m.Direction = d
+// messageToChild returns the message to a child, given the state of this node and that of
+// this node and all neighbours together.
+func (t *table) messageToChild(now time.Time, local, merged Message, child *peer) Message {
+	m := merged
+	m.Direction = Down
+	m.Nodes -= child.lastMessage.Nodes
+	m.Excess = child.lastMessage.Loads
+	if !child.lastMessage.hasLists() {
+		return m
+	}
+	m.Silent, m.Dead, m.Closing = local.Silent, local.Dead, local.Closing
 	for _, p := range t.peers {
-		if p != to && t.isCurrent(now, p) && p.lastMessage.Direction != Direct {
-			m.merge(p.lastMessage)
+		if p != child && t.isCurrent(now, p) && p.lastMessage.Direction != Direct {
+			m.mergeLists(p.lastMessage)
 		}
 	}
-	return outgoing{message: m, to: []netip.AddrPort{to.Address}}
+	return m
 }
 
 // nodeCount returns the number of other nodes whose state the current messages of
@@ -223,21 +258,15 @@
 }
 
 // reachable returns the peers that have sent a message lately and, in a tree, also
-// those that are not avoided as parents, in the order of relay.Precedes.
+// those that are not avoided as parents, in no order.
 func (t *table) reachable(now time.Time) []relay.Peer {
-	var out []relay.Peer
+	out := make([]relay.Peer, 0, len(t.peers))
 	for _, p := range t.peers {
 		heard := p.live && now.Sub(p.lastSeen) < peerTimeout
 		if heard || t.isTree() && !now.Before(p.avoidUntil) {
 			out = append(out, p.Peer)
 		}
 	}
-	slices.SortFunc(out, func(a, b relay.Peer) int {
-		if relay.Precedes(a, b) {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -86,14 +87,18 @@
 
 // deliver hands a message to those of its receivers that are running, unless it is lost.
 func (s *simulation) deliver(from netip.AddrPort, o outgoing) {
+	data, err := o.encode()
+	Expect(err).NotTo(HaveOccurred())
 	for _, to := range o.to {
 		s.sent++
 		n := s.nodes[to]
 		if n.down || s.rng.Float64() < s.lossRate {
 			continue
 		}
-		if n.recordMessage(s.now, o.message, from) {
-			n.heard[o.message.Node] = o.message
+		m, err := decodeMessage(data)
+		Expect(err).NotTo(HaveOccurred())
+		if n.recordMessage(s.now, m, from) {
+			n.heard[m.Node] = m
 		}
 	}
 }
@@ -207,3 +212,45 @@
 		expectSums(s)
 	})
 })
+
+var _ = DescribeTable("A message with loads of its receiver leaves these out",
+	func(loads, excess, want map[string]dispatch.Load) {
+		m := Message{Loads: loads, Excess: excess}
+		m.subtractExcess()
+		Expect(m.Loads).To(Equal(want))
+		Expect(m.Excess).To(BeNil())
+	},
+	Entry("a part of a load", map[string]dispatch.Load{"a": {InFlight: 3, PendingPromptTokens: 5}},
+		map[string]dispatch.Load{"a": {InFlight: 1, PendingPromptTokens: 5}}, map[string]dispatch.Load{"a": {InFlight: 2}}),
+	Entry("a whole load", map[string]dispatch.Load{"a": {InFlight: 1}, "b": {InFlight: 1}},
+		map[string]dispatch.Load{"a": {InFlight: 1}}, map[string]dispatch.Load{"b": {InFlight: 1}}),
+	Entry("more than there is", map[string]dispatch.Load{"a": {InFlight: 1}}, map[string]dispatch.Load{"a": {InFlight: 2}, "c": {InFlight: 1}},
+		map[string]dispatch.Load{}),
+	Entry("without any loads", nil, map[string]dispatch.Load{"c": {InFlight: 1}}, nil),
+)
+
+// BenchmarkParent measures a round of messages of a parent in the tree, encoded.
+func BenchmarkParent(b *testing.B) {
+	const heads, loadsPerChild = 150, 10
+	for _, children := range []int{9, 39} {
+		now := time.Unix(0, 0)
+		self := relay.Peer{ID: "0", Zone: "z", Cores: 1}
+		t := &table{self: self, peers: map[string]*peer{}, onPeerEvent: func(string, *peer, time.Duration) {}}
+		for i := range children {
+			m := Message{Node: fmt.Sprintf("n%d", i), Zone: "z", Direction: Up, Nodes: 1, Loads: map[string]dispatch.Load{}}
+			for j := range loadsPerChild {
+				m.Loads[fmt.Sprintf("i-%08x", (i*loadsPerChild+j)%heads)] = dispatch.Load{InFlight: 1, PendingPromptTokens: 100}
+			}
+			t.recordMessage(now, m, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1))
+		}
+		b.Run(fmt.Sprint(children), func(b *testing.B) {
+			for range b.N {
+				for _, o := range t.nextMessages(now, Message{Node: "0", Zone: "z"}) {
+					if _, err := o.encode(); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		})
+	}
+}
