gossip: Encode loads as a string; survive malformed messages

Nothing authenticates that socket.

Change: loads are one string, and the object of older nodes is still read; older nodes can't read the string and log peer.unreadable until they are replaced. Counts that no sound node sends are clamped, and a panic while a datagram is handled is an error of that datagram.

entry: A stream whose chunks don't continue the answer stalls; one that goes on beyond the tokens asked for fails.

--- a/entry/chat.go
+++ b/entry/chat.go
@@ -308,7 +308,8 @@
 }
 
 // readChunks adds the stream's chunks to the answer until it is complete. It
-// fails if the stream ends early or skips a chunk.
+// fails if the stream ends early, skips a chunk or goes on beyond the tokens asked for.
+// Only chunks that continue the answer keep the stream from stalling.
 func (g *generateTask) readChunks(ctx context.Context, s chunkReader, stall *time.Timer, progress func()) *verdict.Error {
 	for {
 		chunk, err := s.Next()
@@ -318,10 +319,17 @@
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "the stream ended with chunks missing")
 		}
-		stall.Reset(g.stallTimeout())
+		before := g.answer.Tokens()
 		if failure := g.addChunk(chunk); failure != nil {
 			return failure
 		}
+		if g.answer.Tokens() > before || g.answer.Complete() {
+			stall.Reset(g.stallTimeout())
+		}
+		if g.answer.Tokens() > g.maxTokens {
+			g.node.stats.count("chunk_excess")
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the upstream sent more than the %d tokens asked for", g.maxTokens)
+		}
 		progress()
 		if g.answer.Complete() {
 			return nil
@@ -353,7 +361,8 @@
 	return nil
 }
 
-// stallTimeout returns the time without a chunk that counts as a stall.
+// stallTimeout returns the time without a chunk that continues the answer which counts
+// as a stall.
 func (g *generateTask) stallTimeout() time.Duration {
 	t := g.class.Targets
 	target := time.Duration(t.BetweenTokensWithin)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"maps"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -240,12 +241,31 @@
 	return slices.Concat(data[:len(data)-1], []byte(`,"loads":`), loads, []byte("}")), nil
 }
 
+// handle handles a datagram. Anybody on the network can send one, so a fault in the
+// handling is an error of this datagram and does not end the process.
+func (g *Gossip) handle(data []byte, from netip.AddrPort) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.AssertionFailedf("handling a message: %v\n%s", r, debug.Stack())
+		}
+	}()
+	m, err := decodeMessage(data)
+	if err != nil {
+		return err
+	}
+	if g.acceptMessage(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
+		g.onMessage(m)
+	}
+	return nil
+}
+
 // decodeMessage decodes a message as it is sent.
 func decodeMessage(data []byte) (Message, error) {
 	var m Message
 	if err := json.Unmarshal(data, &m); err != nil {
 		return Message{}, err
 	}
+	m.clampCounts()
 	m.subtractExcess()
 	return m, nil
 }
@@ -262,13 +282,8 @@
 			}
 			continue
 		}
-		m, err := decodeMessage(buf[:n])
-		if err != nil {
+		if err := g.handle(buf[:n], from); err != nil {
 			g.logger.Warn(decisions.PeerUnreadable, "from", from.String(), "bytes", n, "error", err)
-			continue
-		}
-		if g.acceptMessage(m, netip.AddrPortFrom(from.Addr().Unmap(), from.Port())) {
-			g.onMessage(m)
 		}
 	}
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -94,7 +94,7 @@
 			}).Should(BeNumerically(">", before))
 		}
 		for _, m := range b.changes() {
-			Expect(m.Loads).To(Equal(map[string]dispatch.Load{"a-vm": {InFlight: 3}}))
+			Expect(m.Loads).To(BeEquivalentTo(map[string]dispatch.Load{"a-vm": {InFlight: 3}}))
 			Expect(m.Silent).To(BeEmpty())
 		}
 	})
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -39,8 +39,8 @@
 	// Loads holds the loads by the id of the VM that takes the requests. Excess holds
 	// those loads in it that the receiver itself reported, and that it must subtract:
 	// thus a sender encodes Loads once for all of its children.
-	Loads  map[string]dispatch.Load `json:"loads,omitempty"`
-	Excess map[string]dispatch.Load `json:"excess,omitempty"`
+	Loads  loadMap `json:"loads,omitempty"`
+	Excess loadMap `json:"excess,omitempty"`
 	// Silent lists the ids of the head VMs of replicas that have requests but send
 	// nothing.
 	Silent []string `json:"silent,omitempty"`
@@ -54,6 +54,22 @@
 	Closing []string `json:"closing,omitempty"`
 }
 
+// maxCount bounds each count in a message. The sum of all that a node adds up stays far
+// below the largest int.
+const maxCount = 1 << 31
+
+// clampCounts replaces counts that no sound node sends by the nearest possible ones.
+func (m *Message) clampCounts() {
+	m.Nodes = clampCount(m.Nodes)
+	for _, loads := range []loadMap{m.Loads, m.Excess} {
+		for vm, l := range loads {
+			loads[vm] = dispatch.Load{InFlight: clampCount(l.InFlight), PendingPromptTokens: clampCount(l.PendingPromptTokens)}
+		}
+	}
+}
+
+func clampCount(n int) int { return min(max(0, n), maxCount) }
+
 // subtractExcess removes the receiver's own loads from a received message.
 func (m *Message) subtractExcess() {
 	for vm, own := range m.Excess {
@@ -88,7 +104,7 @@
 }
 
 // addLoads adds loads to those in sum.
-func addLoads(sum, loads map[string]dispatch.Load) {
+func addLoads(sum, loads loadMap) {
 	for vm, l := range loads {
 		s := sum[vm]
 		s.InFlight += l.InFlight
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -198,7 +198,7 @@
 func (t *table) treeMessages(now time.Time, local Message) []outgoing {
 	parent, hasParent := t.chooseParent(now)
 	merged := local
-	merged.Loads = make(map[string]dispatch.Load, len(local.Loads))
+	merged.Loads = make(loadMap, len(local.Loads))
 	addLoads(merged.Loads, local.Loads)
 	var children []*peer
 	for _, p := range t.peers {
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -213,20 +214,36 @@
 	})
 })
 
+var _ = DescribeTable("Loads are the same after they are sent", func(loads map[string]dispatch.Load) {
+	data, err := json.Marshal(Message{Node: "n", Loads: loads})
+	Expect(err).NotTo(HaveOccurred())
+	m, err := decodeMessage(data)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(m.Loads).To(BeEquivalentTo(loads))
+},
+	Entry("none", map[string]dispatch.Load(nil)),
+	Entry("some", map[string]dispatch.Load{"i-1": {InFlight: 2}, "i-2": {InFlight: 1, PendingPromptTokens: 900}, "i-3": {PendingPromptTokens: 4}}),
+	Entry("of VMs with separators in their ids", map[string]dispatch.Load{`a;b,c"d%3B`: {InFlight: 1}, "": {InFlight: 2}}),
+)
+
+var _ = It("reads the loads that older nodes send", func() {
+	m, err := decodeMessage([]byte(`{"node":"n","loads":{"a":{"n":3,"u":5}}}`))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(m.Loads).To(BeEquivalentTo(map[string]dispatch.Load{"a": {InFlight: 3, PendingPromptTokens: 5}}))
+})
+
 var _ = DescribeTable("A message with loads of its receiver leaves these out",
-	func(loads, excess, want map[string]dispatch.Load) {
+	func(loads, excess, want loadMap) {
 		m := Message{Loads: loads, Excess: excess}
 		m.subtractExcess()
 		Expect(m.Loads).To(Equal(want))
 		Expect(m.Excess).To(BeNil())
 	},
-	Entry("a part of a load", map[string]dispatch.Load{"a": {InFlight: 3, PendingPromptTokens: 5}},
-		map[string]dispatch.Load{"a": {InFlight: 1, PendingPromptTokens: 5}}, map[string]dispatch.Load{"a": {InFlight: 2}}),
-	Entry("a whole load", map[string]dispatch.Load{"a": {InFlight: 1}, "b": {InFlight: 1}},
-		map[string]dispatch.Load{"a": {InFlight: 1}}, map[string]dispatch.Load{"b": {InFlight: 1}}),
-	Entry("more than there is", map[string]dispatch.Load{"a": {InFlight: 1}}, map[string]dispatch.Load{"a": {InFlight: 2}, "c": {InFlight: 1}},
-		map[string]dispatch.Load{}),
-	Entry("without any loads", nil, map[string]dispatch.Load{"c": {InFlight: 1}}, nil),
+	Entry("a part of a load", loadMap{"a": {InFlight: 3, PendingPromptTokens: 5}},
+		loadMap{"a": {InFlight: 1, PendingPromptTokens: 5}}, loadMap{"a": {InFlight: 2}}),
+	Entry("a whole load", loadMap{"a": {InFlight: 1}, "b": {InFlight: 1}}, loadMap{"a": {InFlight: 1}}, loadMap{"b": {InFlight: 1}}),
+	Entry("more than there is", loadMap{"a": {InFlight: 1}}, loadMap{"a": {InFlight: 2}, "c": {InFlight: 1}}, loadMap{}),
+	Entry("without any loads", loadMap(nil), loadMap{"c": {InFlight: 1}}, loadMap(nil)),
 )
 
 // BenchmarkParent measures a round of messages of a parent in the tree, encoded.
@@ -254,3 +271,30 @@
 		})
 	}
 }
+
+// BenchmarkDecode measures the decoding of a message with the loads of many replicas, as
+// a string and as the object that older nodes send.
+func BenchmarkDecode(b *testing.B) {
+	const heads = 150
+	loads := map[string]dispatch.Load{}
+	for i := range heads {
+		loads[fmt.Sprintf("i-%08x", i)] = dispatch.Load{InFlight: i, PendingPromptTokens: 100 * i}
+	}
+	text, err := json.Marshal(Message{Node: "n", Loads: loads})
+	if err != nil {
+		b.Fatal(err)
+	}
+	object, err := json.Marshal(map[string]any{"node": "n", "loads": loads})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for name, data := range map[string][]byte{"string": text, "object": object} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				if _, err := decodeMessage(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
