formation: Form a former holder's replica again instead of opening it

Change: of former holders the planner adopts what is open. A replica that is complete but not open is dismantled and formed again under its own term, whose generation is above all joins under way; members that hold the model join in 0.2 s.

--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -163,6 +163,11 @@
 		// dismantled.
 	case a.openSent && (present < size || leaving):
 		r.dismantle(a, rep, leaving && present == size)
+	case a.adopted && !a.openSent && (a.dismantlingSince > 0 || ready == size):
+		// Former holders' orders that join a member to a replica of a later
+		// generation may still be in flight. Members that have joined a replica of
+		// this term refuse them, so the replica is formed again instead of opened.
+		r.dismantle(a, rep, false)
 	case !a.openSent && ready == size && !leaving:
 		r.open(a, rep)
 	case !a.openSent:
@@ -173,6 +178,8 @@
 		r.dismantle(a, rep, false)
 	case rep.Members[0].Member.State == fleet.MemberBroken:
 		r.release(a, "broken")
+	case rep.Members[0].Member.State == fleet.MemberReady && a.adopted:
+		r.dismantle(a, rep, false)
 	case rep.Members[0].Member.State == fleet.MemberReady:
 		r.open(a, rep)
 	}
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -391,8 +391,40 @@
 		Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)), Entry(nil, uint64(4)), Entry(nil, uint64(5)),
 		Entry(nil, uint64(6)), Entry(nil, uint64(7)), Entry(nil, uint64(8)), Entry(nil, uint64(9)), Entry(nil, uint64(10)),
 	)
+	// Engines that don't check fencing numbers carry out what former holders ordered, up
+	// to twelve seconds late. An engine that was restarted has also forgotten the
+	// generations that it has seen.
+	DescribeTable("keeps replicas so although half of the orders come late from former holders and no engine checks fencing numbers",
+		func(seed uint64) {
+			w = newWorld(seed, 8, 8, 8)
+			w.run(30*time.Second, nil)
+			w.gotRequests, w.delayedShare, w.lateOpens = true, 0.5, true
+			for i := range 60 {
+				w.planner.Reset(w.planner.term + 1)
+				if i%3 == 0 {
+					w.restartEngine()
+				}
+				w.run(time.Duration(w.rng.Int64N(int64(4*time.Second))), nil)
+			}
+			w.delayedShare = 0
+			Expect(w.run(3*time.Minute, w.servesAtLeast(1, 1))).To(BeTrue())
+		},
+		Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)), Entry(nil, uint64(4)),
+		// With these, a member of an open replica joined another one while a replica of
+		// a former holder was opened as soon as all of its members were ready.
+		Entry(nil, uint64(8)), Entry(nil, uint64(19)), Entry(nil, uint64(20)), Entry(nil, uint64(22)), Entry(nil, uint64(27)), Entry(nil, uint64(30)),
+	)
 })
 
+// restartEngine restarts one engine under its id: it belongs to no replica and has
+// forgotten the generations that it has seen.
+func (w *world) restartEngine() {
+	ids := slices.Sorted(maps.Keys(w.engines))
+	e := w.engines[ids[w.rng.IntN(len(ids))]]
+	e.vm.Boot, e.vm.Member, e.vm.Model, e.vm.LastModel = int64(w.now), fleet.Membership{}, "", ""
+	e.members, e.lastGeneration, e.readyAt, e.openAt, e.closedAt, e.brokenAt = nil, 0, 0, 0, 0, 0
+}
+
 // stalledHead returns the head of an open replica of a model that lacks a
 // member; empty if there is none.
 func (w *world) stalledHead(model string) string {
