exchange: Believe a response without an id on a connection's first request only

What callers saw: a faulty engine wrote an earlier refusal once more on a kept connection. The caller of the next request was told 503, "not run, try again", though an engine ran the request (REFUSED), or the request was sent on and ran at a second engine (TWICE).

Cause: platform.belongsToRequest takes any response of 400 and above without an attempt id for the request's own, also on a connection that has carried other requests. The same holds for a copy that names the request itself: a replica formed again with the same head has another instance key, so a request can come to the same address twice, on the same connection.

Change: an exchange tells a response that names no request from one that does. On a connection's first request there is nothing to confuse it with, and it counts as before, so a sound engine's refusal is still retried. On a later request it is ErrUnattributedResponse: the request may have run, and the connection is closed. A connection isn't used for a request that it has carried; it carries 512 requests with ids at most, which bounds the memory for them. Responses that can't be attributed are no longer counted as a crash of the upstream; they have counters and a log line.

Ruled out: bytes that wait on an idle connection (the pool peeks before it writes), bytes behind a complete response (the connection isn't kept), and a copy that names another request (skipped); each has a spec.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -21,6 +21,7 @@
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
 	UpstreamTooLong      = "upstream.too_long"
+	UpstreamUnattributed = "upstream.unattributed"
 	UpstreamDead         = "upstream.dead"
 	UpstreamEvicted      = "upstream.evicted"
 	UpstreamBack         = "upstream.back"
@@ -87,6 +88,7 @@
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; its requests were moved to other replicas."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
+		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,9 @@
 	ErrTooManyConnections = errors.New("too many connections to the upstream")
 	// ErrUnmatchedResponse marks a response that answers another request.
 	ErrUnmatchedResponse = errors.New("response belongs to another request")
+	// ErrUnattributedResponse marks a response that names no request on a connection
+	// that has carried several.
+	ErrUnattributedResponse = errors.New("response names no request on a reused connection")
 )
 
 // Limits on what an upstream may send for one request.
@@ -71,9 +74,16 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response answers this request; nil accepts any
+	// ID identifies the request. If it is not empty, the request is not sent on a
+	// connection that has carried a request with the same id.
+	ID string
+	// Matches reports whether a response may answer this request; nil accepts any
 	// response.
 	Matches func(status int, h http.Header) bool
+	// Identifies reports whether a response names the request that it answers; nil
+	// stands for one that always does. A response that doesn't may be a copy of an
+	// earlier one, so it is accepted only on a connection's first request.
+	Identifies func(h http.Header) bool
 }
 
 // encode returns the request in wire format.
@@ -123,11 +133,12 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	c, reused, err := p.get(ctx, address)
+	c, reused, err := p.get(ctx, address, r.ID)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
+	c.noteCarried(r.ID)
 	if n, err := c.net.Write(data); err != nil {
 		stopAbort()
 		p.put(c, false)
@@ -136,7 +147,7 @@
 		}
 		return nil, errors.Wrap(err, "sending")
 	}
-	resp, err := c.readMatchingResponse(r)
+	resp, err := c.readMatchingResponse(r, reused)
 	if err != nil {
 		stopAbort()
 		p.put(c, false)
@@ -155,14 +166,18 @@
 }
 
 // readMatchingResponse reads the response to a request. Complete responses to
-// earlier requests on the connection are skipped.
-func (c *conn) readMatchingResponse(r *Request) (*http.Response, error) {
+// earlier requests on the connection are skipped. reused is whether the connection has
+// carried an earlier request.
+func (c *conn) readMatchingResponse(r *Request, reused bool) (*http.Response, error) {
 	for range maxSkippedResponses + 1 {
 		resp, err := c.readFinal(r.Method)
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the response")
 		}
 		c.applyKeepAlive(resp.Header)
+		if reused && r.Identifies != nil && !r.Identifies(resp.Header) {
+			return nil, errors.Wrapf(ErrUnattributedResponse, "status %d", resp.StatusCode)
+		}
 		if r.Matches == nil || r.Matches(resp.StatusCode, resp.Header) {
 			c.closeAfterResponse = resp.Close
 			return resp, nil
@@ -217,7 +232,8 @@
 // connection and nothing follows the response in the buffer.
 func (r *Response) Close() {
 	notAborted := r.stopAbort()
-	reusable := notAborted && r.atEOF && r.framed && !r.conn.closeAfterResponse && r.conn.reader.Buffered() == 0
+	reusable := notAborted && r.atEOF && r.framed && !r.conn.closeAfterResponse && r.conn.reader.Buffered() == 0 &&
+		len(r.conn.carried) < maxRequestsPerConn
 	r.release(r.conn, reusable)
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -210,3 +210,39 @@
 		Expect(pool.hosts).To(BeEmpty())
 	})
 })
+
+// serveRaw starts an upstream whose connections are handled by a function, which is
+// called for the nth request of each, counted from 0.
+func serveRaw(handle func(c io.ReadWriter, n int)) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	u := &upstream{listener: l}
+	DeferCleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				defer c.Close()
+				for n := range 2 {
+					handle(c, n)
+				}
+			}()
+		}
+	}()
+	return u
+}
+
+// readID reads the head of a request, or the rest of a request, and returns the id in it;
+// empty if there is none.
+func readID(c io.Reader) string {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.Header.Get(idHeader)
+}
--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -28,7 +28,7 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := newConn(bytesConn{reader: bytes.NewReader(data)}, "a")
-		resp, err := c.readMatchingResponse(&Request{Method: http.MethodPost, Matches: request("1").Matches})
+		resp, err := c.readMatchingResponse(&Request{Method: http.MethodPost, Matches: request("1").Matches}, true)
 		if err != nil {
 			return
 		}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
@@ -21,6 +23,9 @@
 	// defaultIdleTimeout is assumed to be the upstream's idle timeout if the
 	// upstream doesn't state it.
 	defaultIdleTimeout = 4 * time.Second
+	// maxRequestsPerConn bounds the requests with an id on a connection, and so the
+	// memory for their ids.
+	maxRequestsPerConn = 512
 	// idleTimeoutFraction is the fraction of the upstream's idle timeout after
 	// which an idle connection is no longer used, so that no request is sent
 	// while the upstream closes the connection.
@@ -72,6 +77,9 @@
 	// closeAfterResponse is whether the upstream announced that it closes the
 	// connection after the latest response.
 	closeAfterResponse bool
+	// carried holds the hashes of the ids of the requests that were sent on the
+	// connection.
+	carried []uint64
 }
 
 func newConn(n net.Conn, address string) *conn {
@@ -85,6 +93,19 @@
 	_ = c.net.Close()
 }
 
+// noteCarried notes that a request is sent on the connection.
+func (c *conn) noteCarried(id string) {
+	if id != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(id))
+	}
+}
+
+// hasCarried reports whether a request with this id was sent on the connection; never
+// for an empty id.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
 	p := &Pool{options: o, hosts: map[string]*host{}}
@@ -101,11 +122,11 @@
 	return errors.CombineErrors(err, sockErr)
 }
 
-// get returns a usable idle connection, or else opens one. It reports whether the
-// connection was idle before.
-func (p *Pool) get(ctx context.Context, address string) (*conn, bool, error) {
+// get returns a usable idle connection that has not carried the request with the given
+// id, or else opens one. It reports whether the connection was idle before.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, bool, error) {
 	for {
-		c, ok, err := p.takeIdleOrReserve(address)
+		c, ok, err := p.takeIdleOrReserve(address, id)
 		if err != nil {
 			return nil, false, err
 		}
@@ -128,10 +149,12 @@
 	return newConn(n, address), false, nil
 }
 
-// takeIdleOrReserve takes the most recently used idle connection to an address. If
-// there is none, it reports false and counts a connection that the caller may then
-// open, or returns ErrTooManyConnections if the limit is reached.
-func (p *Pool) takeIdleOrReserve(address string) (*conn, bool, error) {
+// takeIdleOrReserve takes the most recently used idle connection to an address that has
+// not carried the request with the given id. If there is none, it reports false and
+// counts a connection that the caller may then open, or returns ErrTooManyConnections if
+// the limit is reached. An idle connection that has carried the request is closed if it
+// takes the place of the new one.
+func (p *Pool) takeIdleOrReserve(address, id string) (*conn, bool, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h, ok := p.hosts[address]
@@ -139,13 +162,14 @@
 		h = &host{}
 		p.hosts[address] = h
 	}
-	if n := len(h.idle); n > 0 {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		return c, true, nil
+	for i, c := range slices.Backward(h.idle) {
+		if !c.hasCarried(id) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c, true, nil
+		}
 	}
 	if p.options.MaxPerAddress != nil {
-		if limit := p.options.MaxPerAddress(address); limit > 0 && h.open >= limit {
+		if limit := p.options.MaxPerAddress(address); limit > 0 && h.open >= limit && !h.closeOldest() {
 			return nil, false, ErrTooManyConnections
 		}
 	}
@@ -153,6 +177,18 @@
 	return nil, false, nil
 }
 
+// closeOldest closes the connection that has been idle longest; it reports false if none
+// is idle.
+func (h *host) closeOldest() bool {
+	if len(h.idle) == 0 {
+		return false
+	}
+	h.idle[0].abort()
+	h.idle = slices.Delete(h.idle, 0, 1)
+	h.open--
+	return true
+}
+
 // put returns a connection to the pool if keep is set, and closes it otherwise.
 func (p *Pool) put(c *conn, keep bool) {
 	if !keep {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -218,6 +218,9 @@
 // the upstream sent more than a limit allows, the limit is logged and counted, and the
 // upstream is suspected, because the next answer may not end either.
 func (f *forwarder) readFailed(t fleet.Target, detail string, err error) *verdict.Error {
+	if e, ok := f.unattributed(t, detail, err); ok {
+		return e
+	}
 	limit, tooLong := bounded.Exceeded(err)
 	if !tooLong {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "%s: %v", detail, err)
