exchange: Specs for answers that break off in their head or body

Shows that the reported fault (an engine stops in the middle of its answer's head; callers get a 200 with an empty or short body) doesn't occur in the exchange: at each byte of a head, with a close or a reset, the request fails as one that may have run. A body counts as whole at its length, its last chunk, or a clean end of the connection where it has neither; a reset, a short body, chunks without an end and two lengths are failures, also in HTTP/1.0. No code had to change, so no spec fails on the code before, except that Framed is new: it lets users tell whether the end of a body is stated.

Not covered: HTTP/1.0 with Transfer-Encoding. net/http ignores the field there, so the chunks' lengths would be passed on as part of the body.

--- /dev/null
+++ b/exchange/cutoff_test.go
@@ -0,0 +1,120 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// cutOff starts an upstream that answers each connection's request with data and then
+// closes the connection, or resets it.
+func cutOff(data string, reset bool) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = l.Close() })
+	u := &upstream{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go func() {
+				readID(c)
+				_, _ = io.WriteString(c, data)
+				if reset {
+					// The bytes must arrive before the reset discards them.
+					time.Sleep(20 * time.Millisecond)
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			}()
+		}
+	}()
+	return u
+}
+
+var _ = Describe("An answer that breaks off", func() {
+	var pool *Pool
+	BeforeEach(func() {
+		pool = NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
+	})
+	// do returns the status and the body of the answer to a request, and the error that
+	// ended it.
+	do := func(u *upstream) (int, string, error) {
+		resp, err := pool.Do(context.Background(), u.address(), request("1"))
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Close()
+		body, err := io.ReadAll(resp)
+		return resp.Status, string(body), err
+	}
+	const head = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+	const unframedHead = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nX-Stamp: abc\r\n\r\n"
+
+	// Guards against an answer whose head stopped in the middle: callers got a 200 with
+	// an empty body.
+	It("anywhere in its head is a failure of a request that was sent", func() {
+		for _, whole := range []string{head, unframedHead} {
+			for cut := range whole {
+				for _, reset := range []bool{false, true} {
+					if reset && cut%7 != 0 {
+						continue
+					}
+					_, _, err := do(cutOff(whole[:cut], reset))
+					Expect(err).To(HaveOccurred(), "%q, reset %t", whole[:cut], reset)
+					Expect(errors.Is(err, ErrNotSent)).To(BeFalse())
+				}
+			}
+		}
+		Expect(pool.hosts).To(BeEmpty())
+	})
+
+	// Guards against a body that was cut off and passed on as a whole one.
+	DescribeTable("in its body is a failure", func(data string, reset bool) {
+		status, body, err := do(cutOff(data, reset))
+		Expect(err).To(HaveOccurred(), "%d %q", status, body)
+		Expect(pool.hosts).To(BeEmpty())
+	},
+		Entry("short of its length", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 9\r\n\r\nhalf", false),
+		Entry("short of its length, reset", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 9\r\n\r\nhalf", true),
+		Entry("in a chunk", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf", false),
+		Entry("in a chunk's length", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0", false),
+		Entry("before the last chunk", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false),
+		Entry("in the end of the last chunk", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", false),
+		Entry("before the last chunk of a body with both length and chunks",
+			"HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false),
+		Entry("by a reset where it has no length", unframedHead+"half", true),
+		Entry("by a reset where it has no length and no byte of it came", unframedHead, true),
+		Entry("by a reset in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+idHeader+": 1\r\n\r\nhalf", true),
+		Entry("short of its length in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 9\r\n\r\nhalf", false),
+		Entry("with two lengths", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nhalf", false),
+	)
+
+	DescribeTable("at a clean end of its connection is whole if it has neither a length nor chunks", func(data string) {
+		status, body, err := do(cutOff(data, false))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("all"))
+	},
+		Entry("in HTTP/1.1", unframedHead+"all"),
+		Entry("in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+idHeader+": 1\r\n\r\nall"),
+	)
+
+	It("says whether its end shows without the end of its connection", func() {
+		for data, framed := range map[string]bool{head: true, unframedHead + "all": false} {
+			resp, err := pool.Do(context.Background(), cutOff(data, false).address(), request("1"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Framed()).To(Equal(framed))
+			resp.Close()
+		}
+	})
+})
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -224,6 +224,10 @@
 	return n, err
 }
 
+// Framed reports whether the response has a length or a transfer encoding. The body of
+// another response ends with its connection.
+func (r *Response) Framed() bool { return r.framed }
+
 // SetReadDeadline sets the deadline for later reads of the body.
 func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.net.SetReadDeadline(t) }
 
