gateway: Relay only events that prove to continue a resumed stream

What callers saw: a stream had begun and broke off; the next engine answered the resumption with a stream whose event had no id, or one that is no number.

Cause: eventBuffer.position takes an event for the next one if its id or that of the last event is no number. In a first stream that is right, since the engine's body is relayed unchanged; in a resumed one it lets any text through. A stream whose ids are no numbers, or without ids, was begun again from its start behind the part that the caller had.

Change: in a stream that resumes events already relayed, an event with a content must have the number that follows. Comments may stand between.

--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -27,6 +27,9 @@
 	// count is the number of events with an id that were relayed. Other blocks,
 	// such as comments, are no sign that the upstream makes progress.
 	count int
+	// relayed says that an event was relayed, with an id or without; resumed says that
+	// this was so when the current stream began.
+	relayed, resumed bool
 }
 
 // add appends bytes of the stream and returns the events that are complete now,
@@ -50,8 +53,9 @@
 	start := 0
 	for at := 0; at < len(whole); {
 		n := bytes.Index(whole[at:], eventEnd) + len(eventEnd)
-		id := eventID(whole[at : at+n])
-		switch b.position(id) {
+		event := whole[at : at+n]
+		id := eventID(event)
+		switch b.position(event, id) {
 		case positionRepeated:
 			if at != start {
 				// A repeated event may only precede new events.
@@ -61,6 +65,9 @@
 		case positionAfterGap:
 			return whole[start:at], false
 		case positionNext:
+			if hasContent(event) {
+				b.relayed = true
+			}
 			if id != "" {
 				b.count++
 				b.lastID = id
@@ -80,16 +87,24 @@
 	positionAfterGap
 )
 
-// position compares an event's id with the id of the last relayed event. It returns
-// positionNext if either id is not a number, because only numbers can be checked.
-func (b *eventBuffer) position(id string) eventPosition {
+// position compares an event's id with the id of the last relayed event. Only numbers
+// can be checked: if either id is none, the event is taken for the next one in the first
+// stream, and in a resumed stream, which must prove that it continues the first one, for
+// one after a gap.
+func (b *eventBuffer) position(event []byte, id string) eventPosition {
+	unchecked := positionNext
+	if b.resumed && hasContent(event) {
+		unchecked = positionAfterGap
+	}
 	last, err := strconv.ParseInt(b.lastID, 10, 64)
 	if err != nil {
-		return positionNext
+		return unchecked
 	}
 	n, err := strconv.ParseInt(id, 10, 64)
 	switch {
-	case err != nil || n == last+1:
+	case err != nil:
+		return unchecked
+	case n == last+1:
 		return positionNext
 	case n <= last:
 		return positionRepeated
@@ -108,7 +123,20 @@
 
 // discardPending drops an incomplete event whose stream was cut off, before another
 // upstream resumes the stream.
-func (b *eventBuffer) discardPending() { b.pending = b.pending[:0] }
+func (b *eventBuffer) discardPending() {
+	b.pending = b.pending[:0]
+	b.resumed = b.relayed
+}
+
+// hasContent reports whether an event has a line that is neither empty nor a comment.
+func hasContent(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
 
 // eventID returns the id of an event; empty if it has none.
 func eventID(event []byte) string {
--- a/gateway/eventbuffer_test.go
+++ b/gateway/eventbuffer_test.go
@@ -90,3 +90,46 @@
 		}
 	})
 }
+
+// Guards against foreign text in the middle of a caller's stream: a stream broke off, and
+// the upstream that was to resume it sent an error as an event, or began elsewhere.
+var _ = Describe("Events of a resumed stream", func() {
+	// resume adds the first part of a stream, and after its upstream has failed a second
+	// part. It returns what is relayed of the second part.
+	resume := func(first, second string) (string, bool) {
+		b := &eventBuffer{}
+		_, inOrder := b.add([]byte(first))
+		Expect(inOrder).To(BeTrue())
+		b.discardPending()
+		out, inOrder := b.add([]byte(second))
+		return string(out), inOrder
+	}
+
+	DescribeTable("are relayed only if they continue the stream", func(first, second, want string, inOrder bool) {
+		got, ok := resume(first, second)
+		Expect(ok).To(Equal(inOrder))
+		Expect(got).To(Equal(want))
+	},
+		Entry("the next event", events(1, 2), events(3), events(3), true),
+		Entry("a comment before the next event", events(1, 2), ": wait\n\n"+events(3), ": wait\n\n"+events(3), true),
+		Entry("an event without an id", events(1, 2), "event: error\ndata: overloaded\n\n"+events(3), "", false),
+		Entry("an event without an id after the next event", events(1, 2), events(3)+"data: overloaded\n\n", events(3), false),
+		Entry("an event with an id that is no number", events(1, 2), "id: x\ndata: y\n\n"+events(3), "", false),
+		Entry("an event with an empty id", events(1, 2), "id:\ndata: y\n\n", "", false),
+		Entry("text that is no event", events(1, 2), "upstream failed\n\n"+events(3), "", false),
+		Entry("the head of an answer", events(1, 2), "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n", "", false),
+		Entry("an event after a gap", events(1, 2), events(4), "", false),
+		Entry("any event of a stream whose ids are no numbers", "id: a\ndata: x\n\n", "id: b\ndata: x\n\n", "", false),
+		Entry("any event of a stream without ids", "data: x\n\n", "data: x\n\n", "", false),
+		Entry("the first event after comments alone", ": wait\n\n", events(1), events(1), true),
+	)
+
+	It("are relayed as the upstream sends them in the first stream", func() {
+		for _, whole := range []string{"data: x\n\ndata: y\n\n", "id: a\ndata: x\n\nid: b\ndata: x\n\n", events(1) + "data: y\n\n" + events(2)} {
+			b := &eventBuffer{}
+			got, inOrder := b.add([]byte(whole))
+			Expect(inOrder).To(BeTrue())
+			Expect(string(got)).To(Equal(whole))
+		}
+	})
+})
