gateway: Break off a resumed stream that ends without a further event

What callers saw: a stream had begun and broke off; the next engine answered the resumption with an empty stream, and the callers' stream ended as if it were complete. Likewise an engine that closed its connection behind the head of a stream without length and chunks gave a 200 with an empty body, framed as whole.

Cause: endStream takes any end of a stream outside an event for the end of the answer.

Change: a resumed stream must bring at least one event that was not relayed before; otherwise it is a bad answer, sent on or broken off as others. A first stream without events is whole only if its head states the end (a length, or chunks). The price: if an engine dies between its last event and the end of its answer, the caller's stream breaks off, and the caller resumes it itself.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -363,10 +363,10 @@
 }
 
 // endStream ends an answer after the upstream has ended its stream. It fails if the
-// stream ended within an event.
+// stream is not whole.
 func (f *forwarder) endStream(resp *exchange.Response) *verdict.Error {
-	if len(f.events.pending) > 0 {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream ended within an event")
+	if err := f.events.checkEnd(resp.Framed()); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", err)
 	}
 	if !f.answerStarted {
 		copyHeader(f.w.Header(), resp.Header)
--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 )
 
@@ -30,6 +32,8 @@
 	// relayed says that an event was relayed, with an id or without; resumed says that
 	// this was so when the current stream began.
 	relayed, resumed bool
+	// fresh says that the current stream has brought an event that was relayed.
+	fresh bool
 }
 
 // add appends bytes of the stream and returns the events that are complete now,
@@ -66,7 +70,7 @@
 			return whole[start:at], false
 		case positionNext:
 			if hasContent(event) {
-				b.relayed = true
+				b.relayed, b.fresh = true, true
 			}
 			if id != "" {
 				b.count++
@@ -125,7 +129,29 @@
 // upstream resumes the stream.
 func (b *eventBuffer) discardPending() {
 	b.pending = b.pending[:0]
-	b.resumed = b.relayed
+	b.resumed, b.fresh = b.relayed, false
+}
+
+// Errors of a stream that ended, but is not whole.
+var (
+	errEndInEvent = errors.New("the stream ended within an event")
+	errEmptyRest  = errors.New("the resumed stream has no further event")
+	errNoEvents   = errors.New("the stream ended with its connection before the first event")
+)
+
+// checkEnd returns why the current stream is not whole although it has ended. framed is
+// whether the upstream stated the end; otherwise its connection ended, which also happens
+// if the upstream does. A stream without an event proves no end of what was relayed.
+func (b *eventBuffer) checkEnd(framed bool) error {
+	switch {
+	case len(b.pending) > 0:
+		return errEndInEvent
+	case b.resumed && !b.fresh:
+		return errEmptyRest
+	case !framed && !b.fresh:
+		return errNoEvents
+	}
+	return nil
 }
 
 // hasContent reports whether an event has a line that is neither empty nor a comment.
--- a/gateway/eventbuffer_test.go
+++ b/gateway/eventbuffer_test.go
@@ -132,4 +132,26 @@
 			Expect(string(got)).To(Equal(whole))
 		}
 	})
+
+	// Guards against an answer that ends as if it were complete: the upstream that was to
+	// resume a stream sent none of it.
+	DescribeTable("are complete at the end of a stream", func(first, second string, framed, whole bool) {
+		b := &eventBuffer{}
+		if first != "" {
+			_, _ = b.add([]byte(first))
+			b.discardPending()
+		}
+		_, _ = b.add([]byte(second))
+		Expect(b.checkEnd(framed) == nil).To(Equal(whole))
+	},
+		Entry("that continues them", events(1), events(2), false, true),
+		Entry("that is the first", "", events(1), false, true),
+		Entry("but not within an event", "", events(1)+"id: 2\n", true, false),
+		Entry("but not after a line of an event", "", events(1)+"id: 2\ndata: x\n", true, false),
+		Entry("but not if a resumed stream brought none", events(1), "", true, false),
+		Entry("but not if a resumed stream brought only a comment", events(1), ": wait\n\n", true, false),
+		Entry("but not if a resumed stream brought only repeated ones", events(1, 2), events(1, 2), true, false),
+		Entry("that is empty, the first, and states its end", "", "", true, true),
+		Entry("but not if it is empty and ends with its connection", "", "", false, false),
+	)
 })
