--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -218,6 +218,9 @@
 // the upstream sent more than a limit allows, the limit is logged and counted, and the
 // upstream is suspected, because the next answer may not end either.
 func (f *forwarder) readFailed(t fleet.Target, detail string, err error) *verdict.Error {
+	if e, ok := f.unattributed(t, detail, err); ok {
+		return e
+	}
 	limit, tooLong := bounded.Exceeded(err)
 	if !tooLong {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "%s: %v", detail, err)
@@ -360,10 +363,10 @@
 }
 
 // endStream ends an answer after the upstream has ended its stream. It fails if the
-// stream ended within an event.
+// stream is not whole.
 func (f *forwarder) endStream(resp *exchange.Response) *verdict.Error {
-	if len(f.events.pending) > 0 {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream ended within an event")
+	if err := f.events.checkEnd(resp.Framed()); err != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", err)
 	}
 	if !f.answerStarted {
 		copyHeader(f.w.Header(), resp.Header)
