health: Date the statuses of VMs by their probes, not by their arrival

Cause: the holder took a peer's status as of its arrival. A status may come from a probe up to ReportTTL earlier, from a full share that is sent again after a lost answer, or from a heartbeat that waited while the holder was paused. So an idle status from before a join replaced the holder's own, later report of the membership.

Ruled out: a synchronised clock (none is required of the nodes), and an age alone with a bound on the time on the way (a paused holder exceeds any bound).

Change: the holder sends a reading of a clock of its own with each acknowledgement of a share. The next report returns it with its age, and the ages of the probes that first showed each status and of the oldest probe that showed them again. The holder derives from these when the VM certainly had given a status and when it certainly still gave it, however long the report was on its way. A status without ages, as in the first report to a holder and from nodes of earlier versions, counts as old as it can be. Statuses are ordered by these times.

--- a/health/health.go
+++ b/health/health.go
@@ -31,6 +31,11 @@
 	// the sequence number of its last change; 0 if there was none.
 	status    VMStatus
 	statusSeq int64
+	// askedAt and answeredAt are the times of the probe that showed the last
+	// change of status, and confirmedAt that of the latest probe that showed status.
+	askedAt     time.Time
+	answeredAt  time.Time
+	confirmedAt time.Time
 	// suspected says that a request found the VM unreachable or leaving since
 	// its last report.
 	suspected bool
@@ -61,6 +66,8 @@
 	seq int64
 	// remoteShares holds the shares that other nodes reported.
 	remoteShares map[record.NodeID]*remoteShare
+	// startedAt is the origin of Clock.
+	startedAt time.Time
 }
 
 // Nodes returns the ids of the live entry nodes.
@@ -190,6 +197,7 @@
 	}
 	st.Report = m.Report
 	st.LastSeen = m.SentAt
+	st.AsOf, st.ReportedBy, st.Source = m.SentAt, now, s.self
 	st.suspected = false
 	if u, ok := s.servedUpstream(m.VM); ok {
 		for _, name := range s.subscribers {
--- a/health/messages.go
+++ b/health/messages.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/port"
+	"github.com/tamarackcleat/tamarackcleat/record"
 )
 
 // Name is the service's registered name.
@@ -128,6 +129,13 @@
 	// its latest report or, on a node that observes all VMs, a later time given
 	// by other nodes' reports or by the start of observing.
 	LastSeen time.Time
+	// AsOf and ReportedBy bound when the VM gave Report, by this node's clock: it
+	// had given it by ReportedBy, and gave it still at AsOf or later. They are zero
+	// if no report was received.
+	AsOf       time.Time
+	ReportedBy time.Time
+	// Source is the node that probed the VM for Report.
+	Source record.NodeID
 }
 
 // Observed is sent to the observers. It lists all VMs and models.
--- a/health/share.go
+++ b/health/share.go
@@ -21,6 +21,9 @@
 	maxShareLag = ProbeInterval + time.Second + shareLagMargin
 	// shareLagMargin covers the time that a probe and a heartbeat take.
 	shareLagMargin = 500 * time.Millisecond
+	// maxUndatedAge bounds the time from a probe to the arrival of a status without
+	// an age: the status is valid for ReportTTL and waits for a heartbeat.
+	maxUndatedAge = ReportTTL + time.Second + shareLagMargin
 	// remoteShareTTL is how long another node's share is valid after the node's
 	// last report.
 	remoteShareTTL = 5 * time.Second
@@ -42,9 +45,14 @@
 	HeldWeights []string         `json:"held_weights,omitempty"`
 	// Busy says that requests run or wait on the VM.
 	Busy bool `json:"busy,omitempty"`
+	// AskedAgeMillis and AnsweredAgeMillis are the times in milliseconds from
+	// sending the probe that first showed this status, and from its answer, until
+	// the ShareReport was made.
+	AskedAgeMillis    int64 `json:"asked_age_ms,omitempty"`
+	AnsweredAgeMillis int64 `json:"answered_age_ms,omitempty"`
 }
 
-// equal reports whether all fields of two statuses are equal.
+// equal reports whether two statuses, neither of which has ages, are equal.
 func (v VMStatus) equal(w VMStatus) bool { return reflect.DeepEqual(v, w) }
 
 // ShareReport reports a node's share to the lease holder: the changes after the
@@ -53,6 +61,29 @@
 	Base int64      `json:"base"`
 	Seq  int64      `json:"seq"`
 	VMs  []VMStatus `json:"vms,omitempty"`
+	// Holder is the node that sent the clock reading HolderClockMillis, and
+	// HolderClockAgeMillis the time in milliseconds from its arrival until the
+	// report was made. Holder is empty in the first report to a lease holder, and
+	// in those of nodes that send no ages.
+	Holder               record.NodeID `json:"holder,omitempty"`
+	HolderClockMillis    int64         `json:"holder_clock_ms,omitempty"`
+	HolderClockAgeMillis int64         `json:"holder_clock_age_ms,omitempty"`
+	// ConfirmedAgeMillis is the time in milliseconds within which probes have shown
+	// again the status of every VM of the share that is alive.
+	ConfirmedAgeMillis int64 `json:"confirmed_age_ms,omitempty"`
+}
+
+// Acknowledgement is a lease holder's latest acknowledgement of this node's share.
+type Acknowledgement struct {
+	// Holder is the node that acknowledged the share.
+	Holder record.NodeID
+	// Seq is the sequence number up to which Holder knows the share; 0 if it needs
+	// the full share.
+	Seq int64
+	// ClockMillis is Holder's Clock when it sent the acknowledgement; 0 if it sent
+	// none. ReceivedAt is when the acknowledgement arrived at this node.
+	ClockMillis int64
+	ReceivedAt  time.Time
 }
 
 // remoteShare is the share that another node reported. seq is the sequence number
@@ -60,13 +91,18 @@
 type remoteShare struct {
 	seq      int64
 	lastSeen time.Time
-	vms      map[port.VMID]receivedStatus
+	// confirmedAt is a time after which probes have shown again the status of
+	// every VM that is alive.
+	confirmedAt time.Time
+	vms         map[port.VMID]receivedStatus
 }
 
-// receivedStatus is a reported status with the time at which it was received.
+// receivedStatus is a reported status with the bounds of its time, as in
+// Observation.
 type receivedStatus struct {
 	VMStatus
-	receivedAt time.Time
+	asOf       time.Time
+	reportedBy time.Time
 }
 
 // assign recomputes this node's share and starts to probe VMs that are new in it.
@@ -160,12 +196,14 @@
 		if !st.probing {
 			delete(s.probing, id)
 		}
+		st.confirmedAt = st.AsOf
 		if status.equal(st.status) || (status.Gone && st.statusSeq == 0) {
 			continue
 		}
 		s.seq++
 		st.status = status
 		st.statusSeq = s.seq
+		st.askedAt, st.answeredAt = st.AsOf, st.ReportedBy
 	}
 }
 
@@ -189,18 +227,66 @@
 	}
 }
 
+// Clock returns the time in milliseconds since an origin of this node's own. The
+// lease holder sends it with its acknowledgements and gets it back in ShareReport,
+// so that it can date the statuses without a clock that the nodes share.
+func (s *Service) Clock(now time.Time) int64 {
+	if s.startedAt.IsZero() {
+		// 0 means that there is no reading.
+		s.startedAt = now.Add(-time.Millisecond)
+	}
+	return now.Sub(s.startedAt).Milliseconds()
+}
+
 // Share returns the changes in this node's share after the sequence number that
 // the lease holder has acknowledged.
-func (s *Service) Share(acknowledged int64) ShareReport {
-	r := ShareReport{Base: acknowledged, Seq: s.seq}
+func (s *Service) Share(now time.Time, last Acknowledgement) ShareReport {
+	r := ShareReport{Base: last.Seq, Seq: s.seq}
+	if last.ClockMillis > 0 {
+		r.Holder = last.Holder
+		r.HolderClockMillis = last.ClockMillis
+		r.HolderClockAgeMillis = now.Sub(last.ReceivedAt).Milliseconds()
+		r.ConfirmedAgeMillis = ceilMillis(now.Sub(s.oldestConfirmation(now)))
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.vms)) {
-		if st := s.vms[id]; st.statusSeq > acknowledged {
-			r.VMs = append(r.VMs, st.status)
+		st := s.vms[id]
+		if st.statusSeq <= last.Seq {
+			continue
+		}
+		v := st.status
+		if !v.Gone && !st.askedAt.IsZero() {
+			v.AskedAgeMillis = ceilMillis(now.Sub(st.askedAt))
+			v.AnsweredAgeMillis = now.Sub(st.answeredAt).Milliseconds()
 		}
+		r.VMs = append(r.VMs, v)
 	}
 	return r
 }
 
+// oldestConfirmation returns the earliest time, over the VMs of this node's share
+// that are alive, of the latest probe that showed the VM's status; now if no VM is
+// alive.
+func (s *Service) oldestConfirmation(now time.Time) time.Time {
+	oldest := now
+	for _, st := range s.probing {
+		if st.status.Alive && st.confirmedAt.Before(oldest) {
+			oldest = st.confirmedAt
+		}
+	}
+	return oldest
+}
+
+// ceilMillis returns a duration in milliseconds, rounded up.
+func ceilMillis(d time.Duration) int64 {
+	return (d + time.Millisecond - 1).Milliseconds()
+}
+
+// duration returns the duration of a count of milliseconds in a report, 0 for a
+// negative one.
+func duration(millis int64) time.Duration {
+	return time.Duration(max(0, millis)) * time.Millisecond
+}
+
 // Merge applies a report of another node's share. It returns the sequence number up
 // to which this node now knows that share, or 0 if it needs the full share.
 func (s *Service) Merge(now time.Time, from record.NodeID, r ShareReport) int64 {
@@ -215,8 +301,18 @@
 	}
 	share.lastSeen = now
 	share.seq = r.Seq
+	madeAt, dated := s.madeAt(now, r)
+	share.confirmedAt = now.Add(-maxUndatedAge - maxShareLag)
+	if dated {
+		share.confirmedAt = madeAt.Add(-duration(r.ConfirmedAgeMillis))
+	}
 	for _, v := range r.VMs {
-		share.vms[v.VM] = receivedStatus{VMStatus: v, receivedAt: now}
+		received := receivedStatus{VMStatus: v, asOf: now.Add(-maxUndatedAge), reportedBy: now}
+		if dated {
+			received.asOf = madeAt.Add(-duration(v.AskedAgeMillis))
+			received.reportedBy = now.Add(-duration(v.AnsweredAgeMillis))
+		}
+		share.vms[v.VM] = received
 		if v.Gone {
 			delete(share.vms, v.VM)
 		}
@@ -224,6 +320,21 @@
 	return r.Seq
 }
 
+// madeAt returns a time, by this node's clock, at which or after which another node
+// made a report, and false if the report does not say. The report may have been on
+// its way for any time, as while this node was paused, so the time of its arrival
+// is no such bound.
+func (s *Service) madeAt(now time.Time, r ShareReport) (time.Time, bool) {
+	if r.Holder != s.self || r.HolderClockMillis <= 0 || s.startedAt.IsZero() {
+		return time.Time{}, false
+	}
+	at := s.startedAt.Add(duration(r.HolderClockMillis) + duration(r.HolderClockAgeMillis))
+	if at.After(now) {
+		at = now
+	}
+	return at, true
+}
+
 // dropExpiredShares removes the shares of nodes whose last report is older than
 // remoteShareTTL.
 func (s *Service) dropExpiredShares(now time.Time) {
@@ -235,14 +346,13 @@
 }
 
 // observation returns the latest state of a VM that this node probed or another node
-// reported. If no node is known to watch the VM, LastSeen is no earlier than the time
+// reported: states are ordered by the times of the probes that showed them. If no node is known to watch the VM, LastSeen is no earlier than the time
 // at which this node began to observe all VMs: a new lease holder knows little until
 // other nodes have reported their shares, and must not count VMs as lost before that.
 func (s *Service) observation(st *vmState) Observation {
 	best := st.Observation
-	asOf := st.LastSeen
 	watched := st.probing
-	for _, share := range s.remoteShares {
+	for from, share := range s.remoteShares {
 		v, ok := share.vms[st.VM.ID]
 		watched = watched || ok
 		if !ok || !v.Alive {
@@ -251,9 +361,9 @@
 		if share.lastSeen.After(best.LastSeen) {
 			best.LastSeen = share.lastSeen
 		}
-		if at := share.asOf(v); at.After(asOf) {
-			asOf = at
-			best.Report = v.report()
+		if asOf := share.asOf(v); asOf.After(best.AsOf) {
+			best.Report, best.Source = v.report(), from
+			best.AsOf, best.ReportedBy = asOf, v.reportedBy
 		}
 	}
 	if !watched && s.observingSince.After(best.LastSeen) {
@@ -262,15 +372,14 @@
 	return best
 }
 
-// asOf returns the latest time at which a status certainly was true: when it was
-// received, or maxShareLag before the node's latest report, if that is later and
-// the status did not change. Without subtracting maxShareLag, the status of a node
-// that has not probed the VM since a change would replace that of a node that has.
+// asOf returns the latest time at which, or after which, the VM certainly reported a
+// status: that of the probe that first showed it, or of a later one by the node's
+// latest report.
 func (r *remoteShare) asOf(v receivedStatus) time.Time {
-	if confirmed := r.lastSeen.Add(-maxShareLag); confirmed.After(v.receivedAt) {
-		return confirmed
+	if r.confirmedAt.After(v.asOf) {
+		return r.confirmedAt
 	}
-	return v.receivedAt
+	return v.asOf
 }
 
 // report returns the VM's report as far as the status holds it. The status does not
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -61,6 +61,8 @@
 	// ShareAck acknowledges a Share: it is the sequence number up to which the
 	// lease holder knows the receiver's share, 0 if it needs the full share.
 	ShareAck int64 `json:"share_ack,omitempty"`
+	// ShareClockMillis is, with ShareAck, the sender's health.Service.Clock.
+	ShareClockMillis int64 `json:"share_clock_ms,omitempty"`
 }
 
 // Send is the effect that sends a heartbeat. The peer's heartbeat in response comes
@@ -104,7 +106,8 @@
 // VMs is the part of health checking that this service uses.
 type VMs interface {
 	Observations() []health.Observation
-	Share(acknowledged int64) health.ShareReport
+	Share(now time.Time, last health.Acknowledgement) health.ShareReport
+	Clock(now time.Time) int64
 	Merge(now time.Time, from record.NodeID, r health.ShareReport) int64
 }
 
@@ -126,23 +129,22 @@
 	lastContact time.Time
 	lastFetch   time.Time
 	holder      LeaseHolder
-	// ackedSeq holds, by lease holder, the sequence number up to which the
-	// lease holder knows this node's share.
-	ackedSeq map[record.NodeID]int64
+	// acknowledged is the latest acknowledgement of this node's share by a lease
+	// holder.
+	acknowledged health.Acknowledgement
 }
 
 // New returns the service of the node at an address. rng chooses the peers that
 // get heartbeats.
 func New(address string, self Self, log Log, vms VMs, holder LeaseHolder, rng *rand.Rand) *Service {
 	return &Service{
-		address:  address,
-		self:     self,
-		log:      log,
-		vms:      vms,
-		holder:   holder,
-		rng:      rng,
-		peers:    map[record.NodeID]*Peer{},
-		ackedSeq: map[record.NodeID]int64{},
+		address: address,
+		self:    self,
+		log:     log,
+		vms:     vms,
+		holder:  holder,
+		rng:     rng,
+		peers:   map[record.NodeID]*Peer{},
 	}
 }
 
@@ -177,7 +179,7 @@
 	var out []kernel.Effect
 	holder, holderKnown := s.peers[s.holder()]
 	if holderKnown {
-		share := s.vms.Share(s.ackedSeq[holder.Node])
+		share := s.vms.Share(now, s.acknowledgedBy(holder.Node))
 		withShare := heartbeat
 		withShare.Share = &share
 		out = append(out, Send{Address: holder.Address, Heartbeat: withShare})
@@ -190,6 +192,15 @@
 	return out
 }
 
+// acknowledgedBy returns the latest acknowledgement of this node's share if holder
+// sent it, and an empty one otherwise.
+func (s *Service) acknowledgedBy(holder record.NodeID) health.Acknowledgement {
+	if s.acknowledged.Holder != holder {
+		return health.Acknowledgement{}
+	}
+	return s.acknowledged
+}
+
 // addresses returns the addresses of the other entry VMs in the VM list and of
 // peers that sent heartbeats themselves.
 func (s *Service) addresses() []string {
@@ -214,6 +225,7 @@
 		answer := s.self.Heartbeat(now)
 		if m.Heartbeat.Share != nil {
 			answer.ShareAck = s.vms.Merge(now, m.Heartbeat.Node, *m.Heartbeat.Share)
+			answer.ShareClockMillis = s.vms.Clock(now)
 		}
 		out = append(out, kernel.Reply{ID: m.Ask, Msg: answer})
 	}
@@ -221,7 +233,12 @@
 		return out
 	}
 	if m.Ask == 0 && m.Heartbeat.Node == s.holder() {
-		s.ackedSeq = map[record.NodeID]int64{m.Heartbeat.Node: m.Heartbeat.ShareAck}
+		s.acknowledged = health.Acknowledgement{
+			Holder:      m.Heartbeat.Node,
+			Seq:         m.Heartbeat.ShareAck,
+			ClockMillis: m.Heartbeat.ShareClockMillis,
+			ReceivedAt:  now,
+		}
 	}
 	s.lastContact = now
 	s.peers[m.Heartbeat.Node] = &Peer{Heartbeat: m.Heartbeat, LastSeen: now}
