controller: Take a VM for restarted only by a later report, and log dissolutions

Cause: any observation without the membership, or with another boot, ended a replica at once, also if the report was given before that of the membership. The daemons logged nothing of dissolutions, so their logs did not say why.

Change: the membership is lost only if the report was certainly given after the VM had reported the membership; else it is ignored, counted (controller.report.outdated) and logged once (upstream.outdated). A real loss is still recognised at the first report from a probe sent after the VM had reported its membership. New lines upstream.restarted and replica.dissolved say why: both reports, how long ago the VM gave them, which node probed it. The daemon's logger no longer blocks: it writes through decisions.Writer as the gateway's does.

--- a/controller/fleet.go
+++ b/controller/fleet.go
@@ -51,6 +51,21 @@
 type membership struct {
 	generation record.Position
 	boot       string
+	// seen is the observation that showed the membership earliest.
+	seen health.Observation
+	// doubted says that an observation has contradicted the membership, and may be
+	// an earlier one than seen.
+	doubted bool
+}
+
+// contradiction is an observation that contradicts a membership, found once for each
+// membership and value of lost.
+type contradiction struct {
+	replica    string
+	membership membership
+	now        health.Observation
+	// lost says that now is certainly later than the observation of the membership.
+	lost bool
 }
 
 func newFleetState() fleetState {
@@ -62,11 +77,11 @@
 	}
 }
 
-// observe replaces the VMs by those of a new observation and records which
-// members of replicas have lost their membership. An observation that lists
-// fewer than half as many VMs as before is ignored until such lists have
-// persisted for acceptShrunkAfter.
-func (f *fleetState) observe(now time.Time, all []health.Observation, control *ledger.Control) {
+// observe replaces the VMs by those of a new observation, records which members of
+// replicas have lost their membership, and returns the new contradictions. An
+// observation that lists fewer than half as many VMs as before is ignored until such
+// lists have persisted for acceptShrunkAfter.
+func (f *fleetState) observe(now time.Time, all []health.Observation, control *ledger.Control) []contradiction {
 	f.observedAt = now
 	engines := listedEngines(all)
 	f.shrunk = 2*len(engines) < len(f.vms)
@@ -76,14 +91,18 @@
 		f.shrunkSince = now
 	}
 	if f.shrunk && now.Sub(f.shrunkSince) < acceptShrunkAfter {
-		return
+		return nil
 	}
 	f.shrunk = false
 	f.vms = engines
 	f.updateFirstSeen(now)
+	var found []contradiction
 	for _, o := range engines {
-		f.updateMembership(o, control)
+		if c, ok := f.updateMembership(o, control); ok {
+			found = append(found, c)
+		}
 	}
+	return found
 }
 
 // listedEngines returns the listed engine VMs, sorted by ID.
@@ -115,24 +134,47 @@
 }
 
 // updateMembership records whether a VM has joined the replica that it belongs
-// to by the ledger, or has lost that membership since.
-func (f *fleetState) updateMembership(o health.Observation, control *ledger.Control) {
+// to by the ledger, or has lost that membership since. It returns a new
+// contradiction, and false if there is none.
+func (f *fleetState) updateMembership(o health.Observation, control *ledger.Control) (contradiction, bool) {
 	id := o.VM.ID
 	name, owned := control.ReplicaOf(id)
 	if !owned {
 		delete(f.joined, id)
 		delete(f.restarted, id)
-		return
+		return contradiction{}, false
 	}
 	r, _ := control.Replica(name)
 	last, joined := f.joined[id]
 	joined = joined && last.generation == r.Generation
+	agrees := inReplica(o.Report, r) && (!joined || o.Report.Boot == last.boot)
 	switch {
-	case joined && (!inReplica(o.Report, r) || o.Report.Boot != last.boot):
-		f.restarted[id] = r.Generation
-	case inReplica(o.Report, r):
-		f.joined[id] = membership{generation: r.Generation, boot: o.Report.Boot}
+	case !joined && agrees:
+		f.joined[id] = membership{generation: r.Generation, boot: o.Report.Boot, seen: o}
+	case joined && agrees && o.ReportedBy.Before(last.seen.ReportedBy):
+		last.seen = o
+		f.joined[id] = last
+	case joined && !agrees:
+		return f.contradict(last, o, r)
+	}
+	return contradiction{}, false
+}
+
+// contradict handles an observation that contradicts a VM's membership of replica r.
+// The membership is lost only if the observation is certainly the later one: nodes
+// probe a VM at different times, and their reports arrive in any order.
+func (f *fleetState) contradict(last membership, o health.Observation, r ledger.Replica) (contradiction, bool) {
+	c := contradiction{
+		replica: r.Name, membership: last, now: o, lost: o.AsOf.After(last.seen.ReportedBy),
+	}
+	known := last.doubted
+	if c.lost {
+		known = f.restarted[o.VM.ID] == r.Generation
+		f.restarted[o.VM.ID] = r.Generation
 	}
+	last.doubted = true
+	f.joined[o.VM.ID] = last
+	return c, !known
 }
 
 // inReplica reports whether, according to its report, a VM is a member of
--- a/controller/plan.go
+++ b/controller/plan.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"log/slog"
 	"math"
 	"time"
 
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/placement"
 	"github.com/tamarackcleat/tamarackcleat/port"
@@ -119,6 +121,7 @@
 		}
 	case placement.Dissolve:
 		s.count("dissolve." + string(a.Cause))
+		s.logDissolution(now, a)
 		r.Dissolve = &record.Dissolution{
 			Term: term, Replica: a.Replica, Generation: a.Generation, Cause: string(a.Cause),
 		}
@@ -130,6 +133,20 @@
 	return s.append(r, s.lease.validUntil)
 }
 
+// logDissolution logs the decision to dissolve a replica, with the state of its
+// members.
+func (s *Service) logDissolution(now time.Time, a placement.Dissolve) {
+	var members []any
+	if r, ok := s.Control.Replica(a.Replica); ok {
+		for _, id := range r.VMs {
+			o, _ := s.fleet.find(id)
+			members = append(members, reportGroup(string(id), now, o))
+		}
+	}
+	s.Logger.Info(decisions.ReplicaDissolved, "replica", a.Replica, "generation", int64(a.Generation), "cause", a.Cause,
+		slog.Group("members", members...))
+}
+
 // measuredLoad returns the load of each model: running and queued requests
 // divided by the slots of one replica, summed over the model's replicas. A load
 // of 1 is one replica with all slots in use. The figures come from the reports
--- a/controller/service.go
+++ b/controller/service.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
 	"github.com/tamarackcleat/tamarackcleat/configuration"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/ledger"
@@ -56,6 +58,8 @@
 	// Metrics holds the counters of decisions. If it is nil, New creates a
 	// registry that is not exported.
 	Metrics metrics.Registry
+	// Logger logs decisions. If it is nil, New creates one that discards them.
+	Logger *slog.Logger
 }
 
 // Service is the controller of one node.
@@ -87,6 +91,9 @@
 	if s.Metrics == nil {
 		s.Metrics = metrics.NewRegistry()
 	}
+	if s.Logger == nil {
+		s.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Service{
 		Settings: s,
 		lease:    newLeaseState(),
@@ -128,7 +135,9 @@
 		s.lease.forget(m.Record.ID)
 	case health.Observed:
 		s.models = m.Models
-		s.fleet.observe(now, m.VMs, s.Control)
+		for _, c := range s.fleet.observe(now, m.VMs, s.Control) {
+			s.logContradiction(now, c)
+		}
 	case configuration.Changed:
 		s.document = m.Document
 	case OrderDone:
@@ -206,6 +215,31 @@
 	}
 }
 
+// logContradiction logs why a VM counts as restarted, or that a report which
+// contradicts its membership is ignored, with both reports and their ages.
+func (s *Service) logContradiction(now time.Time, c contradiction) {
+	event, before, after := decisions.UpstreamRestarted, c.membership.seen, c.now
+	if !c.lost {
+		event = decisions.UpstreamOutdated
+		s.count("report.outdated")
+	}
+	s.Logger.Info(event, "upstream", after.VM.ID, "replica", c.replica, "generation", int64(c.membership.generation),
+		reportGroup("member", now, before), reportGroup("latest", now, after))
+}
+
+// reportGroup returns the attributes of an observed report: what the VM reported, at
+// least how long ago it first did and at most how long ago it still did, in
+// milliseconds, and the node that probed it.
+func reportGroup(name string, now time.Time, o health.Observation) slog.Attr {
+	if o.AsOf.IsZero() {
+		return slog.String(name, "no report")
+	}
+	return slog.Group(name,
+		"boot", o.Report.Boot, "state", o.Report.State, "replica", o.Report.Replica, "generation", o.Report.Generation,
+		"reported_ms_ago", now.Sub(o.ReportedBy).Milliseconds(), "confirmed_ms_ago", now.Sub(o.AsOf).Milliseconds(),
+		"source", o.Source)
+}
+
 // append returns the effect that appends a record to the control stream. The
 // log service abandons the record if it was not read back by the deadline.
 func (s *Service) append(r record.Record, deadline time.Time) kernel.Effect {
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -292,6 +292,7 @@
 		o.VM, o.Listed = e.vm, true
 		if !e.unreachable && !n.cutVMs {
 			o.Report, o.LastSeen = e.rep, w.now
+			o.AsOf, o.ReportedBy, o.Source = w.now, w.now, n.svc.Node
 		}
 		n.lastSeen[id] = o
 		all = append(all, o)
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -24,11 +24,14 @@
 	UpstreamDead         = "upstream.dead"
 	UpstreamEvicted      = "upstream.evicted"
 	UpstreamBack         = "upstream.back"
+	UpstreamRestarted    = "upstream.restarted"
+	UpstreamOutdated     = "upstream.outdated"
 	ReplicaFormed        = "replica.formed"
 	ReplicaOpening       = "replica.opening"
 	ReplicaAdopted       = "replica.adopted"
 	ReplicaDismantled    = "replica.dismantled"
 	ReplicaReleased      = "replica.released"
+	ReplicaDissolved     = "replica.dissolved"
 	OrderNotAccepted     = "order.not_accepted"
 	ReplicaTraded        = "replica.traded"
 	ModelStaged          = "model.staged"
@@ -91,11 +94,14 @@
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
 		{UpstreamBack, "A VM that was considered dead answers probes again."},
+		{UpstreamRestarted, "A member of a replica no longer reports the membership that it reported before, as after a restart, so the replica is dissolved: both reports, how long ago the VM gave them and the nodes that probed it."},
+		{UpstreamOutdated, "A report that contradicts a VM's membership of its replica is ignored, because it may be older than the report of the membership: both reports, how long ago the VM gave them and the nodes that probed it."},
 		{ReplicaFormed, "VMs were ordered to join a new replica or standby replica: model, members, number of model loads, expected time."},
 		{ReplicaOpening, "All members of a replica are ready, and its head was ordered to accept requests."},
 		{ReplicaAdopted, "A new holder of the control lease took over a replica that an earlier holder had formed."},
 		{ReplicaDismantled, "A replica is ended because it lost a member or will lose one: whether planned, members that still report."},
 		{ReplicaReleased, "The members of a replica may join other replicas: reason."},
+		{ReplicaDissolved, "The holder of the control lease of tamarackcleatd ends a replica: cause, and of each member the latest report, how long ago the VM gave it and the node that probed it."},
 		{ReplicaTraded, "A replica is closed so that its VMs can form a replica of a model that is further below its share: ranks of both models, free VMs."},
 		{ModelStaged, "A VM was ordered to load another model onto its host in advance, so that it can join a replica of that model without delay."},
 		{OrderNotAccepted, "A VM did not accept an order or did not answer it; the VM may still carry the order out later."},
--- a/entry/command.go
+++ b/entry/command.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/tamarackcleat/tamarackcleat/config/static"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 )
 
 // Command returns the command line interface of the daemon tamarackcleatd.
@@ -34,7 +35,9 @@
 		_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
 		return err
 	}
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: settings.LogLevel.Level()}))
+	logCtx, stopLog := context.WithCancel(context.Background())
+	defer stopLog()
+	logger := slog.New(slog.NewJSONHandler(decisions.NewWriter(logCtx, os.Stderr), &slog.HandlerOptions{Level: settings.LogLevel.Level()}))
 	node, err := New(settings, logger)
 	if err != nil {
 		return err
--- a/entry/node.go
+++ b/entry/node.go
@@ -120,6 +120,7 @@
 		Rand:    rng,
 		NewID:   newID,
 		Metrics: n.registry,
+		Logger:  n.logger,
 	})
 	selection := router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry})
 	n.subscribe()
