quarantine: Append a crash known from a peer before the trial of its request

A request that crashes its upstreams crashed three replicas where two are allowed, if a node that saw the first crash told its peers of it and was paused, or died, before the crash was on the log.

Cause: the peer asks for a trial, but the log accepts a trial only of a request whose crash it holds. The peer took the rejected trial for a suspect that was cleared meanwhile, forgot the crash and ran the request as not suspected. Its crash then counted as the first, so one more trial was allowed.

Evidence: failuretest, "crashes at most two replicas although its first crash reaches the log late"; without the change it fails with 3 crashes, expected 2.

Ruled out: to refuse such a suspect until the crash is read from the log. It may never get there, and the requests that only ran beside the cause would be refused for good.

Change: a node that knows a crash from a peer only appends it in front of the trial. Both carry the generation of the replica, so the crash's own record, if it follows, is a duplicate.

--- a/failuretest/quarantine_test.go
+++ b/failuretest/quarantine_test.go
@@ -60,6 +60,13 @@
 	})
 }
 
+// reportSuspects passes the suspects that a node knows to another one, as a heartbeat
+// does.
+func (r *requestRunner) reportSuspects(from, to *node) {
+	known := from.services[quarantine.Name].(*quarantine.Service).LocalSuspects()
+	r.schedule(event{at: r.now, node: to, to: quarantine.Name, msg: quarantine.PeerSuspects{Suspects: known}})
+}
+
 // execute runs a request on a new replica and reports to quarantine that the
 // replica crashed or, for a trial run, that it survived. trial is the attempt of a
 // trial run and empty otherwise.
@@ -143,12 +150,63 @@
 		r.run(time.Second)
 		r.send(w.nodes[0], "poison", true)
 		r.run(time.Second)
-		known := w.nodes[0].services[quarantine.Name].(*quarantine.Service).LocalSuspects()
-		w.schedule(event{at: w.now, node: w.nodes[1], to: quarantine.Name, msg: quarantine.PeerSuspects{Suspects: known}})
+		r.reportSuspects(w.nodes[0], w.nodes[1])
 		r.run(time.Second)
 		r.send(w.nodes[1], "poison", true)
 		r.run(time.Second)
 		Expect(r.crashed).To(Equal(2))
 		Expect(r.refused["poison"]).To(Equal(1))
 	})
+
+	// crashBeforeOutageEnds makes a node report a crash to its peer but pauses it
+	// before the crash is on the log, and ends the outage of the log.
+	crashBeforeOutageEnds := func(bystanders ...string) *requestRunner {
+		w := newWorld(6, 2)
+		r := newRequestRunner(w)
+		r.run(time.Second)
+		w.log.outage = true
+		r.run(time.Second)
+		r.send(w.nodes[0], "poison", true, bystanders...)
+		r.run(100 * time.Millisecond)
+		r.reportSuspects(w.nodes[0], w.nodes[1])
+		w.nodes[0].pause()
+		r.run(100 * time.Millisecond)
+		w.log.outage = false
+		r.run(5 * time.Second)
+		return r
+	}
+
+	// Guards against a node that clears a suspect which a peer reported, because the
+	// log does not hold the crash yet.
+	It("crashes at most two replicas although its first crash reaches the log late", func() {
+		r := crashBeforeOutageEnds()
+		for range 4 {
+			r.send(r.nodes[1], "poison", true)
+			r.run(time.Second)
+		}
+		r.nodes[0].resume()
+		r.run(5 * time.Second)
+		for _, n := range r.nodes {
+			r.send(n, "poison", true)
+			r.run(time.Second)
+		}
+		Expect(r.crashed).To(Equal(2))
+		Expect(r.refused["poison"]).To(BeNumerically(">=", 2))
+	})
+
+	It("does not get the other requests of its replica refused although its crash reaches the log late", func() {
+		r := crashBeforeOutageEnds("innocent")
+		r.send(r.nodes[1], "innocent", false)
+		r.run(time.Second)
+		r.send(r.nodes[1], "innocent", false)
+		r.run(time.Second)
+		r.nodes[0].resume()
+		r.run(5 * time.Second)
+		for _, n := range r.nodes {
+			r.send(n, "innocent", false)
+			r.run(time.Second)
+		}
+		Expect(r.ran["innocent"]).To(Equal(4))
+		Expect(r.refused).To(BeEmpty())
+	})
 })
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -194,15 +194,25 @@
 		return s.localTrial(m)
 	}
 	s.pendingTrials[m.Attempt] = m
-	return []kernel.Effect{
+	giveUp := now.Add(trialReadBackWait)
+	var out []kernel.Effect
+	if !ok {
+		// The crash may not be on the log yet: the node that saw it may be paused or
+		// gone. The log accepts a trial only after the crash.
+		out = append(out, s.append(now, record.Record{Suspect: &record.Suspect{
+			Fingerprint: m.Fingerprint,
+			Generation:  local.Generation,
+		}}, giveUp))
+	}
+	return append(out,
 		s.append(now, record.Record{Trial: &record.Trial{
 			Fingerprint: m.Fingerprint,
 			Attempt:     m.Attempt,
 			Node:        s.node,
 			Replaces:    known.Attempt,
-		}}, now.Add(trialReadBackWait)),
+		}}, giveUp),
 		kernel.SetTimer{To: Name, After: trialReadBackWait, Msg: trialReadBackTimeout{m.Attempt}},
-	}
+	)
 }
 
 // trialInProgress returns the refusal of a suspect that may not run now because
--- a/record/record.go
+++ b/record/record.go
@@ -188,7 +188,8 @@
 type Suspect struct {
 	// Fingerprint is a digest of the request's content.
 	Fingerprint string `json:"fingerprint"`
-	// Replica and Generation identify the replica that crashed.
+	// Replica and Generation identify the replica that crashed. Replica is empty if
+	// the node knows of the crash only from a peer.
 	Replica    string   `json:"replica"`
 	Generation Position `json:"generation"`
 }
