entry: Log crashes of upstreams and the probes that find them

Change: upstream.probed says what the probe of an upstream that broke an answer found, after how many probes and with which error; request.crashed, which the gateway logs already, names the request, the replica with its generation, the attempt, whether it was a trial and whether the crash counts.

Measured: go test ./entry ./decisions pass; the two specs of "A VM whose connection broke", which now ask for the line, fail without the change.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -20,6 +20,7 @@
 	UpstreamGone         = "upstream.gone"
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
+	UpstreamProbed       = "upstream.probed"
 	UpstreamTooLong      = "upstream.too_long"
 	UpstreamUnattributed = "upstream.unattributed"
 	UpstreamDead         = "upstream.dead"
@@ -81,7 +82,7 @@
 		{RequestFailed, "The node itself answered with a failure to a request that may have run: verdict, reason, detail."},
 		{RequestBroken, "An answer was cut off after a part of it had been sent to the caller: reason, number of events sent."},
 		{RequestAbandoned, "The caller disconnected before the answer was complete."},
-		{RequestCrashed, "An upstream's process ended while it ran a request: number of upstreams that requests with this content have crashed."},
+		{RequestCrashed, "An upstream's process ended while it ran a request: number of upstreams that requests with this content have crashed; tamarackcleatd says whether the attempt was a trial and whether the crash counts against the content."},
 		{ConfigInForce, "A configuration took effect: version, offset in the log, routes, services, keys."},
 		{ConfigUnreadable, "A configuration record could not be decoded; the previous configuration stays in force."},
 		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models."},
@@ -91,6 +92,7 @@
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; its requests were moved to other replicas."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
+		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
--- a/entry/node.go
+++ b/entry/node.go
@@ -29,6 +29,7 @@
 	"github.com/tamarackcleat/tamarackcleat/config/static"
 	"github.com/tamarackcleat/tamarackcleat/configuration"
 	"github.com/tamarackcleat/tamarackcleat/controller"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
@@ -274,22 +275,33 @@
 	}
 }
 
-// hasCrashed probes an upstream whose stream broke and reports whether it
-// crashed: no connection to its process can be opened, or the process reports
-// another replica or generation. It returns false if there is no result within
-// crashProbeTimeout, because silence does not prove a crash.
+// hasCrashed reports whether an upstream whose stream broke crashed, and logs the
+// finding.
 func (n *Node) hasCrashed(u balance.Upstream) bool {
+	began := time.Now()
+	crashed, probes, err := n.probeForCrash(u)
+	n.logger.Info(decisions.UpstreamProbed, "upstream", u.ID, "generation", u.Generation, "crashed", crashed,
+		"probes", probes, "took_ms", time.Since(began).Milliseconds(), "error", err)
+	return crashed
+}
+
+// probeForCrash probes an upstream and reports whether it crashed: no connection to
+// its process can be opened, or the process reports another replica or generation.
+// It reports false if there is no result within crashProbeTimeout, because silence
+// does not prove a crash. It also returns the number of probes and the error of the
+// last one.
+func (n *Node) probeForCrash(u balance.Upstream) (crashed bool, probes int, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
-	for {
+	for probes = 1; ; probes++ {
 		report, err := n.upstream.Report(ctx, u.Address)
 		switch {
 		case err == nil:
-			return report.Replica != u.ID || report.Generation != u.Generation
+			return report.Replica != u.ID || report.Generation != u.Generation, probes, nil
 		case ctx.Err() != nil:
-			return false
+			return false, probes, err
 		case verdict.FromError(err).Reason == verdict.ReasonConnect:
-			return true
+			return true, probes, err
 		}
 		// A process that is ending closes its connections before its port, so it
 		// may have accepted the probe's connection and then cut it.
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -7,6 +7,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/peers"
 	"github.com/tamarackcleat/tamarackcleat/quarantine"
@@ -72,7 +73,12 @@
 	if crashed || failure.Verdict == verdict.NotRun {
 		g.node.suspectUpstream(u.ID, failure)
 	}
-	if !crashed || g.unlikelyCause(end) {
+	counts := crashed && !g.unlikelyCause(end)
+	if crashed {
+		g.node.logger.Warn(decisions.RequestCrashed, "request_id", g.id, "upstream", u.ID, "generation", u.Generation,
+			"attempt", end.id, "trial", end.trial, "counts", counts)
+	}
+	if !counts {
 		g.endTrial(end.trial, end.id, record.TrialNotRun)
 		return
 	}
--- a/entry/suspects_test.go
+++ b/entry/suspects_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"log/slog"
 	"net"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,7 +13,12 @@
 )
 
 var _ = Describe("A VM whose connection broke", func() {
-	node := &Node{upstream: porthttp.NewUpstream(nil)}
+	var lines bytes.Buffer
+	var node *Node
+	BeforeEach(func() {
+		lines.Reset()
+		node = &Node{upstream: porthttp.NewUpstream(nil), logger: slog.New(slog.NewJSONHandler(&lines, nil))}
+	})
 
 	// Guards against a missed crash: the port of a process that was ending accepted
 	// the probe's connection and cut it, so the request that had crashed it crashed
@@ -27,6 +34,10 @@
 			Expect(l.Close()).To(Succeed())
 		}()
 		Expect(node.hasCrashed(balance.Upstream{ID: "r", Address: l.Addr().String()})).To(BeTrue())
+		Expect(lines.String()).To(And(
+			ContainSubstring(`"msg":"upstream.probed","upstream":"r"`), MatchRegexp(`"crashed":true,"probes":[2-9]`),
+			ContainSubstring("connection refused"),
+		))
 	})
 
 	It("does not count as crashed if it accepts connections but never replies", func() {
@@ -34,5 +45,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
 		Expect(node.hasCrashed(balance.Upstream{ID: "r", Address: l.Addr().String()})).To(BeFalse())
+		Expect(lines.String()).To(And(
+			ContainSubstring(`"msg":"upstream.probed","upstream":"r"`), ContainSubstring(`"crashed":false,"probes":1`),
+		))
 	})
 })
