gateway: Leave a silent upstream only once another one answers

Cause: an attempt at a silent or slow upstream was canceled first, and only then did the node find out whether the request could go on elsewhere. The retry budget could be spent, no other replica have room, or the next one refuse the request.

Ruled out: a change of the configuration as such (no broken answer had no failed or left upstream before it).

Change: a move is an attempt of its own. It takes a place at another upstream and a retry of the budget, sends the request there, and ends the running attempt only once the other upstream has begun an answer of the same kind. This covers silent replicas, replicas with a VM that does not answer probes, and slow plain services. request.not_moved and move.denied.REASON say why a request stays.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -5,6 +5,7 @@
 const (
 	RequestSent          = "request.sent"
 	RequestRetried       = "request.retried"
+	RequestNotMoved      = "request.not_moved"
 	RequestAnswered      = "request.answered"
 	RequestRefused       = "request.refused"
 	RequestFailed        = "request.failed"
@@ -76,6 +77,7 @@
 	return []Event{
 		{RequestSent, "An attempt of a request was sent to an upstream: load of the upstream, last event relayed to the caller, time since the request arrived."},
 		{RequestRetried, "An attempt failed and the request will be sent again: reason, verdict and number of the failed attempt."},
+		{RequestNotMoved, "An attempt at a silent or slow upstream goes on because the request can't be sent elsewhere now: reason, detail."},
 		{RequestAnswered, "The complete answer was sent to the caller: status, attempts, time to the first byte and to the end."},
 		{RequestRefused, "The request was refused; it has not run and will not: reason, detail, delay after which the caller may retry."},
 		{RequestFailed, "The node itself answered with a failure to a request that may have run: verdict, reason, detail."},
@@ -89,7 +91,7 @@
 		{UpstreamUnreadable, "An upstream's record in the log or its answer to a probe could not be decoded; such a record is ignored."},
 		{UpstreamLapsed, "The record of a replica's member is no longer in the log; the node keeps the member in its view for some seconds."},
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
-		{UpstreamSilent, "A replica sent nothing for longer than its limit; its requests were moved to other replicas."},
+		{UpstreamSilent, "A replica sent nothing for longer than its limit; the requests that could be are being moved to other replicas: their number."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,37 +39,56 @@
 func (f *forwarder) run(ctx context.Context) *verdict.Error {
 	f.countRequest()
 	f.events.lastID = f.req.LastEvent
-	worst := verdict.NotRun
-	for sends := 1; ; sends++ {
-		if e := f.checkQuarantine(); e != nil {
-			return e.WithVerdict(worst)
+	f.worst = verdict.NotRun
+	for {
+		if e := f.checkBeforeSending(); e != nil {
+			return e.WithVerdict(f.worst)
 		}
-		last := sends >= maxSends
-		e := f.attempt(ctx, last)
+		e := f.attempt(ctx)
 		if e == nil {
 			return nil
 		}
-		worst = worst.Combine(e.Verdict)
-		e = e.WithVerdict(worst)
+		f.worst = f.worst.Combine(e.Verdict)
+		e = e.WithVerdict(f.worst)
 		if ctx.Err() != nil {
+			f.dropNext()
 			return f.contextError(ctx, e)
 		}
-		if last || !f.repeatable(e) {
-			return e
-		}
-		if e.Reason == verdict.ReasonNoReplica {
-			return e
-		}
-		if !f.takeRetry() {
-			f.node.count("retry.denied." + string(verdict.ReasonRetryBudget))
-			return e
+		if f.next == nil {
+			if e.Reason == verdict.ReasonNoReplica || f.lastSend() || !f.repeatable(e) {
+				return e
+			}
+			if !f.takeRetry() {
+				f.node.count("retry.denied." + string(verdict.ReasonRetryBudget))
+				return e
+			}
 		}
 		f.node.count("retry." + string(e.Reason))
 		f.node.logger.Info(decisions.RequestRetried, f.logFields("reason", e.Reason, "verdict", e.Verdict, "detail", e.Detail,
-			"attempt", sends, "last_event", f.events.lastID, "after_ms", millisSince(f.arrivedAt))...)
+			"attempt", f.sends, "last_event", f.events.lastID, "after_ms", millisSince(f.arrivedAt))...)
 	}
 }
 
+// checkBeforeSending refuses a request that must not be sent to an upstream. A request
+// that was moved has been sent already.
+func (f *forwarder) checkBeforeSending() *verdict.Error {
+	if f.next != nil {
+		return nil
+	}
+	return f.checkQuarantine()
+}
+
+// dropNext ends the try that would take the place of the last attempt.
+func (f *forwarder) dropNext() {
+	if f.next != nil {
+		f.next.end(f.node.balancer)
+		f.next = nil
+	}
+}
+
+// lastSend reports whether the request may be sent to no further upstream.
+func (f *forwarder) lastSend() bool { return f.sends >= maxSends }
+
 // repeatable reports whether the request may be sent again after the failure e.
 func (f *forwarder) repeatable(e *verdict.Error) bool {
 	if e.Verdict == verdict.NotRun {
@@ -87,43 +106,68 @@
 	return verdict.New(e.Verdict, verdict.ReasonCanceled, "the caller disconnected")
 }
 
-// attempt sends the request to one upstream and relays its answer. The last attempt
-// also relays a failure that the upstream itself answered with.
-func (f *forwarder) attempt(ctx context.Context, last bool) *verdict.Error {
+// attempt sends the request to one upstream, unless a move has done so, and relays its
+// answer. The last attempt also relays a failure that the upstream itself answered with.
+func (f *forwarder) attempt(ctx context.Context) *verdict.Error {
+	t := f.next
+	f.next = nil
+	if t == nil {
+		f.sends++
+		var e *verdict.Error
+		if t, e = f.assign(ctx, f.exclude, f.failover); e != nil {
+			return e
+		}
+		f.exclude = append(f.exclude, t.assignment.Target.InstanceKey())
+		f.noteSent(t, f.events.lastID)
+	}
+	defer func() { t.end(f.node.balancer) }()
+	a := f.startMovable(ctx, t)
+	e := f.sendAttempt(t)
+	if e != nil {
+		f.noteFailure(t, e, f.events.count)
+	}
+	if a != nil {
+		f.endMovable(a, e != nil)
+	}
+	if cause := context.Cause(t.ctx); e != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errSlow)) {
+		f.failover = true
+		return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s: %v", t.assignment.Target.ID, cause)
+	}
+	return e
+}
+
+// assign selects an upstream that is not excluded and counts the request there. failover
+// says that the request leaves an upstream that stopped making progress.
+func (f *forwarder) assign(ctx context.Context, exclude []string, failover bool) (*try, *verdict.Error) {
 	view := f.node.state.View()
 	targets := usableTargets(view.Targets(f.service.Name, f.model()), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
-	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: f.exclude, Failover: f.failover}
+	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, Failover: failover}
 	assignment, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
 	if !ok {
-		return verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(f.exclude)).
+		return nil, verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(exclude)).
 			WithRetryAfter(noRoomRetryAfter())
 	}
-	defer func() { f.node.balancer.Done(time.Now(), &assignment) }()
-	f.exclude = append(f.exclude, assignment.Target.InstanceKey())
-	f.node.announceLoad(assignment.Target.ID)
-	f.node.logger.Info(decisions.RequestSent, f.logFields("upstream", assignment.Target.ID, "replica", assignment.Target.Replica,
-		"load", assignment.Load, "unread", assignment.PendingPromptTokens, "prompt", f.req.PromptTokens, "predicted_ms", assignment.Predicted.Milliseconds(),
-		"peers_age_ms", assignment.PeerLoadAge.Milliseconds(), "last_event", f.events.lastID, "waited_ms", millisSince(f.arrivedAt))...)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if f.route.Repeatable() && f.attempts+1 < f.route.MaxAttempts {
-		defer f.node.runningAttempts.add(assignment.Target.ID, cancel)()
-		if f.service.Engine == nil {
-			defer time.AfterFunc(f.attemptTimeout(), func() { cancel(errSlow) }).Stop()
-		}
-	}
-	e := f.sendAttempt(ctx, &assignment, last)
-	if e != nil {
-		f.suspectOnFailure(ctx, assignment.Target, e)
-		if e.Reason == verdict.ReasonUpstreamLost && f.events.count == 0 && ctx.Err() == nil {
-			f.countCrash(assignment.Target)
-		}
-		if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errSlow) {
-			f.failover = true
-			return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s: %v", assignment.Target.ID, cause)
-		}
+	t := &try{assignment: assignment}
+	t.ctx, t.cancel = context.WithCancelCause(ctx)
+	return t, nil
+}
+
+// noteSent reports to peers and in the log that the request is sent to an upstream.
+func (f *forwarder) noteSent(t *try, lastEvent string) {
+	a := &t.assignment
+	f.node.announceLoad(a.Target.ID)
+	f.node.logger.Info(decisions.RequestSent, f.logFields("upstream", a.Target.ID, "replica", a.Target.Replica,
+		"load", a.Load, "unread", a.PendingPromptTokens, "prompt", f.req.PromptTokens, "predicted_ms", a.Predicted.Milliseconds(),
+		"peers_age_ms", a.PeerLoadAge.Milliseconds(), "last_event", lastEvent, "waited_ms", millisSince(f.arrivedAt))...)
+}
+
+// noteFailure draws conclusions about the upstream of a failed try. events is the number
+// of events that were relayed.
+func (f *forwarder) noteFailure(t *try, e *verdict.Error, events int) {
+	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
+	if e.Reason == verdict.ReasonUpstreamLost && events == 0 && t.ctx.Err() == nil {
+		f.countCrash(t.assignment.Target)
 	}
-	return e
 }
 
 // leavingUseFactor times Bounds.DrainTime is how long a replica with a leaving
@@ -142,15 +186,12 @@
 	return slices.DeleteFunc(slices.Clone(targets), over)
 }
 
-// errSlow ends an attempt at a plain service that takes much longer than the route's
-// target.
-var errSlow = errors.New("the upstream took too long for this attempt")
-
 // slowFactor times the route's target is how long an attempt at a plain service may
-// take before another VM is tried.
+// take before the request is sent to another VM too.
 const slowFactor = 2.5
 
-// attemptTimeout returns how long an attempt may take that is not the last one.
+// attemptTimeout returns how long an attempt that is not the last one may take before
+// the request is moved.
 func (f *forwarder) attemptTimeout() time.Duration {
 	if f.route.LatencyTarget <= 0 {
 		return time.Until(f.deadline)
@@ -181,37 +222,52 @@
 	}
 }
 
-// sendAttempt sends the request to the assigned upstream and relays the answer.
-func (f *forwarder) sendAttempt(ctx context.Context, assignment *dispatch.Assignment, last bool) *verdict.Error {
+// sendAttempt sends the request to the assigned upstream, unless a move has done so, and
+// relays the answer.
+func (f *forwarder) sendAttempt(t *try) *verdict.Error {
+	if t.resp == nil {
+		if e := f.open(t, f.events.lastID); e != nil {
+			if e.Verdict != verdict.NotRun {
+				f.attempts++
+			}
+			return e
+		}
+	}
+	f.attempts++
+	if t.info.HasContentEncoding {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the response has a content encoding")
+	}
+	if t.info.Stream && t.resp.Status < http.StatusMultipleChoices {
+		return f.relayStream(t.resp, t.info, &t.assignment)
+	}
+	return f.relayComplete(t.resp, t.info, t.assignment.Target, f.lastSend())
+}
+
+// open sends the request to the assigned upstream and waits for the head of its response.
+// It fails if the upstream did not run the request. It may be called while an attempt of
+// the request runs.
+func (f *forwarder) open(t *try, lastEvent string) *verdict.Error {
 	p := f.node.deps.Protocol
-	resp, err := f.node.pool.Do(ctx, assignment.Target.Address, p.Encode(f.req, Attempt{
-		Target:    assignment.Target,
+	target := t.assignment.Target
+	resp, err := f.node.pool.Do(t.ctx, target.Address, p.Encode(f.req, Attempt{
+		Target:    target,
 		Remaining: time.Until(f.deadline),
 		Team:      f.team.Name,
 		Priority:  f.priority(),
-		LastEvent: f.events.lastID,
+		LastEvent: lastEvent,
 	}))
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
 		return verdict.Refuse(verdict.ReasonConnect, "%v", err).WithRetryAfter(retryAfterFailure)
 	case err != nil:
-		f.attempts++
-		return f.readFailed(assignment.Target, "no answer", err)
-	}
-	defer resp.Close()
-	f.node.balancer.RecordProgress(time.Now(), assignment)
-	a := p.Classify(resp.Status, resp.Header)
-	if a.NotRun {
-		return f.refusedByUpstream(resp, a, assignment.Target)
-	}
-	f.attempts++
-	if a.HasContentEncoding {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the response has a content encoding")
+		return f.readFailed(target, "no answer", err)
 	}
-	if a.Stream && resp.Status < http.StatusMultipleChoices {
-		return f.relayStream(resp, a, assignment)
+	t.resp, t.info = resp, p.Classify(resp.Status, resp.Header)
+	f.node.balancer.RecordProgress(time.Now(), &t.assignment)
+	if t.info.NotRun {
+		return f.refusedByUpstream(resp, t.info, target)
 	}
-	return f.relayComplete(resp, a, assignment.Target, last)
+	return nil
 }
 
 // readFailed returns the failure for an error while an upstream's answer was read. If
@@ -328,6 +384,7 @@
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
 		}
+		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count})
 	}
 	if !inOrder {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", f.events.lastID)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -93,6 +93,7 @@
 	// answersMemory bounds the memory of the answers that are being received.
 	answersMemory   *bounded.Budget
 	runningAttempts *attemptRegistry
+	silence         *silenceRecord
 	crashes         *crashTable
 	onSilent        func(vm string)
 	deadVMs         func() []string
@@ -128,6 +129,7 @@
 		state:           newState(deps.Decoder, deps.Streams.ConfigKey, logger),
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
+		silence:         newSilenceRecord(),
 		crashes:         newCrashTable(),
 		onSilent:        func(string) {},
 		deadVMs:         func() []string { return nil },
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,7 +59,7 @@
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
-		Loads: n.balancer.LocalLoads(), Silent: n.runningAttempts.recentlySilent(time.Now()), Dead: dead, Closing: closing, Crashes: n.crashes.recent(),
+		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing, Crashes: n.crashes.recent(),
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,14 +40,22 @@
 	// whichever is earlier.
 	deadline time.Time
 
-	// attempts counts the upstreams that may have run the request; exclude lists
-	// all upstream instances that were tried.
-	attempts int
-	exclude  []string
+	// sends counts the upstreams that the request was sent to; attempts counts those
+	// that may have run it; exclude lists all upstream instances that were tried.
+	sends, attempts int
+	exclude         []string
+	// worst is the verdict on all attempts together.
+	worst verdict.Verdict
+	// next is the try that takes the place of an attempt that was moved; nil if there
+	// is none.
+	next *try
 	// failover says that an attempt was ended because its upstream stopped making
 	// progress.
 	failover bool
 	events   eventBuffer
+	// relayedPosition holds how much of the stream was relayed, for moves of the
+	// attempt.
+	relayedPosition atomic.Pointer[position]
 	// answerStarted says that the answer's header was sent to the caller, at
 	// firstByteAt.
 	answerStarted bool
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -1,69 +1,26 @@
 package gateway
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
-// errSilent ends an attempt at a replica that sends nothing for any request of this
-// node, or that has a VM which does not answer probes.
-var errSilent = errors.New("the upstream sends nothing")
-
-// attemptRegistry holds the running attempts that can be moved to another upstream, by
-// the VM that they were sent to. It is safe for concurrent use.
-type attemptRegistry struct {
-	mu     sync.Mutex
-	byVM   map[string]map[int64]context.CancelCauseFunc
-	nextID int64
-	// silentAt holds when this node last found that a VM's upstream sends nothing.
+// silenceRecord holds when this node last found that the upstreams of VMs send nothing.
+// It is safe for concurrent use.
+type silenceRecord struct {
+	mu       sync.Mutex
 	silentAt map[string]time.Time
 }
 
-func newAttemptRegistry() *attemptRegistry {
-	return &attemptRegistry{byVM: map[string]map[int64]context.CancelCauseFunc{}, silentAt: map[string]time.Time{}}
-}
+func newSilenceRecord() *silenceRecord { return &silenceRecord{silentAt: map[string]time.Time{}} }
 
-// add registers an attempt at a VM with the function that cancels it. The returned
-// function removes the attempt.
-func (r *attemptRegistry) add(vm string, cancel context.CancelCauseFunc) func() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.nextID++
-	id := r.nextID
-	if r.byVM[vm] == nil {
-		r.byVM[vm] = map[int64]context.CancelCauseFunc{}
-	}
-	r.byVM[vm][id] = cancel
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.byVM[vm], id)
-		if len(r.byVM[vm]) == 0 {
-			delete(r.byVM, vm)
-		}
-	}
-}
-
-// cancel cancels all attempts at a VM and returns their number.
-func (r *attemptRegistry) cancel(vm string, cause error) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.byVM[vm] {
-		c(cause)
-	}
-	return len(r.byVM[vm])
-}
-
-// recordSilent records that a VM's upstream sends nothing. It reports whether this was
+// add records that a VM's upstream sends nothing. It reports whether this was
 // not yet recorded within the last silentTTL.
-func (r *attemptRegistry) recordSilent(now time.Time, vm string) bool {
+func (r *silenceRecord) add(now time.Time, vm string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at, known := r.silentAt[vm]
@@ -71,9 +28,9 @@
 	return !known || now.Sub(at) > silentTTL
 }
 
-// recentlySilent returns the VMs that were recorded as silent within the last
+// recent returns the VMs that were recorded as silent within the last
 // silentTTL.
-func (r *attemptRegistry) recentlySilent(now time.Time) []string {
+func (r *silenceRecord) recent(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
@@ -91,8 +48,8 @@
 // silent.
 const silentTTL = 500 * time.Millisecond
 
-// moveFromSilent moves requests away from replicas that have sent nothing for too
-// long.
+// moveFromSilent suspects replicas that have sent nothing for too long and moves
+// requests away from them, and from plain services that are slow.
 func (n *Node) moveFromSilent(now time.Time) {
 	v := n.state.View()
 	if v.Config == nil {
@@ -106,10 +63,36 @@
 			limits := silenceLimits(s.Engine, m)
 			n.probeEarly(now, v.Targets(name, m.Name), limits)
 			for _, t := range n.balancer.Silent(now, v.Targets(name, m.Name), limits) {
-				n.handleSilent(now, t, limits)
+				n.suspectSilent(now, t)
 			}
 		}
 	}
+	n.moveDue(now)
+}
+
+// moveDue moves the attempts at silent replicas and the slow ones. An attempt that can't
+// be moved now is considered again at the next call, also if its replica is no longer in
+// the view.
+func (n *Node) moveDue(now time.Time) {
+	moved := map[fleet.Target][]*movableAttempt{}
+	for _, a := range n.runningAttempts.find(func(a *movableAttempt) bool { return n.isSilent(now, a) }) {
+		if n.runningAttempts.move(a, errSilent) {
+			t := a.try.assignment.Target
+			moved[t] = append(moved[t], a)
+		}
+	}
+	for t, attempts := range moved {
+		n.count("upstream.silent")
+		n.logger.Warn(decisions.UpstreamSilent, "upstream", t.ID, "replica", t.Replica, "limit_ms", attempts[0].limits.Decode.Milliseconds(), "moved", len(attempts))
+	}
+	for _, a := range n.runningAttempts.find(func(a *movableAttempt) bool { return !a.slowAt.IsZero() && now.After(a.slowAt) }) {
+		n.runningAttempts.move(a, errSlow)
+	}
+}
+
+// isSilent reports whether an attempt's replica has sent nothing for too long.
+func (n *Node) isSilent(now time.Time, a *movableAttempt) bool {
+	return a.slowAt.IsZero() && len(n.balancer.Silent(now, []fleet.Target{a.try.assignment.Target}, a.limits)) > 0
 }
 
 // probeEarly requests probes of replicas that have been silent for a part of the limit,
@@ -117,7 +100,7 @@
 func (n *Node) probeEarly(now time.Time, targets []fleet.Target, limits dispatch.StallTimeouts) {
 	quiet := dispatch.StallTimeouts{Decode: time.Duration(earlyProbeFraction * float64(limits.Decode)), Prefill: limits.Prefill}
 	for _, t := range n.balancer.Silent(now, targets, quiet) {
-		if n.runningAttempts.recordSilent(now, t.ID) {
+		if n.silence.add(now, t.ID) {
 			n.onSilent(t.ID)
 		}
 	}
@@ -127,22 +110,16 @@
 // replica are probed.
 const earlyProbeFraction = 0.6
 
-// handleSilent marks a replica as suspected, reports it to peers and to the function
-// set with OnSilent, and cancels the attempts at it, which are then retried elsewhere.
-func (n *Node) handleSilent(now time.Time, t fleet.Target, limits dispatch.StallTimeouts) {
+// suspectSilent marks a silent replica as suspected and reports it to peers and to the
+// function set with OnSilent.
+func (n *Node) suspectSilent(now time.Time, t fleet.Target) {
 	n.balancer.MarkSuspect(now, t)
-	moved := n.runningAttempts.cancel(t.ID, errSilent)
-	n.runningAttempts.recordSilent(now, t.ID)
+	n.silence.add(now, t.ID)
 	n.onSilent(t.ID)
-	if moved == 0 {
-		return
-	}
-	n.count("upstream.silent")
-	n.logger.Warn(decisions.UpstreamSilent, "upstream", t.ID, "replica", t.Replica, "limit_ms", limits.Decode.Milliseconds(), "moved", moved)
 }
 
-// avoidDead marks replicas with a VM that does not answer probes as suspected and
-// cancels the attempts at them, which are then retried elsewhere.
+// avoidDead marks replicas with a VM that does not answer probes as suspected and moves
+// the attempts at them.
 func (n *Node) avoidDead(now time.Time, dead []string) {
 	if len(dead) == 0 {
 		return
@@ -155,7 +132,9 @@
 		}
 		if t, ok := v.TargetByReplica(vm.Member.Replica); ok {
 			n.balancer.MarkSuspect(now, t)
-			n.runningAttempts.cancel(t.ID, errSilent)
+			for _, a := range n.runningAttempts.find(func(a *movableAttempt) bool { return a.try.assignment.Target.ID == t.ID }) {
+				n.runningAttempts.move(a, errSilent)
+			}
 		}
 	}
 }
