gateway: Find the part of a prompt that crashes upstreams

What callers saw: one part of a prompt crashed each engine that began an answer on it. Requests with it came at any node, no two alike.

Cause: gateway/crashes.go counted crashes by a hash of the whole content, so two requests that share one part were never the same suspect. Bystanders of two crashes, though, were refused for good as request_quarantined.

Change: package poison keeps the evidence by part. A crash makes suspects of the shared parts, and of the content, of each request that the upstream had not begun to answer. A started answer clears its parts. The part that explains most crashes is convicted after two of them, or three if the evidence is the same against another part or answers began with it before; what it explains does not count against others. Crashes within 100 ms count once against a part, as an outage ends several upstreams at once. Requests with a suspected part run one at a time on all nodes, those with a convicted part are refused (503, prompt_part_quarantined, not run). A conviction lasts 30 s and four times as long after each further crash; then one request is let through. The whole content of a request is a suspect like a part, so that a crash that a part explains no longer counts against bystanders. Nodes exchange findings in their messages, within milliseconds of a change. A stream that has begun goes on whatever is suspected.

Ruled out: a count by caller or first part (sound ones share both); trials agreed on the store (calls are priced and the store may be down).

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -11,6 +11,9 @@
 	RequestBroken        = "request.broken"
 	RequestAbandoned     = "request.abandoned"
 	RequestCrashed       = "request.crashed"
+	PartSuspected        = "part.suspected"
+	PartQuarantined      = "part.quarantined"
+	PartCleared          = "part.cleared"
 	ConfigInForce        = "config.in_force"
 	ConfigUnreadable     = "config.unreadable"
 	UpstreamChanged      = "upstream.changed"
@@ -74,14 +77,17 @@
 // Events returns all events, those of requests first.
 func Events() []Event {
 	return []Event{
-		{RequestSent, "An attempt of a request was sent to an upstream: load of the upstream, last event relayed to the caller, time since the request arrived."},
+		{RequestSent, "An attempt of a request was sent to an upstream: load of the upstream, last event relayed to the caller, time since the request arrived, ids of the parts of its prompt that others may share."},
 		{RequestRetried, "An attempt failed and the request will be sent again: reason, verdict and number of the failed attempt."},
 		{RequestAnswered, "The complete answer was sent to the caller: status, attempts, time to the first byte and to the end."},
 		{RequestRefused, "The request was refused; it has not run and will not: reason, detail, delay after which the caller may retry."},
 		{RequestFailed, "The node itself answered with a failure to a request that may have run: verdict, reason, detail."},
 		{RequestBroken, "An answer was cut off after a part of it had been sent to the caller: reason, number of events sent."},
 		{RequestAbandoned, "The caller disconnected before the answer was complete."},
-		{RequestCrashed, "An upstream's process ended while it ran a request: number of upstreams that requests with this content have crashed."},
+		{RequestCrashed, "An upstream's process ended while it ran a request: number of upstreams that requests with this content have crashed, ids of the shared parts of its prompt."},
+		{PartSuspected, "Requests with a part of a prompt run one at a time on all nodes: crashes that no other part explains, time since the last one."},
+		{PartQuarantined, "Requests with a part of a prompt are refused: crashes that no other part explains, time since the last one."},
+		{PartCleared, "Requests with a part of a prompt run freely again: an answer began, another part explains the crashes, or they are long past."},
 		{ConfigInForce, "A configuration took effect: version, offset in the log, routes, services, keys."},
 		{ConfigUnreadable, "A configuration record could not be decoded; the previous configuration stays in force."},
 		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,11 +41,12 @@
 	f.events.lastID = f.req.LastEvent
 	worst := verdict.NotRun
 	for sends := 1; ; sends++ {
-		if e := f.checkQuarantine(); e != nil {
+		if e := f.admitParts(ctx); e != nil {
 			return e.WithVerdict(worst)
 		}
 		last := sends >= maxSends
 		e := f.attempt(ctx, last)
+		f.releaseParts()
 		if e == nil {
 			return nil
 		}
@@ -103,7 +104,7 @@
 	f.node.announceLoad(assignment.Target.ID)
 	f.node.logger.Info(decisions.RequestSent, f.logFields("upstream", assignment.Target.ID, "replica", assignment.Target.Replica,
 		"load", assignment.Load, "unread", assignment.PendingPromptTokens, "prompt", f.req.PromptTokens, "predicted_ms", assignment.Predicted.Milliseconds(),
-		"peers_age_ms", assignment.PeerLoadAge.Milliseconds(), "last_event", f.events.lastID, "waited_ms", millisSince(f.arrivedAt))...)
+		"peers_age_ms", assignment.PeerLoadAge.Milliseconds(), "last_event", f.events.lastID, "waited_ms", millisSince(f.arrivedAt), "parts", f.req.SharedParts)...)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if f.route.Repeatable() && f.attempts+1 < f.route.MaxAttempts {
@@ -266,6 +267,9 @@
 	if !failed && !a.Signed {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d without a signature", resp.Status)
 	}
+	if !failed {
+		f.recordStart()
+	}
 	h := f.w.Header()
 	copyHeader(h, resp.Header)
 	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
@@ -324,6 +328,9 @@
 	if f.events.count > numbered {
 		f.node.balancer.RecordFirstEvent(time.Now(), assignment)
 	}
+	if numbered == 0 && f.events.count > 0 {
+		f.recordStart()
+	}
 	if len(events) > 0 {
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/hex"
 	"net"
-	"sync"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -12,57 +12,12 @@
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
-	"github.com/tamarackcleat/tamarackcleat/quarantine"
-	"github.com/tamarackcleat/tamarackcleat/record"
-	"github.com/tamarackcleat/tamarackcleat/verdict"
+	"github.com/tamarackcleat/tamarackcleat/poison"
 )
 
-const (
-	// quarantineCrashes is the number of upstreams that a request's content may
-	// crash; after that no node sends it again.
-	quarantineCrashes = 2
-	// crashProbeTimeout bounds the connection attempt that checks whether an
-	// upstream's process has ended. A port without a process refuses at once.
-	crashProbeTimeout = 100 * time.Millisecond
-)
-
-// crashTable counts the upstreams that each request content has crashed, as seen by
-// this node and its peers. It is safe for concurrent use.
-type crashTable struct {
-	mu    sync.Mutex
-	table quarantine.SuspectTable
-}
-
-func newCrashTable() *crashTable { return &crashTable{table: quarantine.NewTable()} }
-
-func (c *crashTable) add(fingerprint string, incarnation record.Position) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.table.RecordCrash(fingerprint, incarnation)
-	s, _ := c.table.Get(fingerprint)
-	return s.Crashes
-}
-
-func (c *crashTable) count(fingerprint string) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s, _ := c.table.Get(fingerprint)
-	return s.Crashes
-}
-
-func (c *crashTable) merge(suspects []quarantine.LocalSuspect) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, s := range suspects {
-		c.table.Merge(s)
-	}
-}
-
-func (c *crashTable) recent() []quarantine.LocalSuspect {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.Recent()
-}
+// crashProbeTimeout bounds the connection attempt that checks whether an upstream's
+// process has ended. A port without a process refuses at once.
+const crashProbeTimeout = 100 * time.Millisecond
 
 // fingerprint returns a hash of the request's content and team. If a caller tries
 // again, the fingerprint is the same although the request id and the entry VM may
@@ -78,13 +33,14 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// checkQuarantine refuses a request whose content has crashed quarantineCrashes
-// upstreams or more.
-func (f *forwarder) checkQuarantine() *verdict.Error {
-	if n := f.node.crashes.count(f.fingerprint()); n >= quarantineCrashes {
-		return verdict.Refuse(verdict.ReasonQuarantined, "the same content crashed %d upstreams", n)
+// suspects returns what the request may crash an upstream by: the shared parts of its
+// prompt and its whole content.
+func (f *forwarder) suspects() []string {
+	if f.suspectIDs == nil {
+		f.suspectIDs = append(f.suspectIDs, f.req.SharedParts...)
+		f.suspectIDs = append(f.suspectIDs, poison.Content(f.fingerprint()))
 	}
-	return nil
+	return f.suspectIDs
 }
 
 // countCrash counts a crash caused by the request if the upstream's process has
@@ -102,15 +58,22 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	n := f.node.crashes.add(f.fingerprint(), incarnationOf(t))
-	f.node.logger.Warn(decisions.RequestCrashed, f.logFields("upstream", t.ID, "replica", t.Replica, "crashes", n)...)
+	now := time.Now()
+	crashes := 0
+	f.node.updateParts(func(table *poison.Table) bool {
+		table.RecordCrash(now, f.suspects(), crashID(t))
+		crashes = table.Crashes(poison.Content(f.fingerprint()))
+		return true
+	})
+	f.node.logger.Warn(decisions.RequestCrashed, f.logFields("upstream", t.ID, "replica", t.Replica, "crashes", crashes, "parts", f.req.SharedParts)...)
 }
 
-// incarnationOf returns a number that differs between incarnations of an upstream:
-// the generation of a replica, or the boot of a plain service's VM.
-func incarnationOf(t fleet.Target) record.Position {
-	if t.Generation != 0 {
-		return record.Position(t.Generation)
+// crashID returns the identifier of the crash of an upstream. It differs between
+// incarnations of the upstream: generations of a replica, boots of a plain service's VM.
+func crashID(t fleet.Target) poison.CrashID {
+	incarnation := t.Generation
+	if incarnation == 0 {
+		incarnation = t.Boot
 	}
-	return record.Position(t.Boot)
+	return poison.CrashID(xxhash.Sum64String(t.ID + " " + strconv.FormatInt(incarnation, 10)))
 }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -93,7 +93,7 @@
 	// answersMemory bounds the memory of the answers that are being received.
 	answersMemory   *bounded.Budget
 	runningAttempts *attemptRegistry
-	crashes         *crashTable
+	parts           *partTable
 	onSilent        func(vm string)
 	deadVMs         func() []string
 	closingHeads    func() []string
@@ -128,7 +128,6 @@
 		state:           newState(deps.Decoder, deps.Streams.ConfigKey, logger),
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
-		crashes:         newCrashTable(),
 		onSilent:        func(string) {},
 		deadVMs:         func() []string { return nil },
 		closingHeads:    func() []string { return nil },
@@ -137,6 +136,7 @@
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 	}
+	n.parts = newPartTable(n.id)
 	n.settings.Store(&s)
 	n.state.detailed = n.isHolder
 	n.state.inUse = n.balancer.HasRequests
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -59,7 +59,8 @@
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
-		Loads: n.balancer.LocalLoads(), Silent: n.runningAttempts.recentlySilent(time.Now()), Dead: dead, Closing: closing, Crashes: n.crashes.recent(),
+		Loads: n.balancer.LocalLoads(), Silent: n.runningAttempts.recentlySilent(time.Now()), Dead: dead, Closing: closing,
+		Parts: n.parts.report(time.Now()),
 	}
 }
 
@@ -76,7 +77,7 @@
 	}
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
-	n.crashes.merge(m.Crashes)
+	n.mergeParts(now, m.Parts)
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,9 @@
 	// PromptTokens is the size of the prompt and MaxTokens the limit on the size
 	// of the answer; 0 if the caller doesn't say.
 	PromptTokens, MaxTokens int
+	// SharedParts lists the ids of the parts of the prompt that prompts of other
+	// requests may share; empty if the caller doesn't say.
+	SharedParts []string
 	// LastEvent is the id of the last event that the caller has received; empty
 	// for a stream from its start.
 	LastEvent string
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -43,6 +43,8 @@
 	// all upstream instances that were tried.
 	attempts int
 	exclude  []string
+	// suspectIDs caches the result of suspects.
+	suspectIDs []string
 	// failover says that an attempt was ended because its upstream stopped making
 	// progress.
 	failover bool
--- a/gossip/fuzz_test.go
+++ b/gossip/fuzz_test.go
@@ -14,6 +14,7 @@
 func FuzzMessage(f *testing.F) {
 	f.Add([]byte(`{"node":"a","zone":"z","cores":1,"dir":"up","nodes":2,"loads":{"v":{"n":1,"u":2}},"silent":["v"]}`),
 		[]byte(`{"node":"b","zone":"z","cores":2,"dir":"down","excess":{"v":{"n":-9}},"loads":{"v":{"n":1}}}`))
+	f.Add([]byte(`{"node":"a","dir":"down","parts":{"suspects":[{"part":"p","crashes":[{"id":18446744073709551615,"age":-1}],"start":-1}],"claims":[{"part":"p","node":"b","running":true}]}}`), []byte(`{"parts":[]}`))
 	f.Add([]byte(`{"node":"a","dir":"up","nodes":-5,"partial":true,"crashes":[{}],"loads":{"":{"n":9223372036854775807}}}`), []byte(`null`))
 	f.Add([]byte(`{"node":"a","dir":"up","loads":"i-1,2,3;i%2C,4;,,;%zz,1"}`), []byte(`{"node":"b","loads":"a,1;","excess":"a,-1"}`))
 	f.Add([]byte(`{"node":"a","dir":"sideways","excess":{"x":{}}}`), []byte(`[]`))
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -69,6 +69,8 @@
 	// changedVMs holds the ids of the VMs whose loads have changed since the last
 	// message.
 	changedVMs map[string]bool
+	// fullRequested says that the next message is to hold the whole state.
+	fullRequested bool
 }
 
 // Options configures a Gossip.
@@ -155,6 +157,15 @@
 	g.requestSend()
 }
 
+// StateChanged records that a part of this node's state other than loads has changed.
+// Peers are told at the next opportunity. It does not wait for the sending.
+func (g *Gossip) StateChanged() {
+	g.mu.Lock()
+	g.fullRequested = true
+	g.mu.Unlock()
+	g.requestSend()
+}
+
 // requestSend makes Run send a message without waiting for sendInterval.
 func (g *Gossip) requestSend() {
 	select {
@@ -163,13 +174,13 @@
 	}
 }
 
-// sendChanges sends the changed loads to the peers, or in a tree the whole state, and
-// returns how long to wait before it is called again.
+// sendChanges sends the changed loads to the peers, or in a tree and after a call of
+// StateChanged the whole state, and returns how long to wait before it is called again.
 func (g *Gossip) sendChanges() time.Duration {
 	g.mu.Lock()
-	tree := g.table.isTree()
+	full := g.table.isTree() || g.fullRequested
 	g.mu.Unlock()
-	if tree {
+	if full {
 		g.Send()
 		return treeChangeInterval
 	}
@@ -201,6 +212,7 @@
 	local.Node, local.Zone, local.Cores = self.ID, self.Zone, self.Cores
 	messages := g.table.nextMessages(time.Now(), local)
 	clear(g.changedVMs)
+	g.fullRequested = false
 	g.mu.Unlock()
 	for _, o := range messages {
 		g.write(o)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
-	"github.com/tamarackcleat/tamarackcleat/quarantine"
+	"github.com/tamarackcleat/tamarackcleat/poison"
 )
 
 // Direction determines which nodes' state a message holds.
@@ -44,9 +44,10 @@
 	// Silent lists the ids of the head VMs of replicas that have requests but send
 	// nothing.
 	Silent []string `json:"silent,omitempty"`
-	// Crashes holds the latest requests suspected of having crashed an upstream. A
-	// node also passes on those that it received from peers.
-	Crashes []quarantine.LocalSuspect `json:"crashes,omitempty"`
+	// Parts holds the evidence on parts of prompts and contents of requests that are
+	// suspected of crashing upstreams. A node also passes on what it received from
+	// peers.
+	Parts poison.Findings `json:"parts,omitzero"`
 	// Dead lists the ids of VMs that don't answer the holder of the control lease.
 	Dead []string `json:"dead,omitempty"`
 	// Closing lists the ids of the head VMs of replicas that the holder of the
--- /dev/null
+++ b/poison/table_test.go
@@ -0,0 +1,316 @@
+package poison
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// bench is a table with a clock and numbered crashes.
+type bench struct {
+	*Table
+	now     time.Time
+	crashes CrashID
+}
+
+func newBench(node string) *bench {
+	return &bench{Table: NewTable(node), now: time.Unix(1000, 0)}
+}
+
+// crash records a crash of another upstream and lets a second pass.
+func (b *bench) crash(requests ...[]string) {
+	b.crashes++
+	for _, parts := range requests {
+		b.RecordCrash(b.now, parts, b.crashes)
+	}
+	b.now = b.now.Add(time.Second)
+}
+
+// start records a start and lets a millisecond pass.
+func (b *bench) start(parts ...string) {
+	b.RecordStart(b.now, parts)
+	b.now = b.now.Add(time.Millisecond)
+}
+
+func (b *bench) standing(part string) Standing { return b.Standing(b.now, part) }
+
+// send passes a table's report on to another one, as encoded.
+func (b *bench) send(to *bench) {
+	data, err := json.Marshal(b.Report(b.now))
+	Expect(err).NotTo(HaveOccurred())
+	var r Findings
+	Expect(json.Unmarshal(data, &r)).To(Succeed())
+	to.Merge(to.now, r)
+}
+
+// Guards against issue #24: no two requests with a deadly part are alike, so that a count
+// of whole contents never finds what they share.
+var _ = Describe("A deadly part", func() {
+	It("is convicted after two crashes, and the parts beside it are not", func() {
+		b := newBench("n")
+		b.start("common", "friend")
+		b.crash([]string{"common", "deadly", Content("1")})
+		Expect(b.standing("deadly")).To(Equal(Suspected))
+		Expect(b.standing("common")).To(Equal(Sound))
+		b.crash([]string{"common", "deadly", Content("2")}, []string{"common", "friend", Content("3")})
+		b.start("common", "friend")
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		for _, part := range []string{"common", "friend", Content("1"), Content("2"), Content("3")} {
+			Expect(b.standing(part)).To(Equal(Sound), part)
+		}
+	})
+
+	It("is convicted after a third crash if answers began with it before", func() {
+		b := newBench("n")
+		b.start("common", "deadly")
+		for range 3 {
+			Expect(b.standing("deadly")).NotTo(Equal(Convicted))
+			b.crash([]string{"common", "deadly"})
+			b.start("common")
+		}
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+	})
+
+	It("is convicted beside another deadly part", func() {
+		b := newBench("n")
+		b.start("common")
+		for range 2 {
+			b.crash([]string{"common", "one"})
+			b.crash([]string{"common", "two"})
+			b.start("common")
+		}
+		Expect(b.standing("one")).To(Equal(Convicted))
+		Expect(b.standing("two")).To(Equal(Convicted))
+		Expect(b.standing("common")).To(Equal(Sound))
+	})
+
+	It("is convicted with a part that is always beside it, after a third crash", func() {
+		b := newBench("n")
+		for range 3 {
+			Expect(b.standing("deadly")).NotTo(Equal(Convicted))
+			b.crash([]string{"deadly", "twin"})
+		}
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		Expect(b.standing("twin")).To(Equal(Convicted))
+	})
+
+	It("may be tried after a time that grows with each crash, and is sound after a start", func() {
+		b := newBench("n")
+		b.crash([]string{"deadly"})
+		b.crash([]string{"deadly"})
+		b.now = b.now.Add(minHold)
+		Expect(b.standing("deadly")).To(Equal(Suspected))
+		b.crash([]string{"deadly"})
+		b.now = b.now.Add(holdFactor*minHold - 2*time.Second)
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		b.now = b.now.Add(2 * time.Second)
+		Expect(b.standing("deadly")).To(Equal(Suspected))
+		b.start("deadly")
+		Expect(b.standing("deadly")).To(Equal(Sound))
+	})
+})
+
+// Guards against sound requests being held back after failures that no request causes.
+var _ = Describe("A failure of upstreams without a deadly part", func() {
+	It("convicts nothing if many upstreams end at once", func() {
+		b := newBench("n")
+		for i := range 6 {
+			b.RecordCrash(b.now.Add(time.Duration(i)*sameOutageTime/6), []string{"common", "rare"}, CrashID(i))
+		}
+		b.now = b.now.Add(2 * time.Second)
+		Expect(b.standing("common")).To(Equal(Suspected))
+		b.start("common")
+		Expect(b.standing("common")).To(Equal(Sound))
+		Expect(b.standing("rare")).To(Equal(Suspected))
+	})
+
+	It("holds no part back that answers began with", func() {
+		b := newBench("n")
+		b.start("common")
+		b.crash([]string{"common"})
+		Expect(b.standing("common")).To(Equal(Sound))
+	})
+
+	It("does not count together with one long ago", func() {
+		b := newBench("n")
+		b.crash([]string{"rare"})
+		b.now = b.now.Add(2 * suspicionTime)
+		Expect(b.standing("rare")).To(Equal(Sound))
+		b.crash([]string{"rare"})
+		Expect(b.standing("rare")).To(Equal(Suspected))
+	})
+
+	It("clears a part by an answer to any request with it", func() {
+		b := newBench("n")
+		b.crash([]string{"rare"})
+		Expect(b.standing("rare")).To(Equal(Suspected))
+		b.start("rare")
+		Expect(b.standing("rare")).To(Equal(Sound))
+	})
+})
+
+// Guards against the refusal of sound requests, as request_quarantined and without an end,
+// because they ran beside a deadly one on two upstreams.
+var _ = Describe("The whole content of a request", func() {
+	It("is convicted after two crashes that no part explains", func() {
+		b := newBench("n")
+		b.start("common")
+		b.crash([]string{"common", Content("x")})
+		Expect(b.standing(Content("x"))).To(Equal(Sound))
+		b.start("common")
+		b.crash([]string{"common", Content("x")})
+		b.start("common")
+		Expect(b.standing(Content("x"))).To(Equal(Convicted))
+		Expect(b.standing("common")).To(Equal(Sound))
+	})
+
+	It("is sound if a deadly part explains its crashes", func() {
+		b := newBench("n")
+		b.start("common")
+		for i := range 2 {
+			b.crash([]string{"common", "deadly", Content(fmt.Sprint(i))}, []string{"common", Content("bystander")})
+		}
+		b.start("common")
+		Expect(b.standing(Content("bystander"))).To(Equal(Sound))
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+	})
+})
+
+// Guards against each node having to lose upstreams of its own to a deadly part.
+var _ = Describe("Evidence on parts at several nodes", func() {
+	It("convicts at all nodes, also one that starts later, from one report", func() {
+		a, b, late := newBench("a"), newBench("b"), newBench("late")
+		a.start("common")
+		a.crash([]string{"common", "deadly"})
+		a.start("common")
+		b.now = a.now
+		b.RecordCrash(b.now, []string{"common", "deadly"}, 77)
+		b.start("common")
+		a.send(b)
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		late.now = b.now.Add(-300 * time.Hour)
+		b.send(late)
+		Expect(late.standing("deadly")).To(Equal(Convicted))
+		Expect(late.standing("common")).To(Equal(Sound))
+	})
+
+	It("counts a crash that two nodes saw once", func() {
+		a, b := newBench("a"), newBench("b")
+		a.RecordCrash(a.now, []string{"rare"}, 5)
+		b.now = b.now.Add(300 * time.Millisecond)
+		b.RecordCrash(b.now, []string{"rare"}, 5)
+		a.send(b)
+		b.send(a)
+		Expect(a.Crashes("rare")).To(Equal(1))
+		Expect(b.Crashes("rare")).To(Equal(1))
+	})
+
+	It("clears at all nodes by a start at one", func() {
+		a, b := newBench("a"), newBench("b")
+		a.crash([]string{"rare"})
+		b.now = a.now
+		a.send(b)
+		Expect(b.standing("rare")).To(Equal(Suspected))
+		a.start("rare")
+		a.send(b)
+		Expect(b.standing("rare")).To(Equal(Sound))
+	})
+})
+
+// Guards against upstreams lost to requests that are sent before the evidence of the ones
+// before them has arrived.
+var _ = Describe("Requests with a suspected part", func() {
+	suspicious := func(node string) *bench {
+		b := newBench(node)
+		b.crash([]string{"rare"})
+		return b
+	}
+	claim := func(b *bench, request string) bool { return b.Claim(b.now, request, []string{"rare"}) }
+
+	It("run one at a time at a node", func() {
+		b := suspicious("a")
+		Expect(claim(b, "1")).To(BeFalse())
+		b.now = b.now.Add(claimDelay)
+		Expect(claim(b, "2")).To(BeFalse())
+		Expect(claim(b, "1")).To(BeTrue())
+		b.Release("1")
+		Expect(claim(b, "2")).To(BeFalse())
+		b.now = b.now.Add(claimDelay)
+		Expect(claim(b, "2")).To(BeTrue())
+	})
+
+	It("run one at a time at many nodes, whatever the order of reports", func() {
+		nodes := make([]*bench, 3*maxReportedClaims)
+		for i := range nodes {
+			nodes[i] = suspicious(fmt.Sprintf("node-%03d", i))
+		}
+		running := 0
+		for range 80 {
+			running = 0
+			for i, n := range nodes {
+				if claim(n, "r") {
+					running++
+				}
+				n.send(nodes[(i+7)%len(nodes)])
+				n.send(nodes[(i+11)%len(nodes)])
+				n.now = n.now.Add(10 * time.Millisecond)
+			}
+			Expect(running).To(BeNumerically("<=", 1))
+		}
+		Expect(running).To(Equal(1))
+	})
+
+	It("run again at other nodes after the one that ran a request is gone", func() {
+		a, b := suspicious("a"), suspicious("b")
+		claim(a, "1")
+		claim(b, "2")
+		a.send(b)
+		b.now = b.now.Add(2 * claimDelay)
+		Expect(claim(b, "2")).To(BeFalse())
+		b.now = b.now.Add(claimTTL)
+		Expect(claim(b, "2")).To(BeTrue())
+	})
+})
+
+// Guards against memory and messages that grow with what callers and peers send.
+var _ = Describe("The table's bounds", func() {
+	It("hold for any number of suspects, and convictions outlast a flood of bystanders", func() {
+		b := newBench("n")
+		b.crash([]string{"deadly"})
+		b.crash([]string{"deadly"})
+		for i := range 4 * maxSuspects {
+			b.RecordCrash(b.now, []string{strings.Repeat("f", maxIDBytes-6) + fmt.Sprint(i), Content(fmt.Sprint(i))}, CrashID(1<<60+i))
+			b.start(fmt.Sprint("s", i))
+		}
+		Expect(len(b.suspects)).To(BeNumerically("<=", maxSuspects))
+		Expect(b.Dropped).To(BeNumerically(">", 0))
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		for i := range 2 * maxStarts {
+			b.start(fmt.Sprint("s", i))
+		}
+		Expect(len(b.starts)).To(BeNumerically("<=", maxStarts))
+		r := b.Report(b.now)
+		Expect(r.Suspects).To(HaveLen(maxReported))
+		Expect(r.Suspects[0].Part).To(Equal("deadly"))
+	})
+
+	It("keep a report within its size", func() {
+		b := newBench("n")
+		id := func(i int) string { return fmt.Sprint(i) + strings.Repeat("f", maxIDBytes-3) }
+		for i := 100; i < 140; i++ {
+			for c := range 2 * maxCrashes {
+				b.RecordCrash(b.now.Add(time.Duration(c)*time.Second), []string{id(i)}, CrashID(1<<63)+CrashID(i*100+c))
+			}
+			for n := 100; n < 110; n++ {
+				b.Merge(b.now, Findings{Claims: []ClaimReport{{Part: id(i), Node: id(n), Running: true}}})
+			}
+		}
+		data, err := json.Marshal(b.Report(b.now))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(data)).To(BeNumerically("<=", 9<<10))
+	})
+})
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -69,6 +69,9 @@
 	ReasonRetryBudget Reason = "retry_budget_spent"
 	// ReasonQuarantined marks a request whose content has crashed upstreams.
 	ReasonQuarantined Reason = "request_quarantined"
+	// ReasonPartQuarantined marks a request with a part of a prompt that has crashed
+	// upstreams.
+	ReasonPartQuarantined Reason = "prompt_part_quarantined"
 	// ReasonSuspectBusy marks a request that is suspected of crashing
 	// upstreams and is already being run as a trial.
 	ReasonSuspectBusy Reason = "suspect_trial_in_progress"
