--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,10 +41,11 @@
 	f.events.lastID = f.req.LastEvent
 	f.worst = verdict.NotRun
 	for {
-		if e := f.checkBeforeSending(); e != nil {
+		if e := f.checkBeforeSending(ctx); e != nil {
 			return e.WithVerdict(f.worst)
 		}
 		e := f.attempt(ctx)
+		f.releaseParts()
 		if e == nil {
 			return nil
 		}
@@ -71,11 +72,11 @@
 
 // checkBeforeSending refuses a request that must not be sent to an upstream. A request
 // that was moved has been sent already.
-func (f *forwarder) checkBeforeSending() *verdict.Error {
+func (f *forwarder) checkBeforeSending(ctx context.Context) *verdict.Error {
 	if f.next != nil {
 		return nil
 	}
-	return f.checkQuarantine()
+	return f.admitParts(ctx)
 }
 
 // dropNext ends the try that would take the place of the last attempt.
@@ -158,7 +159,7 @@
 	f.node.announceLoad(a.Target.ID)
 	f.node.logger.Info(decisions.RequestSent, f.logFields("upstream", a.Target.ID, "replica", a.Target.Replica,
 		"load", a.Load, "unread", a.PendingPromptTokens, "prompt", f.req.PromptTokens, "predicted_ms", a.Predicted.Milliseconds(),
-		"peers_age_ms", a.PeerLoadAge.Milliseconds(), "last_event", lastEvent, "waited_ms", millisSince(f.arrivedAt))...)
+		"peers_age_ms", a.PeerLoadAge.Milliseconds(), "last_event", lastEvent, "waited_ms", millisSince(f.arrivedAt), "parts", f.req.SharedParts)...)
 }
 
 // noteFailure draws conclusions about the upstream of a failed try. events is the number
@@ -322,6 +323,9 @@
 	if !failed && !a.Signed {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d without a signature", resp.Status)
 	}
+	if !failed {
+		f.recordStart()
+	}
 	h := f.w.Header()
 	copyHeader(h, resp.Header)
 	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
@@ -380,6 +384,9 @@
 	if f.events.count > numbered {
 		f.node.balancer.RecordFirstEvent(time.Now(), assignment)
 	}
+	if numbered == 0 && f.events.count > 0 {
+		f.recordStart()
+	}
 	if len(events) > 0 {
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -246,8 +246,8 @@
 // reserveMove takes what a move needs: a place at an upstream and a retry of the budget.
 // It may be called while an attempt of the request runs.
 func (f *forwarder) reserveMove(ctx context.Context, exclude []string) (*try, *verdict.Error) {
-	if e := f.checkQuarantine(); e != nil {
-		return nil, e
+	if !f.partsAllowMove() {
+		return nil, refuseSuspect()
 	}
 	t, e := f.assign(ctx, exclude, true)
 	if e != nil {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -94,7 +94,7 @@
 	answersMemory   *bounded.Budget
 	runningAttempts *attemptRegistry
 	silence         *silenceRecord
-	crashes         *crashTable
+	parts           *partTable
 	onSilent        func(vm string)
 	deadVMs         func() []string
 	closingHeads    func() []string
@@ -130,7 +130,6 @@
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
 		silence:         newSilenceRecord(),
-		crashes:         newCrashTable(),
 		onSilent:        func(string) {},
 		deadVMs:         func() []string { return nil },
 		closingHeads:    func() []string { return nil },
@@ -139,6 +138,7 @@
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 	}
+	n.parts = newPartTable(n.id)
 	n.settings.Store(&s)
 	n.state.detailed = n.isHolder
 	n.state.inUse = n.balancer.HasRequests
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -49,6 +49,8 @@
 	// next is the try that takes the place of an attempt that was moved; nil if there
 	// is none.
 	next *try
+	// suspectIDs caches the result of suspects.
+	suspectIDs []string
 	// failover says that an attempt was ended because its upstream stopped making
 	// progress.
 	failover bool
