formation: Close a replica with a slow member before its head leaves

Callers lost streams when a slow VM was evicted from its replica: all requests of the replica were cut off at once, with 26 of them running in one case, and those that found no room at other replicas were broken.

A replica that lacks a member was taken for one whose requests make no progress, so that its head was ordered to leave at once. A slow member is evicted but answers, and the requests go on.

Change: the replica is dismantled as planned, as one with a leaving member is: closed, with up to closeTimeout for its requests to end or to move. One with a dead member is ended at once, as before.

"gives the requests of a replica with a slow member time to end or to move" failed before: the head never became closing.

--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -144,8 +144,13 @@
 	}
 	size := r.replicaSize(a)
 	present, ready, leaving, headLeaving := 0, 0, false, false
+	evicted := 0
 	for _, m := range rep.Members {
-		if m.Member.Generation != a.generation || r.unavailable(m) {
+		switch {
+		case m.Member.Generation != a.generation || r.isDead(m):
+			continue
+		case r.unavailable(m):
+			evicted++
 			continue
 		}
 		present++
@@ -162,7 +167,7 @@
 		// The replica keeps serving until keepsServing allows it to be
 		// dismantled.
 	case a.openSent && (present < size || leaving):
-		r.dismantle(a, rep, leaving && present == size)
+		r.dismantle(a, rep, (leaving || evicted > 0) && present+evicted == size)
 	case a.adopted && !a.openSent && (a.dismantlingSince > 0 || ready == size):
 		// Former holders' orders that join a member to a replica of a later
 		// generation may still be in flight. Members that have joined a replica of
@@ -272,7 +277,7 @@
 }
 
 // dismantle ends a replica that lost a member or, if planned, one that is
-// complete but has a leaving member or is closed in favour of one of another
+// complete but has a leaving or slow member or is closed in favour of one of another
 // model. Its members are free once its head is closed or has left.
 func (r *round) dismantle(a *replica, rep fleet.Replica, planned bool) {
 	if a.dismantlingSince == 0 {
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -285,6 +285,21 @@
 		}
 	})
 
+	// Guards against cutting off answers: a slow replica still makes progress, but its
+	// head was ordered to leave at once, with 26 requests running.
+	It("gives the requests of a replica with a slow member time to end or to move", func() {
+		startFleet(1, 1, 11)
+		w.requestTime = closeTimeout / 2
+		e, head := w.member("large", 3), w.member("large", 0)
+		e.slowdown = 5
+		w.suspect(head.vm.ID)
+		Expect(w.run(4*time.Second, func() bool { return head.vm.Member.State == fleet.MemberClosing })).To(BeTrue())
+		Expect(w.run(4*time.Second, func() bool {
+			h := w.member("large", 0)
+			return h != nil && !slices.Contains(h.members, e.vm.ID)
+		})).To(BeTrue())
+	})
+
 	It("keeps a slow replica if there is no VM to replace the slow member", func() {
 		startFleet(1, 1, 9)
 		e := w.member("large", 3)
