formation: Plan only with reports read after the lease was taken over

Seen: the users' report of a VM that was joined to a standby of a new term while its replica of an earlier term was open.

Cause: a new holder planned at once with whatever copy of the reports it had. Nodes that don't hold the lease read them from others. A VM that the former holder had just made a member of a replica, and whose replica it had opened, looked free in an older copy; the join of the new term is above every fencing number and generation, so the VM obeyed.

Ruled out: late orders alone (the new spec delays none).

Change: the first plan of a term waits until the reports come from a read that was sent 0.2 s after the planner learnt of the term; relayed copies carry the age of their proof already. The event planning.begun says how long that took and how old the reports were.

Measured: "uses no reports from before the former holder's last orders" failed before with "1m0.75s: d0-00 joins r200001 while r100001 of d0-00 may serve".

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -33,6 +33,7 @@
 	ReplicaDismantled    = "replica.dismantled"
 	ReplicaReleased      = "replica.released"
 	ReplicaDissolved     = "replica.dissolved"
+	PlanningBegun        = "planning.begun"
 	OrderNotAccepted     = "order.not_accepted"
 	ReplicaTraded        = "replica.traded"
 	ModelStaged          = "model.staged"
@@ -106,6 +107,7 @@
 		{ReplicaDissolved, "The holder of the control lease of tamarackcleatd ends a replica: cause, and of each member the latest report, how long ago the VM gave it and the node that probed it."},
 		{ReplicaTraded, "A replica is closed so that its VMs can form a replica of a model that is further below its share: ranks of both models, free VMs."},
 		{ModelStaged, "A VM was ordered to load another model onto its host in advance, so that it can join a replica of that model without delay."},
+		{PlanningBegun, "A new holder of the control lease has reports that show what earlier holders ordered, and begins to form and repair replicas: how long it waited, age of the reports."},
 		{OrderNotAccepted, "A VM did not accept an order or did not answer it; the VM may still carry the order out later."},
 		{LeaseChanged, "The control lease has a new holder or a new term."},
 		{LeaseHeld, "This node acquired or lost the control lease."},
--- a/formation/driver.go
+++ b/formation/driver.go
@@ -48,6 +48,9 @@
 	Lease   Lease
 	// View returns this node's current view of the deployment.
 	View func() *fleet.View
+	// ReportsVerifiedAt returns the time, by the boot clock, at which the read was sent
+	// that proved the reports in the view to be current.
+	ReportsVerifiedAt func() time.Duration
 
 	// changed signals that the view has changed since the last planning round.
 	changed  chan struct{}
@@ -68,15 +71,16 @@
 const queueLength = 1024
 
 // NewDriver returns a Driver, which does nothing until Run is called.
-func NewDriver(p *Planner, s Sender, l Lease, view func() *fleet.View) *Driver {
+func NewDriver(p *Planner, s Sender, l Lease, view func() *fleet.View, reportsVerifiedAt func() time.Duration) *Driver {
 	return &Driver{
-		Planner:  p,
-		Sender:   s,
-		Lease:    l,
-		View:     view,
-		changed:  make(chan struct{}, 1),
-		results:  make(chan outcome, queueLength),
-		suspects: make(chan string, queueLength),
+		Planner:           p,
+		Sender:            s,
+		Lease:             l,
+		View:              view,
+		ReportsVerifiedAt: reportsVerifiedAt,
+		changed:           make(chan struct{}, 1),
+		results:           make(chan outcome, queueLength),
+		suspects:          make(chan string, queueLength),
 	}
 }
 
@@ -135,7 +139,9 @@
 			term = current
 			d.Planner.Reset(term)
 		}
-		return d.Planner.Plan(bootclock.Now(), d.View())
+		// The view is at least as recent as the time that is read before it.
+		verifiedAt := d.ReportsVerifiedAt()
+		return d.Planner.Plan(bootclock.Now(), verifiedAt, d.View())
 	}
 	for {
 		var orders []Order
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -145,6 +145,8 @@
 	// when it last grew.
 	vmCount        int
 	vmCountGrownAt time.Duration
+	// takeover is what the planner waits for before the first plan of a term.
+	takeover takeover
 }
 
 // NewPlanner returns a Planner that knows no replicas yet.
@@ -161,7 +163,7 @@
 	p.replicas = map[string]*replica{}
 	p.probes = map[string]*probeState{}
 	p.staging, p.reservations, p.freeCounts = map[string]stagingLoad{}, map[string]reservation{}, map[string]freeCount{}
-	p.loadStarts, p.vmCount = nil, 0
+	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{}
 }
 
 // NeedsReplan reports whether a result since the last plan calls for a new plan
@@ -169,10 +171,11 @@
 func (p *Planner) NeedsReplan() bool { return p.replan }
 
 // Plan updates the replicas from the VMs' reports and returns the orders to
-// send now. The time is that of the boot clock.
-func (p *Planner) Plan(now time.Duration, v *fleet.View) []Order {
+// send now. The reports were current at verifiedAt or later. The times are those of
+// the boot clock.
+func (p *Planner) Plan(now, verifiedAt time.Duration, v *fleet.View) []Order {
 	p.replan, p.awaitingProbes = false, false
-	if v.Config == nil {
+	if v.Config == nil || !p.seesFormerOrders(now, verifiedAt) {
 		return nil
 	}
 	round := &round{Planner: p, now: now, view: v, reported: map[string]fleet.Replica{}}
@@ -200,6 +203,35 @@
 	return round.orders
 }
 
+// takeover is the start of a term of the control lease, as far as the planner knows it.
+type takeover struct {
+	// at is the time of the first call of Plan in the term.
+	at      time.Duration
+	started bool
+	// done says that the reports show what the former holder's orders had done by then.
+	done bool
+}
+
+// reportTime is how long a VM's report takes at most to reach the log after an order that
+// the VM carries out at once. Orders that are carried out later are a different matter: a
+// replica of this term is opened only once its members refuse them.
+const reportTime = 200 * time.Millisecond
+
+// seesFormerOrders reports whether the view is recent enough to plan with: it must show
+// what the former holder of the lease had ordered up to its end. A VM that seems to be free
+// in an older view may be a member of an open replica.
+func (p *Planner) seesFormerOrders(now, verifiedAt time.Duration) bool {
+	t := &p.takeover
+	if !t.started {
+		t.at, t.started = now, true
+	}
+	if !t.done && verifiedAt-t.at >= reportTime {
+		t.done = true
+		p.s.Logger.Info(decisions.PlanningBegun, "term", p.term, "waited_ms", (now - t.at).Milliseconds(), "reports_age_ms", (now - verifiedAt).Milliseconds())
+	}
+	return t.done
+}
+
 // vmListSettleTime is how long the list of VMs must not have grown before the
 // first replicas are formed. While VMs are still registering, domains look
 // smaller than they are.
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -420,9 +420,13 @@
 // forgotten the generations that it has seen.
 func (w *world) restartEngine() {
 	ids := slices.Sorted(maps.Keys(w.engines))
-	e := w.engines[ids[w.rng.IntN(len(ids))]]
-	e.vm.Boot, e.vm.Member, e.vm.Model, e.vm.LastModel = int64(w.now), fleet.Membership{}, "", ""
-	e.members, e.lastGeneration, e.readyAt, e.openAt, e.closedAt, e.brokenAt = nil, 0, 0, 0, 0, 0
+	w.engines[ids[w.rng.IntN(len(ids))]].forget(w.now)
+}
+
+// forget lets an engine start anew.
+func (e *engine) forget(now time.Duration) {
+	e.vm.Boot, e.vm.Member, e.vm.Model, e.vm.LastModel = int64(now), fleet.Membership{}, "", ""
+	e.members, e.lastGeneration, e.lastFence, e.readyAt, e.openAt, e.closedAt, e.brokenAt = nil, 0, 0, 0, 0, 0, 0
 }
 
 // stalledHead returns the head of an open replica of a model that lacks a
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -19,6 +19,10 @@
 	openTime    = 300 * time.Millisecond
 	drainTime   = 2 * time.Second
 	service     = "llm"
+	// unlistedAfter is how long an engine that is cut off from the store stays listed,
+	// unlistedRetention how long nodes keep it in their view after that.
+	unlistedAfter     = 1500 * time.Millisecond
+	unlistedRetention = 12 * time.Second
 )
 
 // engine simulates a model engine on a VM. It carries out orders as the
@@ -42,6 +46,12 @@
 	// brokenAt is when a head whose replica lacks a member breaks.
 	brokenAt       time.Duration
 	lastGeneration int64
+	// lastFence is the highest fencing number of an order since the start.
+	lastFence int64
+	// downUntil is when an engine that crashed starts again, cutUntil when one that was
+	// cut off from the store at cutAt reaches it again; reported is its report at cutAt.
+	downUntil, cutAt, cutUntil time.Duration
+	reported                   fleet.VM
 	// readyIn names the replicas in which the engine has been ready.
 	readyIn map[string]bool
 	// staging is the model that the host is loading until stagedAt.
@@ -55,6 +65,14 @@
 	rng     *rand.Rand
 	planner *Planner
 	engines map[string]*engine
+	// viewDelay is the age of the reports that the planner sees, historyTime how
+	// long reports are kept for planners that see older ones.
+	viewDelay, historyTime time.Duration
+	// fenced says that engines refuse orders with a fencing number lower than one
+	// that they have seen since their start.
+	fenced bool
+	// lost reports whether an order gets no answer and is never carried out; nil if none.
+	lost func(Order) bool
 	// delayed holds orders that got no answer and are carried out later.
 	delayed []delayedOrder
 	// lateOpens says that orders to open may be carried out after the members have left;
@@ -79,6 +97,7 @@
 type delayedOrder struct {
 	at    time.Duration
 	order Order
+	fence int64
 }
 
 type snapshot struct {
@@ -95,15 +114,12 @@
 
 // newWorld returns a world with one fabric domain of each given number of VMs.
 func newWorld(seed uint64, domains ...int) *world {
-	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, now: time.Minute}
+	w := &world{rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{}, now: time.Minute, viewDelay: reportDelay}
 	w.config = fleet.NewConfig(1, nil)
 	w.config.Services = map[string]fleet.Service{service: {Name: service, Engine: &fleet.Engine{
 		Slots: 26, Models: testModels(), LoadsPerSecond: 5.5, ConcurrentLoads: 8, OpenTime: openTime,
 	}}}
-	w.planner = NewPlanner(Settings{
-		StallTimeout: stallTime, DrainTime: drainTime, LoadWindow: 5 * time.Second, NoRequestYet: func() bool { return !w.gotRequests }, Logger: slog.New(slog.DiscardHandler),
-	})
-	w.planner.Reset(1)
+	w.startPlanner(1)
 	for d, n := range domains {
 		for i := range n {
 			w.add(fmt.Sprintf("d%d-%02d", d, i), fmt.Sprintf("d%d", d))
@@ -112,6 +128,14 @@
 	return w
 }
 
+// startPlanner starts a planner that knows nothing and holds the lease with the given term.
+func (w *world) startPlanner(term int64) {
+	w.planner = NewPlanner(Settings{
+		StallTimeout: stallTime, DrainTime: drainTime, LoadWindow: 5 * time.Second, NoRequestYet: func() bool { return !w.gotRequests }, Logger: slog.New(slog.DiscardHandler),
+	})
+	w.planner.Reset(term)
+}
+
 // add adds a running engine to a domain.
 func (w *world) add(id, domain string) {
 	w.engines[id] = &engine{vm: fleet.VM{ID: id, Boot: int64(w.now), Address: id, Service: service, Slots: 26, Domain: domain, LastSeen: w.now}}
@@ -139,23 +163,44 @@
 			i++
 			continue
 		}
-		w.execute(w.delayed[i].order)
+		d := w.delayed[i]
 		w.delayed = slices.Delete(w.delayed, i, i+1)
+		w.execute(d.order, d.fence)
 	}
 	w.publishReports()
 	if len(w.snapshots) > 0 {
-		v := fleet.NewView(w.config, w.now, w.snapshots[0].vms)
-		w.send(w.planner.Plan(w.now, v))
+		w.send(w.planner.Plan(w.now, w.seen().at, w.view()))
 	}
 }
 
+// view returns what the planner's node knows: the reports of viewDelay ago.
+func (w *world) view() *fleet.View { return fleet.NewView(w.config, w.now, w.seen().vms) }
+
+// seen returns the reports that the planner's node knows.
+func (w *world) seen() snapshot {
+	s := w.snapshots[0]
+	for _, later := range w.snapshots[1:] {
+		if later.at <= w.now-w.viewDelay {
+			s = later
+		}
+	}
+	return s
+}
+
 // publishReports records the engines' current reports. The planner sees them
 // after reportDelay.
 func (w *world) publishReports() {
 	vms := map[string]fleet.VM{}
 	for id, e := range w.engines {
 		vm := e.vm
-		vm.Unlisted = e.unlisted || e.down
+		vm.Unlisted = e.unlisted || e.down && e.downUntil == 0
+		if w.now < e.cutUntil {
+			if w.now-e.cutAt > unlistedAfter+unlistedRetention {
+				continue
+			}
+			vm = e.reported
+			vm.Unlisted = w.now-e.cutAt > unlistedAfter
+		}
 		if vm.Leaving && e.leavingSince == 0 {
 			e.leavingSince = w.now
 		}
@@ -163,7 +208,7 @@
 		vms[id] = vm
 	}
 	w.snapshots = append(w.snapshots, snapshot{w.now, vms})
-	for len(w.snapshots) > 1 && w.snapshots[1].at <= w.now-reportDelay {
+	for len(w.snapshots) > 1 && w.snapshots[1].at <= w.now-max(w.viewDelay, w.historyTime) {
 		w.snapshots = w.snapshots[1:]
 	}
 }
@@ -174,16 +219,16 @@
 	for _, o := range orders {
 		e := w.engines[o.VM]
 		switch {
-		case e == nil || e.down:
+		case e == nil || e.down || w.lost != nil && w.lost(o):
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
 			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, State: e.vm.Member.State, Slowdown: max(1, e.slowdown)}))
 		case w.rng.Float64() < w.delayedShare:
 			delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
-			w.delayed = append(w.delayed, delayedOrder{w.now + delay, o})
+			w.delayed = append(w.delayed, delayedOrder{w.now + delay, o, w.planner.term})
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		default:
-			ok := w.execute(o)
+			ok := w.execute(o, w.planner.term)
 			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: ok}))
 		}
 	}
@@ -191,11 +236,12 @@
 
 // execute carries out an order and records violations of the planner's
 // guarantees.
-func (w *world) execute(o Order) bool {
+func (w *world) execute(o Order, fence int64) bool {
 	e := w.engines[o.VM]
-	if e == nil || e.down {
+	if e == nil || e.down || w.fenced && fence < e.lastFence {
 		return false
 	}
+	e.lastFence = max(e.lastFence, fence)
 	m := &e.vm.Member
 	current := m.Replica == o.Replica && m.Generation == o.Generation
 	switch o.Kind {
@@ -296,6 +342,10 @@
 // whose replica has lacked a member for stallTime.
 func (e *engine) advance(w *world) {
 	m := &e.vm.Member
+	if e.down && e.downUntil > 0 && w.now >= e.downUntil {
+		e.down, e.downUntil = false, 0
+		e.forget(w.now)
+	}
 	if e.down {
 		return
 	}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -153,6 +153,12 @@
 // View returns the node's current view of the configuration and the upstreams.
 func (n *Node) View() *fleet.View { return n.state.View() }
 
+// ReportsVerifiedAt returns the time, by the boot clock, at which the read was sent that
+// proved the upstreams' reports in the view to be current.
+func (n *Node) ReportsVerifiedAt() time.Duration {
+	return time.Duration(n.state.vmsVerifiedAt.Load())
+}
+
 // OnSilent sets a function to call with the id of a VM whose upstream has stopped
 // making progress. Call OnSilent before Run.
 func (n *Node) OnSilent(f func(vm string)) { n.onSilent = f }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -43,6 +43,9 @@
 	// configVerifiedAt is when the last read was sent that proved the
 	// configuration to be current, in nanoseconds by the boot clock.
 	configVerifiedAt atomic.Int64
+	// vmsVerifiedAt is when the last read was sent that proved the upstreams' reports
+	// in the view to be current.
+	vmsVerifiedAt atomic.Int64
 	// changed is called after each new view was published.
 	changed func()
 	// detailed reports whether the views must hold the time of each VM's latest
@@ -159,6 +162,7 @@
 	if dirty {
 		s.publish()
 	}
+	s.vmsVerifiedAt.Store(int64(b.SentAt))
 }
 
 // readFailed records that a read of the upstreams' stream failed.
