formation: Leave VMs alone that may come back to an open replica

Cause: a new holder learns a replica's members from their reports, so it does not know to which replica a VM without a membership belonged, and took it for free at once.

Change: such a VM is not free while a replica of an earlier term in its domain lacks a member and has not ended. That lasts one order to leave, or the stall timeout where the head is out of reach. Within a term the planner knows the members already.

Measured: "orders no VM to join that may come back to an open replica of an earlier term" failed before with "1m8.35s: d0-02 joins r200001 while r100001 of d0-00 may serve".

--- a/formation/form.go
+++ b/formation/form.go
@@ -31,12 +31,28 @@
 		return a.standby && !r.standbyLoading(a, vm)
 	}
 	if vm.Member.Replica == "" {
-		return true
+		return !r.adoptedLacksMember(vm)
 	}
 	a, ok := r.replicas[vm.Member.Replica]
 	return ok && (a.released || a.standby && !r.standbyLoading(a, vm))
 }
 
+// adoptedLacksMember reports whether a replica that was formed under an earlier term, and
+// that has not ended, lacks a member that a VM without a membership may be. A VM that
+// started again has forgotten its membership, and a late order can make it a member again
+// while the head is open.
+func (r *round) adoptedLacksMember(vm fleet.VM) bool {
+	for _, a := range r.replicas {
+		if !a.adopted || a.released || a.standby || len(a.members) == 0 || len(a.members) >= r.replicaSize(a) {
+			continue
+		}
+		if m, ok := r.view.VM(a.members[0]); ok && m.Domain == vm.Domain {
+			return true
+		}
+	}
+	return false
+}
+
 // assignedReplica returns the replica or standby that a VM was ordered to join.
 func (r *round) assignedReplica(vm string) (*replica, bool) {
 	if r.assignments == nil {
