formation: End a replica again whose head comes back through late orders

Cause: a released replica was never looked at again while any VM reported it, and the join to a member was repeated whatever replica it reported meanwhile.

Ruled out: engines that check fencing numbers, unless the head started again, since it has seen the later term in the order to leave.

Change: a released replica whose head has gone and reports it again, and is not broken, is dismantled again. A replica being formed is given up if a member reports another one that has not ended.

--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -1,15 +1,60 @@
 package formation
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// maxViewDelay is the age that reports may have at a new holder, which may have them from
-// another node.
-const maxViewDelay = 1300 * time.Millisecond
+const (
+	// maxViewDelay is the age that reports may have at a new holder, which may have them
+	// from another node.
+	maxViewDelay = 1300 * time.Millisecond
+	maxPause     = 8 * time.Second
+)
+
+// changeHolder lets another node, which knows nothing and may see older reports, hold
+// the lease. If the former holder was paused, its last orders are sent when it goes on.
+func (w *world) changeHolder(paused bool) {
+	if paused {
+		pause := time.Duration(w.rng.Int64N(int64(maxPause)))
+		for _, o := range w.planner.Plan(w.now, w.seen().at, w.view()) {
+			if o.Kind != Probe {
+				w.delayed = append(w.delayed, delayedOrder{w.now + pause, o, w.planner.term})
+			}
+		}
+	}
+	w.startPlanner(w.planner.term + 1)
+	w.viewDelay = reportDelay + time.Duration(w.rng.Int64N(int64(maxViewDelay-reportDelay)))
+}
+
+// disturb lets something happen to one engine, at random.
+func (w *world) disturb(i int) {
+	ids := slices.Sorted(maps.Keys(w.engines))
+	e := w.engines[ids[w.rng.IntN(len(ids))]]
+	head := w.headOf(e)
+	switch w.rng.IntN(6) {
+	case 0, 1:
+		e.forget(w.now)
+	case 2:
+		e.down, e.downUntil = true, w.now+time.Duration(w.rng.Int64N(int64(5*time.Second)))
+	case 3:
+		e.reported, e.cutAt = e.vm, w.now
+		e.cutUntil = w.now + time.Duration(w.rng.Int64N(int64(16*time.Second)))
+	case 4:
+		e.vm.Leaving = true
+		w.add(fmt.Sprintf("new-%d", i), e.vm.Domain)
+	case 5:
+		head = nil
+	}
+	if head != nil && w.rng.IntN(2) == 0 {
+		w.send(w.planner.ProbeMembers(w.now, w.view(), head.vm.ID))
+	}
+}
 
 var _ = Describe("Planner after a change of the lease's holder", func() {
 	var w *world
@@ -70,6 +115,51 @@
 		w.run(10*time.Second, nil)
 		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
 	})
+
+	// Late orders brought the head of a replica that had ended back and opened it, while
+	// its members were being ordered to join another replica.
+	It("ends a replica again whose head comes back through late orders", func() {
+		head := startSmall()
+		former := joinOrder(head, head)
+		opening := Order{Kind: Open, VM: head.vm.ID, Replica: former.Replica, Generation: former.Generation}
+		w.member("small", 2).down = true
+		w.suspect(head.vm.ID)
+		ordered := false
+		w.lost = func(o Order) bool {
+			ordered = ordered || o.Kind == Join && o.VM == head.vm.ID
+			return o.Kind == Join
+		}
+		Expect(w.run(3*time.Second, func() bool { return ordered })).To(BeTrue())
+		w.run(300*time.Millisecond, nil)
+		w.execute(former, 1)
+		w.lost = func(o Order) bool { return o.Kind == Join || o.Kind == Leave }
+		w.run(rejoinTime+reportDelay+stepTime, nil)
+		w.execute(opening, 1)
+		w.lost = func(o Order) bool { return o.Kind == Leave }
+		w.run(time.Second, nil)
+		w.lost = nil
+		w.run(10*time.Second, nil)
+		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
+	})
+
+	// A member of an open replica was ordered to join another one where holders changed
+	// while orders were late and VMs started again, were cut off from the log or left.
+	DescribeTable("keeps replicas without shared members through changes of the holder, late orders and restarts",
+		func(seed uint64) {
+			w = newWorld(seed, 8, 8, 8)
+			w.fenced, w.historyTime = true, maxViewDelay
+			w.run(30*time.Second, nil)
+			w.gotRequests, w.delayedShare, w.lateOpens = true, 0.5, true
+			for i := range 40 {
+				if w.rng.IntN(2) == 0 {
+					w.changeHolder(w.rng.IntN(3) == 0)
+				}
+				w.disturb(i)
+				w.run(time.Duration(w.rng.Int64N(int64(3*time.Second))), nil)
+			}
+		},
+		Entry(nil, uint64(41)), Entry(nil, uint64(51)), Entry(nil, uint64(199)), Entry(nil, uint64(201)), Entry(nil, uint64(447)),
+	)
 })
 
 // joinOrder returns the order with which an engine joined the replica of a head.
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -40,6 +40,8 @@
 	// since when.
 	released   bool
 	releasedAt time.Duration
+	// headGone says that the head stopped reporting the replica after the release.
+	headGone bool
 	// reallocated says that the replica is closed in favour of one of another
 	// model.
 	reallocated bool
@@ -237,7 +239,7 @@
 	failed := leaving
 	for _, id := range a.members {
 		vm, ok := r.view.VM(id)
-		if !ok || r.unavailable(vm) || vm.Leaving {
+		if !ok || r.unavailable(vm) || vm.Leaving || r.belongsToOther(a, vm) {
 			failed = true
 		}
 	}
@@ -264,6 +266,16 @@
 	}
 }
 
+// belongsToOther reports whether a VM is a member of another replica, from which it may
+// not be taken yet.
+func (r *round) belongsToOther(a *replica, vm fleet.VM) bool {
+	if vm.Member.Replica == a.name {
+		return false
+	}
+	other, ok := r.replicas[vm.Member.Replica]
+	return ok && !other.released && !other.standby
+}
+
 func (r *round) join(a *replica, vm fleet.VM) Order {
 	return Order{
 		Kind: Join, VM: vm.ID, Address: vm.Address, Replica: a.name, Generation: a.generation,
@@ -351,9 +363,21 @@
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
 
-// dropReleased deletes a released replica once no VM reports it.
+// dropReleased deletes a released replica once no VM reports it. A replica whose head has
+// become a member again, through a late order to join, may be opened by a late order too,
+// so it is dismantled once more.
 func (r *round) dropReleased(a *replica) {
-	if _, reported := r.reported[a.name]; !reported {
+	rep, reported := r.reported[a.name]
+	if !reported {
 		delete(r.replicas, a.name)
+		return
+	}
+	head, present := rep.Head()
+	switch {
+	case !present:
+		a.headGone = true
+	case a.headGone && (a.openSent || a.adopted) && head.Member.State != fleet.MemberBroken:
+		a.released, a.headGone, a.headLeft, a.dismantlingSince, r.assignments = false, false, false, 0, nil
+		r.dismantle(a, rep, false)
 	}
 }
