gateway: Test that the age of the reports follows reads that show no change

The holder of the lease plans by it after, where it came without a test of its own. The spec fails if the time is stored only with a change.

--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -48,6 +48,14 @@
 		s.builder.SetConfig(config)
 	})
 
+	// A new holder of the lease planned with reports whose age it did not know.
+	It("knows how recent its reports are, also if a read shows no change", func() {
+		s.applyVMs(keyed.Batch{Records: []keyed.Record{record("a", "x")}, SentAt: time.Second})
+		s.applyVMs(keyed.Batch{SentAt: 2 * time.Second})
+		Expect(published).To(Equal(1))
+		Expect(time.Duration(s.vmsVerifiedAt.Load())).To(Equal(2 * time.Second))
+	})
+
 	It("neither decodes nor publishes a report that repeats the last one", func() {
 		report(record("a", "x"), record("b", "x"))
 		Expect(published).To(Equal(1))
