--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/poison"
 	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
@@ -36,6 +37,8 @@
 	table
 	down  bool
 	heard map[string]Message
+	// parts is what the node knows of parts of prompts.
+	parts *poison.Table
 }
 
 // newSimulation returns a deployment in which all nodes are registered with each other.
@@ -53,6 +56,7 @@
 			s.nodes[address] = &simulatedNode{
 				table: table{self: self, peers: map[string]*peer{}, onPeerEvent: func(string, *peer, time.Duration) {}},
 				heard: map[string]Message{},
+				parts: poison.NewTable(self.ID),
 			}
 			s.order = append(s.order, address)
 		}
@@ -78,7 +82,8 @@
 				continue
 			}
 			local := Message{Node: n.self.ID, Zone: n.self.Zone, Cores: n.self.Cores,
-				Loads: map[string]dispatch.Load{"vm": {InFlight: 1, PendingPromptTokens: 10}}, Silent: []string{"head of " + n.self.ID}}
+				Loads: map[string]dispatch.Load{"vm": {InFlight: 1, PendingPromptTokens: 10}}, Silent: []string{"head of " + n.self.ID},
+				Parts: n.parts.Report(s.now)}
 			for _, o := range n.nextMessages(s.now, local) {
 				s.deliver(address, o)
 			}
@@ -100,6 +105,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		if n.recordMessage(s.now, m, from) {
 			n.heard[m.Node] = m
+			n.parts.Merge(s.now, m.Parts)
 		}
 	}
 }
@@ -170,6 +176,22 @@
 		Expect(slices.Compact(silent)).To(HaveLen(29))
 	})
 
+	// Guards against issue #24 at large sites: each part of the tree lost upstreams of its
+	// own to the same part of a prompt.
+	It("know within eight rounds what crashes upstreams by crashes that two of them saw", func() {
+		s := newSimulation(3, 28)
+		s.runRounds(8)
+		for i, a := range []netip.AddrPort{s.order[0], s.order[len(s.order)-1]} {
+			s.nodes[a].parts.RecordCrash(s.now, []string{"deadly", fmt.Sprint("other", i)}, poison.CrashID(i))
+			s.runRounds(3)
+		}
+		s.runRounds(8)
+		for _, n := range s.nodes {
+			Expect(n.parts.Standing(s.now, "deadly")).To(Equal(poison.Convicted), n.self.ID)
+			Expect(n.parts.Standing(s.now, "other0")).To(Equal(poison.Sound), n.self.ID)
+		}
+	})
+
 	// Half of the nodes fail at once, the parents of all availability zones among them.
 	It("form a tree again after the nodes between them have failed, and after those have come back", func() {
 		s := newSimulation(3, 28)
