--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -98,6 +98,24 @@
 		Expect(b.standing("twin")).To(Equal(Convicted))
 	})
 
+	// Guards against a conviction that was lifted: of four crashes in quick succession only
+	// two counted, and a bystander of two of them seemed as likely a cause.
+	It("stays convicted beside a part that was on fewer of the upstreams", func() {
+		b := newBench("n")
+		at := b.now
+		for i, after := range []time.Duration{0, 80, 240, 320} {
+			b.now = at.Add(after * time.Millisecond)
+			b.RecordCrash(b.now, []string{"deadly"}, CrashID(i))
+			if i%2 == 0 {
+				b.RecordCrash(b.now, []string{"bystander"}, CrashID(i))
+			}
+			if i >= 2 {
+				Expect(b.standing("deadly")).To(Equal(Convicted))
+				Expect(b.standing("bystander")).To(Equal(Sound))
+			}
+		}
+	})
+
 	It("may be tried after a time that grows with each crash, and is sound after a start", func() {
 		b := newBench("n")
 		b.crash([]string{"deadly"})
@@ -276,6 +294,37 @@
 	})
 })
 
+// Guards against an upstream lost to what waited at a frozen node: when it went on, it sent
+// a request with a part that its peers knew to be deadly.
+var _ = Describe("A node that stood still or just started", func() {
+	judge := func(b *bench, part string) []string {
+		_, convicted, suspected := b.Judge(b.now, []string{part, Content("x")})
+		Expect(convicted).To(BeFalse())
+		return suspected
+	}
+
+	It("holds requests with parts that it knows nothing of until its peers may have told it", func() {
+		b := newBench("n")
+		b.start("common")
+		Expect(judge(b, "new")).To(BeEmpty(), "without peers")
+		b.Report(b.now)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		Expect(judge(b, "common")).To(BeEmpty())
+		for range 10 {
+			b.now = b.now.Add(60 * time.Millisecond)
+			b.Report(b.now)
+		}
+		Expect(judge(b, "new")).To(BeEmpty())
+		b.now = b.now.Add(3 * time.Second)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		b.Report(b.now)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		Expect(judge(b, "common")).To(BeEmpty())
+		b.now = b.now.Add(catchUpTime)
+		Expect(judge(b, "new")).To(BeEmpty())
+	})
+})
+
 // Guards against memory and messages that grow with what callers and peers send.
 var _ = Describe("The table's bounds", func() {
 	It("hold for any number of suspects, and convictions outlast a flood of bystanders", func() {
