poison: Rank suspects by all crashes that they explain

Cause: suspects were ranked by the count in which crashes within 100 ms count once. Of four crashes of the part two counted, as of two of a bystander, so that the evidence seemed the same against both.

Change: suspects are ranked by all crashes that they explain; the count only decides whether they suffice.

Shown: the spec "stays convicted beside a part that was on fewer of the upstreams" failed before.

--- a/poison/table.go
+++ b/poison/table.go
@@ -366,7 +366,7 @@
 // compare orders candidates: those that explain the most crashes first, and before
 // others those that no answer has begun with.
 func (c *candidate) compare(other *candidate) int {
-	return cmp.Or(cmp.Compare(other.count, c.count), c.lastStart.Compare(other.lastStart))
+	return cmp.Or(cmp.Compare(len(other.open), len(c.open)), c.lastStart.Compare(other.lastStart))
 }
 
 // rivals reports whether the evidence doesn't tell which of two candidates caused a crash.
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -98,6 +98,24 @@
 		Expect(b.standing("twin")).To(Equal(Convicted))
 	})
 
+	// Guards against a conviction that was lifted: of four crashes in quick succession only
+	// two counted, and a bystander of two of them seemed as likely a cause.
+	It("stays convicted beside a part that was on fewer of the upstreams", func() {
+		b := newBench("n")
+		at := b.now
+		for i, after := range []time.Duration{0, 80, 240, 320} {
+			b.now = at.Add(after * time.Millisecond)
+			b.RecordCrash(b.now, []string{"deadly"}, CrashID(i))
+			if i%2 == 0 {
+				b.RecordCrash(b.now, []string{"bystander"}, CrashID(i))
+			}
+			if i >= 2 {
+				Expect(b.standing("deadly")).To(Equal(Convicted))
+				Expect(b.standing("bystander")).To(Equal(Sound))
+			}
+		}
+	})
+
 	It("may be tried after a time that grows with each crash, and is sound after a start", func() {
 		b := newBench("n")
 		b.crash([]string{"deadly"})
