poison: Hold unknown parts at a node that stood still or just started

Cause: what waits at a node that stood still is served before its peers' messages are read.

Change: a node that has not reported to its peers for 500 ms, or has just begun to, treats parts that it knows no answer of as suspected for 200 ms. Nodes without peers are not held.

Shown: the spec "A node that stood still or just started" is new, as is what it tests.

--- a/poison/report.go
+++ b/poison/report.go
@@ -60,6 +60,7 @@
 
 // Report returns the report to peers.
 func (t *Table) Report(now time.Time) Findings {
+	t.recordReport(now)
 	t.assess()
 	parts := slices.DeleteFunc(slices.Collect(maps.Keys(t.suspects)), func(part string) bool {
 		s := t.suspects[part]
--- a/poison/table.go
+++ b/poison/table.go
@@ -49,6 +49,12 @@
 	// suspicionTime is how long after its latest crash a part that was not convicted
 	// is a suspect.
 	suspicionTime = 30 * time.Second
+	// standstill is the time without a report after which this process has stood
+	// still: nodes report many times a second.
+	standstill = 500 * time.Millisecond
+	// catchUpTime is how long after its start, or after it stood still, a node may not
+	// know yet what its peers know.
+	catchUpTime = 200 * time.Millisecond
 	// clearedTime is how long a cleared suspect is reported to peers.
 	clearedTime = 5 * time.Second
 )
@@ -169,6 +175,9 @@
 	order  []string
 	claims map[claimKey]*claim
 	stale  bool
+	// lastReport is when Report was last called; resumed is when it was called first
+	// or for the first time after standstill.
+	lastReport, resumed time.Time
 	// Dropped counts the suspects that were removed because the table was full.
 	Dropped int64
 }
@@ -404,9 +413,11 @@
 }
 
 // Judge returns the evidence against the first of these parts that is convicted, if one
-// is, and otherwise the parts that are suspected.
+// is, and otherwise the parts that are suspected. While the peers may know more than this
+// node, these include each part that no answer is known to have begun with.
 func (t *Table) Judge(now time.Time, parts []string) (Evidence, bool, []string) {
 	var suspected []string
+	behind := t.behind(now)
 	for _, part := range parts {
 		switch t.Standing(now, part) {
 		case Convicted:
@@ -414,11 +425,27 @@
 		case Suspected:
 			suspected = append(suspected, part)
 		case Sound:
+			if behind && !IsContent(part) && t.starts[part].IsZero() {
+				suspected = append(suspected, part)
+			}
 		}
 	}
 	return Evidence{}, false, suspected
 }
 
+// behind reports whether the peers may know more than this node.
+func (t *Table) behind(now time.Time) bool {
+	return !t.lastReport.IsZero() && (now.Sub(t.lastReport) > standstill || now.Sub(t.resumed) < catchUpTime)
+}
+
+// recordReport records that the node reports to its peers.
+func (t *Table) recordReport(now time.Time) {
+	if now.Sub(t.lastReport) > standstill {
+		t.resumed = now
+	}
+	t.lastReport = now
+}
+
 // Evidence returns the evidence against a part.
 func (t *Table) Evidence(now time.Time, part string) Evidence {
 	t.assess()
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -294,6 +294,37 @@
 	})
 })
 
+// Guards against an upstream lost to what waited at a frozen node: when it went on, it sent
+// a request with a part that its peers knew to be deadly.
+var _ = Describe("A node that stood still or just started", func() {
+	judge := func(b *bench, part string) []string {
+		_, convicted, suspected := b.Judge(b.now, []string{part, Content("x")})
+		Expect(convicted).To(BeFalse())
+		return suspected
+	}
+
+	It("holds requests with parts that it knows nothing of until its peers may have told it", func() {
+		b := newBench("n")
+		b.start("common")
+		Expect(judge(b, "new")).To(BeEmpty(), "without peers")
+		b.Report(b.now)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		Expect(judge(b, "common")).To(BeEmpty())
+		for range 10 {
+			b.now = b.now.Add(60 * time.Millisecond)
+			b.Report(b.now)
+		}
+		Expect(judge(b, "new")).To(BeEmpty())
+		b.now = b.now.Add(3 * time.Second)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		b.Report(b.now)
+		Expect(judge(b, "new")).To(ConsistOf("new"))
+		Expect(judge(b, "common")).To(BeEmpty())
+		b.now = b.now.Add(catchUpTime)
+		Expect(judge(b, "new")).To(BeEmpty())
+	})
+})
+
 // Guards against memory and messages that grow with what callers and peers send.
 var _ = Describe("The table's bounds", func() {
 	It("hold for any number of suspects, and convictions outlast a flood of bystanders", func() {
