poison: Rank parts without an answer first and remember convictions

What callers would see: while a deadly part was convicted, one crash of a bystander's upstream made the first part that both share explain one crash more; the deadly part was free again and the first part, and with it all sound requests of the kind, refused for two minutes. And a deadly part that came in bursts 70 s apart crashed two upstreams in each burst.

Cause: suspects were ranked by the crashes that they explain before it was asked whether answers have begun with them, and a convicted suspect was forgotten after twice its hold, 60 s after two crashes.

Change: of the suspects whose evidence suffices, those that no answer has begun with come first. Convicted suspects are remembered for an hour; after the hold their requests run one at a time, as before.

Shown: three specs failed before: the deadly part was sound beside a bystander's crash and beside a second deadly part with the same first part, and ten bursts crashed 20 upstreams where 5 are allowed. Found by a review.

--- a/poison/table.go
+++ b/poison/table.go
@@ -49,6 +49,9 @@
 	// suspicionTime is how long after its latest crash a part that was not convicted
 	// is a suspect.
 	suspicionTime = 30 * time.Second
+	// convictionMemory is how long after its latest crash a convicted suspect is
+	// remembered at least, so that the next one makes its conviction longer.
+	convictionMemory = time.Hour
 	// standstill is the time without a report after which this process has stood
 	// still: nodes report many times a second.
 	standstill = 500 * time.Millisecond
@@ -129,7 +132,7 @@
 // lifetime returns how long after the latest crash the suspect is kept.
 func (s *suspect) lifetime() time.Duration {
 	if s.convicted {
-		return 2 * s.hold()
+		return max(2*s.hold(), convictionMemory)
 	}
 	return suspicionTime
 }
@@ -372,10 +375,18 @@
 	return nil
 }
 
-// compare orders candidates: those that explain the most crashes first, and before
-// others those that no answer has begun with.
+// compare orders candidates: before others those that no answer has begun with, and then
+// those that explain the most crashes. What a deadly part shares with bystanders explains
+// their crashes too, but answers have begun with it.
 func (c *candidate) compare(other *candidate) int {
-	return cmp.Or(cmp.Compare(len(other.open), len(c.open)), c.lastStart.Compare(other.lastStart))
+	started, otherStarted := 0, 0
+	if !c.lastStart.IsZero() {
+		started = 1
+	}
+	if !other.lastStart.IsZero() {
+		otherStarted = 1
+	}
+	return cmp.Or(cmp.Compare(started, otherStarted), cmp.Compare(len(other.open), len(c.open)), c.lastStart.Compare(other.lastStart))
 }
 
 // rivals reports whether the evidence doesn't tell which of two candidates caused a crash.
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -116,6 +116,47 @@
 		}
 	})
 
+	// Guards against refused sound requests: a crash of a bystander made the first part
+	// that it shares with the deadly ones explain one crash more than they do.
+	It("stays convicted, and the part that it shares with bystanders sound, if a bystander's upstream crashes", func() {
+		b := newBench("n")
+		b.start("common")
+		b.crash([]string{"common", "deadly"})
+		b.crash([]string{"common", "deadly"})
+		b.crash([]string{"common", Content("bystander")})
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		Expect(b.standing("common")).To(Equal(Sound))
+	})
+
+	It("is convicted beside another one with the same first part, which stays sound", func() {
+		b := newBench("n")
+		b.start("common")
+		b.crash([]string{"common", "one"})
+		b.crash([]string{"common", "two"})
+		b.crash([]string{"common", "one"})
+		b.crash([]string{"common", "two"})
+		Expect(b.standing("one")).To(Equal(Convicted))
+		Expect(b.standing("two")).To(Equal(Convicted))
+		Expect(b.standing("common")).To(Equal(Sound))
+	})
+
+	// Guards against a conviction that is forgotten between bursts of requests, so that
+	// each burst crashed two upstreams.
+	It("crashes few upstreams however long the pauses between its requests are", func() {
+		b := newBench("n")
+		for burst := range 10 {
+			for i := range 6 {
+				b.start("common")
+				parts := []string{"common", "deadly", Content(fmt.Sprint(burst, i))}
+				if _, convicted, _ := b.Judge(b.now, parts); !convicted {
+					b.crash(parts)
+				}
+			}
+			b.now = b.now.Add(70 * time.Second)
+		}
+		Expect(b.crashes).To(BeNumerically("<=", 5))
+	})
+
 	It("may be tried after a time that grows with each crash, and is sound after a start", func() {
 		b := newBench("n")
 		b.crash([]string{"deadly"})
