gateway: Recognise a crash of an upstream that closes its port last

Cause: after a broken answer the node connected to the upstream once. If the process ends its connections before its port, that connection was accepted, and the crash was taken for a lost answer. tamarackcleatd asks again (entry/node.go, probeForCrash); the gateway did not.

Change: a connection that was accepted is watched for 200 ms. If it ends and the next one is refused, the process has ended. An upstream that closes surplus connections accepts the next one or refuses none.

--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"net"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -15,9 +16,14 @@
 	"github.com/tamarackcleat/tamarackcleat/poison"
 )
 
-// crashProbeTimeout bounds the connection attempt that checks whether an upstream's
-// process has ended. A port without a process refuses at once.
-const crashProbeTimeout = 100 * time.Millisecond
+const (
+	// crashProbeTimeout bounds the connection attempt that checks whether an upstream's
+	// process has ended. A port without a process refuses at once.
+	crashProbeTimeout = 100 * time.Millisecond
+	// crashWatchTime is how long a connection to an upstream that broke an answer is
+	// watched for its end.
+	crashWatchTime = 200 * time.Millisecond
+)
 
 // fingerprint returns a hash of the request's content and team. If a caller tries
 // again, the fingerprint is the same although the request id and the entry VM may
@@ -49,15 +55,36 @@
 // request of the same batch crashed the upstream.
 func (f *forwarder) countCrash(t fleet.Target) {
 	conn, err := net.DialTimeout("tcp", t.Address, crashProbeTimeout)
-	if err == nil {
-		// Nothing was sent on the connection, so an error in closing it is
-		// irrelevant.
-		_ = conn.Close()
+	switch {
+	case err == nil:
+		go f.awaitCrash(t, conn)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		f.recordCrash(t)
+	}
+}
+
+// awaitCrash records a crash if an upstream that has accepted a connection ends it and
+// then accepts no other one: a process that ends may close its port last.
+func (f *forwarder) awaitCrash(t fleet.Target, conn net.Conn) {
+	// Errors in setting the deadline and in closing mean that the connection has ended.
+	_ = conn.SetReadDeadline(time.Now().Add(crashWatchTime))
+	n, err := conn.Read(make([]byte, 1))
+	_ = conn.Close()
+	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	again, err := net.DialTimeout("tcp", t.Address, crashProbeTimeout)
+	if err == nil {
+		_ = again.Close()
 		return
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		f.recordCrash(t)
+	}
+}
+
+// recordCrash records that the request may have crashed an upstream.
+func (f *forwarder) recordCrash(t fleet.Target) {
 	now := time.Now()
 	crashes := 0
 	f.node.updateParts(func(table *poison.Table) bool {
