porthttp: Bound the memory of all responses to calls together

A plain service whose responses do not end made a node of tamarackcleatd grow by 128 MB with 32 callers, of which 15 reached the service; the smallest entry VMs have less than 200 MB.

Cause: each response to a call was read up to 8 MB by itself, with a buffer that doubles; nothing bounded the responses together, as in the gateway.

Ruled out: streams; a node's peak grew by 1 MB with an endless header field, head or body, because tokens are read one event at a time.

Change: the responses are read with a bounded.Budget of 16 MB, as the gateway's answers are. A response that does not fit is lost, with a detail that names call_responses_memory; the first 62 KB of each response don't count.

--- a/port/porthttp/upstream.go
+++ b/port/porthttp/upstream.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
@@ -21,7 +23,11 @@
 	maxReportBytes       = 256 << 10
 	maxCacheEventsBytes  = 8 << 20
 	maxCallResponseBytes = 8 << 20
-	maxRetryAfter        = time.Hour
+	// callResponsesMemoryBytes bounds the memory of all large responses to calls that
+	// are being received together; the smallest entry VMs have less than 200 MB.
+	callResponsesMemoryBytes = 16 << 20
+	limitCallResponsesMemory = "call_responses_memory"
+	maxRetryAfter            = time.Hour
 )
 
 // reasonStaleFencing is the port.Refusal.Reason of an order whose generation is
@@ -36,12 +42,18 @@
 // of its methods are or wrap a *verdict.Error.
 type Upstream struct {
 	client *http.Client
+	// callResponses bounds the memory of the responses to calls that are being
+	// received.
+	callResponses *bounded.Budget
 }
 
 // NewUpstream returns a client of upstream VMs. If client is nil, the client of
 // NewHTTPClient is used.
 func NewUpstream(client *http.Client) *Upstream {
-	return &Upstream{client: withoutRedirects(client)}
+	return &Upstream{
+		client:        withoutRedirects(client),
+		callResponses: bounded.NewBudget(limitCallResponsesMemory, callResponsesMemoryBytes),
+	}
 }
 
 // Report fetches the report of a VM.
@@ -128,20 +140,32 @@
 		_, failure := parseRefusal(resp)
 		return port.CallResponse{}, failure
 	}
-	data, err := readAll(resp.Body, maxCallResponseBytes)
+	answer, err := u.readCallResponse(resp.Body)
 	if err != nil {
 		return port.CallResponse{}, lostError("%v", err)
 	}
-	var answer port.CallResponse
-	if err := json.Unmarshal(data, &answer); err != nil {
-		return port.CallResponse{}, lostError("the answer can't be decoded: %v", err)
-	}
 	if answer.RequestID != req.RequestID {
 		return port.CallResponse{}, lostError("the answer belongs to another request")
 	}
 	return answer, nil
 }
 
+// readCallResponse reads and decodes the response to a call.
+func (u *Upstream) readCallResponse(body io.Reader) (port.CallResponse, error) {
+	in, err := u.callResponses.ReadAll(body, limitResponse, maxCallResponseBytes)
+	defer in.Release()
+	if err != nil {
+		return port.CallResponse{}, errors.Wrap(err, "reading the answer")
+	}
+	var data bytes.Buffer
+	if _, err := in.WriteTo(&data); err != nil {
+		return port.CallResponse{}, errors.Wrap(err, "copying the answer")
+	}
+	var answer port.CallResponse
+	err = json.Unmarshal(data.Bytes(), &answer)
+	return answer, errors.Wrap(err, "the answer can't be decoded")
+}
+
 // post sends a request with a JSON body at most once.
 func (u *Upstream) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
 	data, err := json.Marshal(body)
