processtest: Show that answers without an end cost tamarackcleatd little memory

Change: the stand-ins of engine VMs and plain services can send answers without an end, with the code of the gateway's stand-in, which moves to standin/fault. The spec reads the peak memory of a built tamarackcleatd as a process before and after 8 streams, some of which reach such an engine VM, and 32 calls to such a service, for each part of an answer. Streams must be complete, calls must get a failure, and the node must serve afterwards.

The gateway is not covered as a process.

--- a/processtest/calls_test.go
+++ b/processtest/calls_test.go
@@ -92,7 +92,11 @@
 }
 
 func (c *confirmations) attempt(n *node, key string) attemptResult {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	return c.attemptWithin(callTimeout, n, key)
+}
+
+func (c *confirmations) attemptWithin(timeout time.Duration, n *node, key string) attemptResult {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	var r attemptResult
 	header := http.Header{api.HeaderIdempotencyKey: {key}}
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -1,6 +1,10 @@
 package engine
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/tamarackcleat/tamarackcleat/standin/fault"
+)
 
 // Faults holds the fault switches of an engine VM. The zero value has no faults.
 type Faults struct {
@@ -29,6 +33,8 @@
 	CutNext    int `json:"cut_next"`
 	StallNext  int `json:"stall_next"`
 	BreakAfter int `json:"break_after"`
+	// Endless is the part of the answers to prompts that does not end.
+	Endless fault.EndlessPart `json:"endless"`
 	// LoseCacheEvery, if over 0, loses every nth cache event.
 	LoseCacheEvery int `json:"lose_cache_every"`
 }
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -41,6 +41,10 @@
 		s.Crash()
 		fault.AbortConnection()
 	}
+	if part := s.Faults.Get().Endless; part != "" {
+		fault.ServeEndless(w, part, "")
+		return
+	}
 	s.serve(ctx, w, req, answer)
 }
 
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -62,6 +62,8 @@
 	// HangAnswers is the number of calls that take effect, but get no answer
 	// until their senders give up.
 	HangAnswers int `json:"hang_answers"`
+	// Endless is the part of the answers to calls that does not end.
+	Endless fault.EndlessPart `json:"endless"`
 	// RefuseNext is the number of calls that are refused as not run.
 	RefuseNext int `json:"refuse_next"`
 	// CrashBefore is the number of calls that crash the VM before they take effect.
@@ -184,6 +186,10 @@
 	if s.consume(func(f *Faults) *int { return &f.LoseAnswers }) {
 		fault.AbortConnection()
 	}
+	if part := s.Faults.Get().Endless; part != "" {
+		fault.ServeEndless(w, part, "")
+		return
+	}
 	s.writeAnswer(w, req, answer)
 }
 
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -3,9 +3,11 @@
 package process
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -98,3 +100,20 @@
 	<-p.exited
 	return p.cmd.ProcessState.ExitCode()
 }
+
+// PeakMemory returns the largest resident memory of the running process so far, in
+// bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	path := fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid)
+	status, err := os.ReadFile(path)
+	if err != nil {
+		return 0, errors.Wrapf(err, "reading the memory of %s", p.Name)
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, errors.Newf("%s does not say the memory of %s", path, p.Name)
+}
