formation: Count a replica as stalled only while a member stays away

Cause: for a replica whose head is unreachable, leftAt was set once, when a member first answered an order to leave or when no member was in the log any more, and was never taken back. A member that came back to the log, or to the replica through a late repeated join, did not clear it. When the stall timeout had passed since then, the members were taken for free and ordered to join another replica, although the head had all of its members and served.

Evidence: found by reading.

Ruled out: the members' own reports do not protect, since the release makes a listed member free whatever it reports.

Change: the planner remembers when each member left and forgets that when a later report shows the member in the replica.

--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -142,6 +142,50 @@
 		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
 	})
 
+	// The members of an open replica vanished from the log one after the other and could not
+	// be reached. One came back before the head, and was ordered to join another replica
+	// although its order to leave was late and the head still served.
+	It("takes no member from a replica whose other members only vanished from the log", func() {
+		head := startSmall()
+		w.historyTime = maxViewDelay
+		member := w.member("small", 1)
+		for _, id := range head.members {
+			e := w.engines[id]
+			e.reported, e.cutAt, e.cutUntil = e.vm, w.now, w.now+time.Hour
+		}
+		w.lost = func(o Order) bool { return slices.Contains(head.members, o.VM) }
+		w.run(unlistedAfter+unlistedRetention+time.Second, nil)
+		member.cutUntil = w.now
+		w.lost = func(o Order) bool {
+			return slices.Contains(head.members, o.VM) && (o.VM != member.vm.ID || o.Kind == Leave)
+		}
+		w.run(2*stallTime, nil)
+		w.lost = nil
+		for _, id := range head.members {
+			w.engines[id].cutUntil = w.now
+		}
+		w.run(20*time.Second, nil)
+		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
+	})
+
+	// A member that had left a replica with an unreachable head became a member again
+	// through a late order. The others were taken for free when the head would have broken
+	// if the member had stayed away.
+	It("takes no member from a replica that a member has come back to", func() {
+		head := startSmall()
+		member, other := w.member("small", 1), w.member("small", 2)
+		again := joinOrder(head, member)
+		head.reported, head.cutAt, head.cutUntil = head.vm, w.now-unlistedAfter, w.now+time.Hour
+		refused := true
+		w.lost = func(o Order) bool { return o.VM == head.vm.ID || o.VM == other.vm.ID && refused && o.Kind == Leave }
+		Expect(w.run(5*time.Second, func() bool { return member.vm.Member.Replica == "" })).To(BeTrue())
+		w.run(stallTime-time.Second, nil)
+		w.execute(again, 1)
+		w.run(2*time.Second, nil)
+		refused = false
+		w.run(20*time.Second, nil)
+	})
+
 	// A member of an open replica was ordered to join another one where holders changed
 	// while orders were late and VMs started again, were cut off from the log or left.
 	DescribeTable("keeps replicas without shared members through changes of the holder, late orders and restarts",
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -32,10 +33,12 @@
 	// dismantlingSince is when the planner began to dismantle the replica; 0 if
 	// it did not.
 	dismantlingSince time.Duration
-	// leftAt is when a member first answered an order to leave. For a replica
-	// whose head is unreachable, it is also set when no member reports any
-	// more.
-	leftAt time.Duration
+	// left holds when members answered an order to leave, except for those that
+	// have reported the replica since.
+	left map[string]time.Duration
+	// unreportedSince is since when no member reports a replica that is being
+	// dismantled; 0 if one does.
+	unreportedSince time.Duration
 	// released says that the replica's members may join others; releasedAt is
 	// since when.
 	released   bool
@@ -61,8 +64,13 @@
 		a.headLeft = true
 		p.replan = true
 	}
-	if res.Answered && a.leftAt == 0 {
-		a.leftAt = now
+	if res.Answered {
+		if a.left == nil {
+			a.left = map[string]time.Duration{}
+		}
+		if _, known := a.left[vm]; !known {
+			a.left[vm] = now
+		}
 	}
 }
 
@@ -348,16 +356,36 @@
 // other members to leave, and releases the replica once the head must have
 // stopped serving for lack of them.
 func (r *round) dismantleWithoutHead(a *replica, rep fleet.Replica) {
-	if len(rep.Members) == 0 && a.leftAt == 0 {
-		a.leftAt = r.now
-	}
+	r.recordReturns(a, rep)
 	for _, m := range rep.Members {
 		if m.Member.Rank != 0 && !r.isDead(m) && r.sendDue(a, "leave "+m.ID) {
 			r.order(Order{Kind: Leave, VM: m.ID, Address: m.Address, Replica: a.name, Generation: a.generation})
 		}
 	}
-	if a.leftAt > 0 && r.now-a.leftAt > r.s.StallTimeout+stallMargin {
+	timeout := r.s.StallTimeout + stallMargin
+	switch {
+	case len(a.left) > 0 && r.now-slices.Min(slices.Collect(maps.Values(a.left))) > timeout:
 		r.release(a, "head_gone")
+	case a.unreportedSince > 0 && r.now-a.unreportedSince > timeout:
+		// The replica may still serve. It is adopted if a member reports again.
+		r.release(a, "unreported")
+		delete(r.replicas, a.name)
+	}
+}
+
+// recordReturns records which members report a replica that is being dismantled,
+// although they had left it, and whether any member reports it.
+func (r *round) recordReturns(a *replica, rep fleet.Replica) {
+	for _, m := range rep.Members {
+		if at, ok := a.left[m.ID]; ok && m.LastSeen > at {
+			delete(a.left, m.ID)
+		}
+	}
+	switch {
+	case len(rep.Members) > 0:
+		a.unreportedSince = 0
+	case a.unreportedSince == 0:
+		a.unreportedSince = r.now
 	}
 }
 
