formation: Tell a VM how many orders it must have accepted to obey

Cause: where engines ignore fencing numbers, a late join and a late open of a former holder brought the head of an ended replica back, and the head's late join to the next replica arrived before any report had shown that: the head left a replica that was open. The planner's orders supposed a state of the VM that nothing checked when they were carried out.

The new spec "lets no late orders bring a head back that has accepted others since" fails with the condition taken out: "d0-00 joins r100002 while r100001 of d0-00 may serve".

Ruled out: the `sequence` of an engine's entry in the store. A trial sent it as `expected` and had all joins refused (1982 answers of 409, nothing was formed); it is not the number of accepted orders. An order to stage does not count as accepted: a trial that counted it was refused again and again by 3 VMs.

Change: orders to join, open, close and leave name the expected number of accepted orders. It is known from the answer to a probe, which must show the VM in the replica that it reports, plus the orders accepted since. A VM is ordered to join only once the number is known, or it has shown that it does not tell it. After a refusal, close and leave are sent again at once without the condition, as a replica must end; join and open are sent again after 200 ms with the number from a new probe. A lost answer leaves the number unknown to be too low, so the next order is refused and a probe corrects it.

Measured: go test ./formation ./platform, all specs passed in one run.

--- a/formation/form.go
+++ b/formation/form.go
@@ -24,7 +24,7 @@
 
 // free reports whether a VM can be ordered to join a replica.
 func (r *round) free(vm fleet.VM) bool {
-	if vm.Leaving || vm.Unlisted || r.unavailable(vm) {
+	if vm.Leaving || vm.Unlisted || r.unavailable(vm) || r.reportedOtherwise(vm) {
 		return false
 	}
 	if a, ok := r.assignedReplica(vm.ID); ok {
@@ -150,15 +150,11 @@
 	}
 }
 
-// confirmReachable reports whether all VMs of a candidate have reported or
-// answered a probe recently, and probes those that have not.
+// confirmReachable reports whether all VMs of a candidate are confirmed.
 func (r *round) confirmReachable(c candidate) bool {
 	ok := true
 	for _, vm := range c.vms {
-		if !r.recentlySeen(vm) {
-			ok, r.awaitingProbes = false, true
-			r.probe(vm)
-		}
+		ok = r.confirmed(vm) && ok
 	}
 	return ok
 }
@@ -418,7 +414,7 @@
 		standbys := r.standbyCounts(s.Name, domain)
 		for _, vm := range free[domain] {
 			m, ok := r.standbyModel(s, vm, free[domain], standbys)
-			if !ok {
+			if !ok || !r.confirmed(vm) {
 				continue
 			}
 			standbys[m.Name]++
--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -142,6 +142,48 @@
 		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
 	})
 
+	// Late copies of the orders that had formed a replica brought its head back after the
+	// replica had ended, and the head's late order to join the next one arrived before any
+	// report had shown that. Fencing numbers were not checked.
+	It("lets no late orders bring a head back that has accepted others since", func() {
+		w = newWorld(1, 5)
+		for _, e := range w.engines {
+			e.vm.LastModel = "small"
+		}
+		var sent, late []Order
+		w.lost = func(o Order) bool {
+			sent = append(sent, o)
+			return false
+		}
+		Expect(w.run(5*time.Second, w.servesAtLeast(0, 1))).To(BeTrue())
+		w.run(5*time.Second, nil)
+		head := w.member("small", 0)
+		w.member("small", 2).down = true
+		w.lost = func(o Order) bool {
+			if o.Kind == Join {
+				late = append(late, o)
+			}
+			return o.Kind == Join
+		}
+		w.gotRequests = true
+		w.suspect(head.vm.ID)
+		rejoins := func(o Order) bool { return o.VM == head.vm.ID }
+		Expect(w.run(3*time.Second, func() bool { return slices.ContainsFunc(late, rejoins) })).To(BeTrue())
+		w.lost = func(o Order) bool { return o.Kind != Probe }
+		for _, o := range sent {
+			if o.VM == head.vm.ID && (o.Kind == Join || o.Kind == Open) {
+				w.execute(o, 1)
+				w.run(time.Second, nil)
+			}
+		}
+		for _, o := range late {
+			w.execute(o, 1)
+		}
+		w.lost = nil
+		w.run(10*time.Second, nil)
+		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
+	})
+
 	// The members of an open replica vanished from the log one after the other and could not
 	// be reached. One came back before the head, and was ordered to join another replica
 	// although its order to leave was late and the head still served.
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -273,7 +273,7 @@
 	}
 	for _, id := range a.members {
 		vm, _ := r.view.VM(id)
-		if vm.Member.Replica != a.name && r.sendDue(a, "join "+id) {
+		if vm.Member.Replica != a.name && r.confirmed(vm) && r.sendDue(a, "join "+id) {
 			r.order(r.join(a, vm))
 		}
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -48,6 +48,10 @@
 	Model      string
 	// Members holds the IDs of the replica's VMs by rank, in an order to join.
 	Members []string
+	// Expected is the number of orders that the VM must have accepted to begin the order;
+	// nil if it may be any. Boot identifies the run of the VM's process meant.
+	Expected *int64
+	Boot     int64
 }
 
 // Result is the outcome of an order.
@@ -57,22 +61,33 @@
 	Accepted bool
 	// Answered says that the VM answered at all, even with a refusal.
 	Answered bool
-	// State is the state of the VM's membership, from the answer to a probe.
-	State fleet.MemberState
+	// Conflict says that the VM refused the order because it is in another state than
+	// the order supposes, or has accepted another number of orders.
+	Conflict bool
+	// Report is the answer to a probe.
+	Report VMReport
 	// ProcessDelayed says that this process was delayed while it waited for the
 	// answer, so that a missing answer does not show that the VM is
 	// unreachable.
 	ProcessDelayed bool
-	// Slowdown is the VM's slowdown from the answer to a probe: the factor by
-	// which its work takes longer than normal. It is above 1 for a slow VM and
-	// 0 if unknown.
-	Slowdown float64
 	// Problem says why the VM's answer could not be decoded; empty if it could.
 	Problem string
 	// Status is the HTTP status or the error, for log lines only.
 	Status string
 }
 
+// VMReport is what a VM says of itself in its answer to a probe.
+type VMReport struct {
+	// Boot identifies the run of the VM's process; Accepted is the number of orders that
+	// it has accepted, nil if it does not say.
+	Boot     int64
+	Accepted *int64
+	Member   fleet.Membership
+	// Slowdown is the factor by which the VM's work takes longer than normal. It is
+	// above 1 for a slow VM and 0 if unknown.
+	Slowdown float64
+}
+
 // Settings configures a Planner.
 type Settings struct {
 	// StallTimeout is how long a replica that lost a member makes no progress
@@ -130,6 +145,8 @@
 	generation int64
 	replicas   map[string]*replica
 	probes     map[string]*probeState
+	// accepted holds what orders showed of the numbers of orders that VMs have accepted.
+	accepted map[string]acceptedOrders
 	// staging holds the loads onto hosts by VM; reservations holds the domains
 	// that are reserved for a model.
 	staging      map[string]stagingLoad
@@ -162,6 +179,7 @@
 	p.term, p.generation = term, 0
 	p.replicas = map[string]*replica{}
 	p.probes = map[string]*probeState{}
+	p.accepted = map[string]acceptedOrders{}
 	p.staging, p.reservations, p.freeCounts = map[string]stagingLoad{}, map[string]reservation{}, map[string]freeCount{}
 	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{}
 }
@@ -274,6 +292,10 @@
 // HandleResult handles the result of an order and returns the orders that
 // follow from it.
 func (p *Planner) HandleResult(now time.Duration, o Order, res Result) []Order {
+	p.recordAccepted(o, res)
+	if res.Conflict && o.Expected != nil {
+		return p.handleConflict(now, o, res)
+	}
 	switch o.Kind {
 	case Probe:
 		return p.handleProbe(now, o, res)
@@ -303,6 +325,9 @@
 }
 
 func (r *round) order(o Order) {
+	if vm, ok := r.view.VM(o.VM); ok && o.Kind.conditional() {
+		o.Boot, o.Expected = vm.Boot, r.acceptedBy(vm)
+	}
 	r.orders = append(r.orders, o)
 }
 
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -441,6 +441,7 @@
 // forget lets an engine start anew.
 func (e *engine) forget(now time.Duration) {
 	e.vm.Boot, e.vm.Member, e.vm.Model, e.vm.LastModel = int64(now), fleet.Membership{}, "", ""
+	e.accepted = 0
 	e.members, e.lastGeneration, e.lastFence, e.readyAt, e.openAt, e.closedAt, e.brokenAt = nil, 0, 0, 0, 0, 0, 0
 }
 
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -14,8 +14,8 @@
 	pending    bool
 	sentAt     time.Duration
 	answeredAt time.Duration
-	// state is the state of the VM's membership in its last answer.
-	state fleet.MemberState
+	// report is the VM's last answer.
+	report VMReport
 	// slowdown is the slowdown in the VM's last answer. slowAnswers counts the
 	// answers at slowThreshold or above since the last one at
 	// recoveredThreshold or below.
@@ -69,8 +69,8 @@
 		if s.deadAt > 0 {
 			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
-		*s = probeState{answeredAt: now, sentAt: s.sentAt, state: res.State, slowAnswers: s.slowAnswers, evicted: s.evicted}
-		s.recordSlowdown(res.Slowdown)
+		*s = probeState{answeredAt: now, sentAt: s.sentAt, report: res.Report, slowAnswers: s.slowAnswers, evicted: s.evicted}
+		s.recordSlowdown(res.Report.Slowdown)
 		p.replan = p.replan || p.awaitingProbes
 		return nil
 	}
@@ -136,7 +136,7 @@
 // no longer listed, a later answer to a probe takes precedence over the report.
 func (r *round) memberState(vm fleet.VM) fleet.MemberState {
 	if s, ok := r.probes[vm.ID]; vm.Unlisted && ok && s.answeredAt > vm.LastSeen {
-		return s.state
+		return s.report.Member.State
 	}
 	return vm.Member.State
 }
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -46,6 +46,8 @@
 	// brokenAt is when a head whose replica lacks a member breaks.
 	brokenAt       time.Duration
 	lastGeneration int64
+	// accepted is the number of orders accepted since the start.
+	accepted int64
 	// lastFence is the highest fencing number of an order since the start.
 	lastFence int64
 	// downUntil is when an engine that crashed starts again, cutUntil when one that was
@@ -222,14 +224,17 @@
 		case e == nil || e.down || w.lost != nil && w.lost(o):
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
-			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, State: e.vm.Member.State, Slowdown: max(1, e.slowdown)}))
+			accepted := e.accepted
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, Report: VMReport{
+				Boot: e.vm.Boot, Accepted: &accepted, Member: e.vm.Member, Slowdown: max(1, e.slowdown),
+			}}))
 		case w.rng.Float64() < w.delayedShare:
 			delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 			w.delayed = append(w.delayed, delayedOrder{w.now + delay, o, w.planner.term})
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		default:
 			ok := w.execute(o, w.planner.term)
-			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: ok}))
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: ok, Conflict: !ok}))
 		}
 	}
 }
@@ -242,6 +247,24 @@
 		return false
 	}
 	e.lastFence = max(e.lastFence, fence)
+	if o.Expected != nil && *o.Expected != e.accepted {
+		return false
+	}
+	begun := w.begin(e, o)
+	if begun && o.Kind != Stage {
+		e.accepted++
+	}
+	return begun || w.holds(e, o)
+}
+
+// holds reports whether an engine is already in the state that an order to join asks for.
+func (w *world) holds(e *engine, o Order) bool {
+	m := e.vm.Member
+	return o.Kind == Join && m.Replica == o.Replica && m.Generation == o.Generation
+}
+
+// begin begins an order and reports whether it changed anything.
+func (w *world) begin(e *engine, o Order) bool {
 	m := &e.vm.Member
 	current := m.Replica == o.Replica && m.Generation == o.Generation
 	switch o.Kind {
@@ -279,8 +302,8 @@
 		return false
 	}
 	m := &e.vm.Member
-	if m.Replica == o.Replica && m.Generation == o.Generation {
-		return true
+	if w.holds(e, o) {
+		return false
 	}
 	if head := w.headOf(e); head != nil && m.Replica != "" && w.mayServe(head) {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s joins %s while %s of %s may serve", w.now, o.VM, o.Replica, m.Replica, head.vm.ID))
