gateway: Keep an upstream's failure until another upstream has answered

Callers got 502 or 504 from the node although an engine had answered their request with a failure of its own, body and signature included.

Cause: the failure was read and dropped as soon as the request could be tried again by its route's attempts. Only then was the retry budget asked, another upstream looked for and the request sent there. Each of these can fail. It is the class of: what the request has is given up before what is to take its place is secured.

Evidence: with two engines of which one fails, the callers of those requests got 502 with a spent budget, 502 if the other engine refused, 502 if its answer was lost, and 504 if it did not answer before the deadline.

Ruled out: streams that have begun (the caller's answer can't change there); refusals, which say that the request has not run and are answered by the node's own 503.

Change: the failure is kept, within the same memory limits, while the request is tried elsewhere, also that of the upstream of a move. If no other answer comes, it is relayed unchanged. retry.failure_relayed and request.failure_relayed tell why.

The four specs of "A failure that an engine answers with" failed before with 502, 502, 502 and 504 in place of 500.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -309,15 +309,18 @@
 // relayComplete relays an answer that is not a stream, after all of it was received.
 func (f *forwarder) relayComplete(resp *exchange.Response, a ResponseInfo, t fleet.Target, last bool) *verdict.Error {
 	body, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
-	defer body.Release()
+	release := body.Release
+	defer func() { release() }()
 	if err != nil {
 		return f.readFailed(t, "the answer was cut off", err)
 	}
 	if f.answerStarted {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d instead of the rest of the stream", resp.Status)
 	}
-	failed := resp.Status >= http.StatusInternalServerError
+	failed := isFailure(resp)
 	if failed && !last && f.route.Repeatable() && f.attempts < f.route.MaxAttempts && f.untriedLeft() {
+		f.keepFailure(&failureAnswer{status: resp.Status, header: resp.Header, body: body})
+		release = func() {}
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamError, "status %d", resp.Status)
 	}
 	if !failed && !a.Signed {
@@ -326,14 +329,7 @@
 	if !failed {
 		f.recordStart()
 	}
-	h := f.w.Header()
-	copyHeader(h, resp.Header)
-	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
-	f.writeHeader(resp.Status)
-	if _, err := body.WriteTo(f.w); err != nil {
-		return verdict.New(verdict.Ran, verdict.ReasonCanceled, "%v", err)
-	}
-	return nil
+	return f.writeAnswer(resp.Status, resp.Header, body)
 }
 
 // untriedLeft reports whether there is an upstream that the request was not sent to.
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -96,6 +96,9 @@
 	exclude []string
 	// verdict is that on the moves that failed.
 	verdict verdict.Verdict
+	// failure is what the upstream of a move answered with that failed to run the
+	// request; nil if none did.
+	failure *failureAnswer
 }
 
 // attemptRegistry holds the running attempts that can be moved. It is safe for
@@ -173,6 +176,10 @@
 // answer, it takes the place of the attempt, which is canceled.
 func (r *attemptRegistry) perform(a *movableAttempt, t *try, cause error) {
 	e := a.f.openMove(t)
+	var failure *failureAnswer
+	if e != nil && t.resp != nil && isFailure(t.resp) && !t.info.NotRun {
+		failure = a.f.readFailure(t.resp)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(a.moved)
@@ -187,6 +194,10 @@
 		a.moves.attempts++
 	}
 	a.moves.verdict = a.moves.verdict.Combine(e.Verdict)
+	if failure != nil {
+		a.moves.failure.release()
+		a.moves.failure = failure
+	}
 	if !a.ended && a.ctx.Err() == nil {
 		a.deny(e)
 	}
@@ -236,6 +247,7 @@
 	f.attempts += used.attempts
 	f.exclude = used.exclude
 	f.worst = f.worst.Combine(used.verdict)
+	f.keepFailure(used.failure)
 	if next != nil && !failed {
 		next.end(f.node.balancer)
 		return
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -46,6 +46,9 @@
 	exclude         []string
 	// worst is the verdict on all attempts together.
 	worst verdict.Verdict
+	// failure is what an upstream answered with that failed to run the request; nil if
+	// none did.
+	failure *failureAnswer
 	// next is the try that takes the place of an attempt that was moved; nil if there
 	// is none.
 	next *try
@@ -85,7 +88,7 @@
 	f.setWriteDeadline()
 	ctx, cancel := context.WithDeadline(r.Context(), f.deadline)
 	defer cancel()
-	e := f.run(ctx)
+	e := f.relayFailure(r.Context(), f.run(ctx))
 	f.finish(r.Context(), e)
 }
 
