drain: Answer the requests of accepted connections when a server stops

At a planned stop, a caller whose connection had been accepted, but whose request came after the listener was closed, got neither an answer nor a refusal, although the node had read the whole request. This holds for tamarackcleat-gateway and tamarackcleatd.

Cause: http.Server.Shutdown closes a connection whose first request it reads after the call (net/http/server.go, conn.serve: "if c.server.shuttingDown() return" after readRequest). The class: a connection is closed with a request on it.

Evidence: a spec with a connection that is accepted before the stop and sends its request once the listener is closed: unexpected EOF. A connection that sent nothing also held the process up for more than 4.5 s, the time after which net/http takes a new connection for an idle one.

Ruled out by reading go1.26.8: that a request is passed on and its connection then closed by Shutdown. A connection is active before the check for the shutdown, and only idle ones are closed. A request that crosses the close of an idle kept connection gets no answer, as before; it is not passed on, and HTTP/1.1 has no means against it.

Change: package drain closes the listener first, waits up to half a second until each accepted connection has brought its request to the handler, closes those that have sent none, and then calls Shutdown.

The two specs of "A connection that was accepted before a planned stop closes the listener" failed before.

--- a/entry/drain.go
+++ b/entry/drain.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/tamarackcleat/tamarackcleat/controller"
+	"github.com/tamarackcleat/tamarackcleat/drain"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 )
 
@@ -16,6 +14,9 @@
 	// drainDelay is how long the node still accepts callers after it has reported
 	// to the load balancer that it is not ready.
 	drainDelay = 2 * time.Second
+	// firstRequestWait is how long an accepted connection may take to send its first
+	// request after the listener was closed.
+	firstRequestWait = 500 * time.Millisecond
 	// controllerDrainTimeout limits the wait until the controller has finished its
 	// orders in flight and given up the control lease.
 	controllerDrainTimeout = 5 * time.Second
@@ -44,17 +45,17 @@
 
 // shutDown stops the node without cutting off a request in flight. The control
 // lease is given up; if that is not done in time, a warning is logged.
-func (n *Node) shutDown(server *http.Server) error {
+func (n *Node) shutDown(server *drain.Server) error {
 	n.logger.Info("draining")
 	n.draining.Store(true)
 	n.kernel.Post(controller.Name, controller.Drain{ReplyTo: drainSinkName})
 	time.Sleep(drainDelay)
-	err := server.Shutdown(context.Background())
+	err := server.Shutdown(context.Background(), firstRequestWait)
 	select {
 	case <-n.drained:
 	case <-time.After(controllerDrainTimeout):
 		n.logger.Warn("controller did not give up the control lease in time")
 	}
 	n.logger.Info("stopped")
-	return errors.Wrap(err, "shutting down")
+	return err
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -30,6 +30,7 @@
 	"github.com/tamarackcleat/tamarackcleat/configuration"
 	"github.com/tamarackcleat/tamarackcleat/controller"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
+	"github.com/tamarackcleat/tamarackcleat/drain"
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/logfollow"
@@ -212,15 +213,15 @@
 	defer stop()
 	n.bind(background)
 	go n.kernel.Run(background)
-	server := &http.Server{
+	server := drain.New(&http.Server{
 		Handler:           n.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
-	}
+	}, listener)
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve() }()
 	n.logger.Info("serving", "address", listener.Addr().String(), "zone", n.settings.Zone)
 	select {
 	case err := <-served:
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -33,6 +33,7 @@
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/drain"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
@@ -221,13 +222,13 @@
 	defer stop()
 	n.follow(background)
 	go n.watchUpstreams(background)
-	callerServer := n.newCallerServer()
+	callerServer := drain.New(n.newCallerServer(), callerListener)
 	readyServer := &http.Server{
 		Handler: n.readyHandler(), ReadHeaderTimeout: callerHeaderTimeout, WriteTimeout: callerHeaderTimeout,
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- callerServer.Serve(callerListener) }()
+	go func() { failed <- callerServer.Serve() }()
 	go func() { failed <- readyServer.Serve(readyListener) }()
 	n.logger.Info(decisions.NodeStarted, "callers", n.Settings().ListenCaller, "zone", n.Settings().Zone)
 	select {
@@ -330,6 +331,9 @@
 	// drainPollInterval is how often a draining node checks whether the last
 	// request has ended.
 	drainPollInterval = 50 * time.Millisecond
+	// firstRequestWait is how long an accepted connection may take to send its first
+	// request after the listener was closed. Callers send it at once.
+	firstRequestWait = 500 * time.Millisecond
 )
 
 // drainLimit returns the longest time from SIGTERM to the end of the process.
@@ -352,8 +356,8 @@
 // drain marks the node as not ready and waits until the load balancer has noticed and
 // no request is in flight, or until too little time is left for further requests. Then
 // it closes the listener and the idle connections and waits, no longer than until
-// drainLimit, for the requests that were accepted before that.
-func (n *Node) drain(server *http.Server) {
+// drainLimit, for the requests of the connections that were accepted before that.
+func (n *Node) drain(server *drain.Server) {
 	n.draining.Store(true)
 	started := time.Now()
 	n.logger.Info(decisions.NodeDraining, "in_flight", n.inFlight.Load())
@@ -363,7 +367,7 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.drainLimit()))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if err := server.Shutdown(ctx, firstRequestWait); err != nil {
 		n.logger.Warn(decisions.NodeCutRequests, "in_flight", n.inFlight.Load(), "error", err)
 	}
 	n.logger.Info(decisions.NodeStopped, "in_flight", n.inFlight.Load(), "after_ms", millisSince(started))
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -110,6 +110,36 @@
 	})
 })
 
+// Guards against dropping whole requests without an answer: the HTTP server closes a
+// connection whose first request it reads after it was told to stop.
+var _ = Describe("A connection that was accepted before a planned stop closes the listener", func() {
+	It("is answered although its request comes after that", func() {
+		address, stop, ended := runNode(plainProtocol{}, 8*time.Second)
+		accepted, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer accepted.Close()
+		stop()
+		Eventually(func() error {
+			c, err := net.Dial("tcp", address)
+			if err == nil {
+				c.Close()
+			}
+			return err
+		}, "10s", "1ms").ShouldNot(Succeed())
+		Expect(exchangePlain(accepted)).To(Succeed())
+		Eventually(ended, "10s").Should(Receive(BeNil()))
+	})
+
+	It("does not hold up the stop if it sends nothing", func() {
+		address, stop, ended := runNode(plainProtocol{}, 8*time.Second)
+		silent, err := net.Dial("tcp", address)
+		Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		stop()
+		Eventually(ended, drainNoticeTime+2*time.Second).Should(Receive(BeNil()))
+	})
+})
+
 // exchangePlain sends a request on a connection and reads the response.
 func exchangePlain(c net.Conn) error {
 	if _, err := io.WriteString(c, plainRequest); err != nil {
