platform: Check the lease once a VM is connected, before the order is written

Cause: the driver checked the lease and then connected to the VM. A holder paused while it connected sent its order when it went on, although another node held the lease by then; where engines ignore fencing numbers, the VM obeyed.

Ruled out: httptrace.GotConn, which can't keep the request from being written; a check in the connection's Write, since connections are shared by orders.

--- a/formation/driver.go
+++ b/formation/driver.go
@@ -29,9 +29,11 @@
 )
 
 // Sender sends orders to VMs. The fence is the fencing number of the order, the
-// term of the control lease; a VM that checks it refuses orders of lower terms.
+// term of the control lease; a VM that checks it refuses orders of lower terms. An order
+// is written only if permitted returns true once the VM is connected. Probes are not
+// subject to it.
 type Sender interface {
-	Send(ctx context.Context, o Order, fence int64) Result
+	Send(ctx context.Context, o Order, fence int64, permitted func() bool) Result
 }
 
 // Lease reports whether this node holds the control lease, which permits it to
@@ -175,7 +177,11 @@
 // send sends an order and queues its result. It drops the order if this node no
 // longer holds the control lease with the given term.
 func (d *Driver) send(ctx context.Context, o Order, term int64) {
-	if current, held := d.Lease.Held(); !held || current != term {
+	permitted := func() bool {
+		current, held := d.Lease.Held()
+		return held && current == term
+	}
+	if !permitted() {
 		return
 	}
 	limit := orderTimeout
@@ -185,7 +191,7 @@
 	bounded, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	started := time.Now()
-	res := d.Sender.Send(bounded, o, term)
+	res := d.Sender.Send(bounded, o, term, permitted)
 	res.ProcessDelayed = time.Since(started) > limit+delayMargin
 	select {
 	case d.results <- outcome{o, res}:
