formation: Count the wait of a new holder from the sending of its claim

Cause of the cost: a new holder plans with reports from a read that was sent 200 ms after its first plan. No former holder has sent an order since the claim was sent, some hundred ms earlier: a lease is claimed 300 ms or more after the former holder has stopped, or after it has released the lease or its process has ended, and the claim's append fails if the former holder has renewed since.

Ruled out: a claim that is carried out late. Its own lease is counted from its sending too, and whatever the former holder appended meanwhile makes it fail.

Change: the lease tells when its claim was sent, and the planner counts from that. planning.begun tells the time since then.

The specs for it name functions that did not exist before.

--- a/formation/driver.go
+++ b/formation/driver.go
@@ -37,9 +37,11 @@
 }
 
 // Lease reports whether this node holds the control lease, which permits it to
-// send orders, and the lease's term.
+// send orders, the lease's term, and when its claim was sent, by the boot clock. No other
+// node has sent orders since then.
 type Lease interface {
 	Held() (term int64, held bool)
+	ClaimedAt() time.Duration
 }
 
 // Driver runs a Planner and sends its orders while this node holds the control
@@ -139,7 +141,7 @@
 		plannedAt = time.Now()
 		if current != term {
 			term = current
-			d.Planner.Reset(term)
+			d.Planner.Reset(term, d.Lease.ClaimedAt())
 		}
 		// The view is at least as recent as the time that is read before it.
 		verifiedAt := d.ReportsVerifiedAt()
--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -89,6 +89,15 @@
 		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
 	})
 
+	// A holder waited longer than needed after it had taken over, since it counted from its
+	// first plan.
+	It("waits for reports from after the claim of the lease only", func() {
+		w = newWorld(1, 1)
+		w.planner.Reset(2, w.now)
+		Expect(w.planner.seesFormerOrders(w.now+reportTime, w.now+reportTime-1)).To(BeFalse())
+		Expect(w.planner.seesFormerOrders(w.now+time.Second, w.now+reportTime)).To(BeTrue())
+	})
+
 	// A member of an open replica started again, which made it forget its replica. A new
 	// holder ordered it to join another one. That order was late, and an earlier late order
 	// made the VM a member of the open replica again.
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -169,19 +169,19 @@
 // NewPlanner returns a Planner that knows no replicas yet.
 func NewPlanner(s Settings) *Planner {
 	p := &Planner{s: s}
-	p.Reset(0)
+	p.Reset(0, 0)
 	return p
 }
 
-// Reset begins a term of the control lease and discards what was known in an
-// earlier one.
-func (p *Planner) Reset(term int64) {
+// Reset begins a term of the control lease, whose claim was sent at claimedAt, and
+// discards what was known in an earlier one.
+func (p *Planner) Reset(term int64, claimedAt time.Duration) {
 	p.term, p.generation = term, 0
 	p.replicas = map[string]*replica{}
 	p.probes = map[string]*probeState{}
 	p.accepted = map[string]acceptedOrders{}
 	p.staging, p.reservations, p.freeCounts = map[string]stagingLoad{}, map[string]reservation{}, map[string]freeCount{}
-	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{}
+	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{claimedAt: claimedAt}
 }
 
 // NeedsReplan reports whether a result since the last plan calls for a new plan
@@ -223,9 +223,9 @@
 
 // takeover is the start of a term of the control lease, as far as the planner knows it.
 type takeover struct {
-	// at is the time of the first call of Plan in the term.
-	at      time.Duration
-	started bool
+	// claimedAt is when the claim of the lease was sent; former holders have sent no
+	// orders since.
+	claimedAt time.Duration
 	// done says that the reports show what the former holder's orders had done by then.
 	done bool
 }
@@ -240,12 +240,9 @@
 // in an older view may be a member of an open replica.
 func (p *Planner) seesFormerOrders(now, verifiedAt time.Duration) bool {
 	t := &p.takeover
-	if !t.started {
-		t.at, t.started = now, true
-	}
-	if !t.done && verifiedAt-t.at >= reportTime {
+	if !t.done && verifiedAt-t.claimedAt >= reportTime {
 		t.done = true
-		p.s.Logger.Info(decisions.PlanningBegun, "term", p.term, "waited_ms", (now - t.at).Milliseconds(), "reports_age_ms", (now - verifiedAt).Milliseconds())
+		p.s.Logger.Info(decisions.PlanningBegun, "term", p.term, "waited_ms", (now - t.claimedAt).Milliseconds(), "reports_age_ms", (now - verifiedAt).Milliseconds())
 	}
 	return t.done
 }
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -188,7 +188,7 @@
 
 	It("keeps the replicas when a new lease holder knows only the VMs' reports", func() {
 		startFleet(2, 2, 11, 11)
-		w.planner.Reset(2)
+		w.planner.Reset(2, w.now)
 		w.run(10*time.Second, nil)
 		Expect(w.serving()).To(Equal(map[string]int{"large": 2, "small": 2}))
 	})
@@ -201,7 +201,7 @@
 		}
 		w.engines["d0-05"].unlisted = true
 		w.engines["d0-05"].vm.Member = fleet.Membership{}
-		w.planner.Reset(2)
+		w.planner.Reset(2, w.now)
 		w.run(20*time.Second, nil)
 	})
 
@@ -415,7 +415,7 @@
 			w.run(30*time.Second, nil)
 			w.gotRequests, w.delayedShare, w.lateOpens = true, 0.5, true
 			for i := range 60 {
-				w.planner.Reset(w.planner.term + 1)
+				w.planner.Reset(w.planner.term+1, w.now)
 				if i%3 == 0 {
 					w.restartEngine()
 				}
@@ -472,7 +472,7 @@
 	case 4:
 		w.add(fmt.Sprintf("new-%d", i), e.vm.Domain)
 	case 5:
-		w.planner.Reset(w.planner.term + 1)
+		w.planner.Reset(w.planner.term+1, w.now)
 	}
 	if head := w.headOf(e); head != nil {
 		w.suspect(head.vm.ID)
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -135,7 +135,7 @@
 	w.planner = NewPlanner(Settings{
 		StallTimeout: stallTime, DrainTime: drainTime, LoadWindow: 5 * time.Second, NoRequestYet: func() bool { return !w.gotRequests }, Logger: slog.New(slog.DiscardHandler),
 	})
-	w.planner.Reset(term)
+	w.planner.Reset(term, w.now)
 }
 
 // add adds a running engine to a domain.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -114,8 +114,9 @@
 	caughtUpAt time.Duration
 	// receivedAt is when the newest record of the lease arrived.
 	receivedAt time.Duration
-	// term is the term of this node's latest lease.
-	term int64
+	// term is the term of this node's latest lease, claimedAt when its claim was sent.
+	term      int64
+	claimedAt time.Duration
 	// validUntil is when this node stops acting as the holder unless it has
 	// renewed the lease by then.
 	validUntil   time.Duration
@@ -185,7 +186,9 @@
 	}
 	sentAt, own := l.pending[e.Nonce]
 	if e.Holder == l.id && own {
-		l.term = e.Term
+		if e.Term != l.term {
+			l.term, l.claimedAt = e.Term, sentAt
+		}
 		l.validUntil = max(l.validUntil, sentAt+TTL-expiryMargin)
 	}
 	delete(l.pending, e.Nonce)
@@ -201,6 +204,16 @@
 	return l.term, l.isHolder(bootclock.Now())
 }
 
+// ClaimedAt returns the time, by the boot clock, at which this node sent the claim of its
+// latest lease. No other node has acted as the holder since: a lease is claimed only after
+// the former one has expired or was given up, and the claim fails if the former holder has
+// renewed it meanwhile.
+func (l *Lease) ClaimedAt() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.claimedAt
+}
+
 // ProcessEnded tells the Lease that the process with an id has ended. If that
 // process held the lease, this node claims it without waiting for it to expire,
 // because the process can't act any more.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -117,6 +117,15 @@
 		Consistently(holderCount, "1s").Should(Equal(1))
 	})
 
+	It("tells when its claim was sent, which renewals do not change", func() {
+		before := bootclock.Now()
+		l := start(1)[0]
+		Eventually(holderCount, "2s").Should(Equal(1))
+		claimedAt := l.ClaimedAt()
+		Expect(claimedAt).To(And(BeNumerically(">", before), BeNumerically("<=", bootclock.Now())))
+		Consistently(l.ClaimedAt, "2s").Should(Equal(claimedAt))
+	})
+
 	It("is kept by its holder when the answers to renewals are lost", func() {
 		start(1)
 		Eventually(holderCount, "2s").Should(Equal(1))
