formation: Ask a head for its accepted orders before it is ordered to leave

Cause: a new holder did not know how many orders the heads of former holders' replicas had accepted. It ordered them to leave without a condition, and then to join with the number from a probe, which may be up to 200 ms old and did not include the order to leave. The join was refused, and repeated 200 ms later.

Change: a head whose number is unknown is probed before it is ordered to close or leave, which takes some milliseconds.

--- a/formation/accepted.go
+++ b/formation/accepted.go
@@ -71,6 +71,23 @@
 	return false
 }
 
+// askedForAccepted reports whether the number of orders that a VM has accepted is known, or
+// an answer to a probe did not show it. It probes the VM if none has been sent. An order
+// that is accepted without that number leaves it unknown until answers show it, which takes
+// up to probeLag.
+func (r *round) askedForAccepted(vm fleet.VM) bool {
+	if r.acceptedBy(vm) != nil {
+		return true
+	}
+	s, ok := r.probes[vm.ID]
+	if ok {
+		return !s.pending
+	}
+	r.awaitingProbes = true
+	r.probe(vm)
+	return false
+}
+
 // recordAccepted records that a VM has begun an order, or that it has accepted others than
 // was known.
 func (p *Planner) recordAccepted(o Order, res Result) {
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -311,6 +311,9 @@
 	}
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.isDead(head) {
+		if !r.askedForAccepted(head) {
+			return
+		}
 		switch state := r.memberState(head); {
 		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing) && r.now-a.dismantlingSince < closeTimeout:
 			if r.sendDue(a, "close") {
