controller: Check that no VM leaves a live replica under random faults

The postmortem of VMs in two replicas at once said by reading only that the controller does not take the absence of a report for a fact. The random test now records each VM that obeys an order to join while the replica that it belongs to is live by the whole log, and fails if there is one.

--- a/controller/random_test.go
+++ b/controller/random_test.go
@@ -60,7 +60,9 @@
 }
 
 var _ = Describe("Controller under random faults", func() {
-	It("lets no VM obey an order of an old generation and forms all replicas again after the faults end", func() {
+	// A member of a live replica was ordered to join another one on reports that were older
+	// than the former holder's orders.
+	It("lets no VM leave a live replica or obey an old order, and forms all replicas again after the faults end", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newWorld(3, 5, 5, 4)
 			var ids []port.VMID
@@ -81,6 +83,9 @@
 			if len(w.staleOrders) > 0 {
 				t.Fatalf("VMs that obeyed an order of an old generation: %v", w.staleOrders)
 			}
+			if len(w.taken) > 0 {
+				t.Fatalf("VMs that joined another replica while theirs was live: %v", w.taken)
+			}
 			w.clearFaults()
 			if !w.runUntil(30*time.Minute, w.hasComplete(3)) {
 				t.Fatalf("%d replicas are complete after the faults ended; nodes:\n%s", len(w.completeReplicas()), w.describe())
--- a/controller/world_test.go
+++ b/controller/world_test.go
@@ -37,6 +37,9 @@
 	// staleOrders names the VMs that obeyed an order of an older generation
 	// than one that they had obeyed before.
 	staleOrders []string
+	// taken names the VMs that obeyed an order to join a replica while the replica
+	// that they belonged to was live, by the whole log.
+	taken []string
 }
 
 // engine is a simulated engine VM. An unreachable engine answers no order and
@@ -257,12 +260,26 @@
 		e.rep.State = port.EngineLeaving
 		return nil
 	}
+	w.checkFree(e, o)
 	e.rep.Replica, e.rep.Generation, e.rep.Rank = o.Replica, o.Generation, o.Rank
 	e.rep.State, e.rep.Model = port.EngineLoading, o.Model
 	e.readyAt = w.now.Add(w.loadTime)
 	return nil
 }
 
+// checkFree records an engine that belongs to a live replica in taken, if an order makes
+// it join another one.
+func (w *world) checkFree(e *engine, o port.Order) {
+	if e.rep.Replica == "" || e.rep.Replica == o.Replica && e.rep.Generation == o.Generation {
+		return
+	}
+	for _, r := range w.ledger().Replicas() {
+		if inReplica(e.rep, r) {
+			w.taken = append(w.taken, fmt.Sprintf("%s left live replica %s for %s", e.vm.ID, e.rep.Replica, o.Replica))
+		}
+	}
+}
+
 func (w *world) stepEngines() {
 	for _, e := range w.engines {
 		switch {
@@ -303,11 +320,7 @@
 // completeReplicas returns the live replicas whose VMs are all reachable and
 // ready in the replica's generation.
 func (w *world) completeReplicas() []ledger.Replica {
-	control := ledger.NewControl()
-	for i, r := range w.log {
-		control.Apply(record.At(int64(i), 0), r)
-	}
-	return slices.DeleteFunc(control.Replicas(), func(r ledger.Replica) bool {
+	return slices.DeleteFunc(w.ledger().Replicas(), func(r ledger.Replica) bool {
 		return slices.ContainsFunc(r.VMs, func(id port.VMID) bool {
 			e := w.engines[id]
 			return e.unreachable || e.rep.State != port.EngineReady || !inReplica(e.rep, r)
@@ -315,6 +328,15 @@
 	})
 }
 
+// ledger returns a copy of the ledger that has read the whole log.
+func (w *world) ledger() *ledger.Control {
+	control := ledger.NewControl()
+	for i, r := range w.log {
+		control.Apply(record.At(int64(i), 0), r)
+	}
+	return control
+}
+
 // hasComplete returns the condition that exactly n replicas are complete.
 func (w *world) hasComplete(n int) func() bool {
 	return func() bool { return len(w.completeReplicas()) == n }
