porthttp: Believe only refusals that name the request or are first on their connection

Cause: a refusal names no request, and net/http gives the bytes that follow a written request to that request, whatever they answer. Answers and chunks carry the request's id, refusals did not.

Evidence: against an upstream that refuses two requests on one connection with the same bytes, the second one ended as not_run, for calls, generations and orders.

Change: each request carries an id of its sending, X-Attempt-Id, which the upstream repeats. A response that names another sending is an error. A refusal that names none proves that the request has not run only on the first request of a connection, so upstreams that don't repeat the field still work. The fake of the specs and the stand-ins repeat it; the expectations of the specs are unchanged.

--- a/port/port.go
+++ b/port/port.go
@@ -205,8 +205,15 @@
 	RequestID string `json:"request_id"`
 }
 
+// HeaderAttempt is the name of a header field of each request to an upstream that is not
+// a GET; its value identifies the sending of the request. An upstream repeats the field in
+// its response, so that a copy of an earlier response on the same connection is told
+// apart.
+const HeaderAttempt = "X-Attempt-Id"
+
 // Refusal is the body of a response by which an upstream refuses a request
-// without running it.
+// without running it. If the response has no HeaderAttempt, the refusal proves that the
+// request has not run only on the first request of a connection.
 type Refusal struct {
 	// NotRun is true if the upstream states that it did not run the request.
 	NotRun bool `json:"not_run"`
--- a/port/porthttp/fake_test.go
+++ b/port/porthttp/fake_test.go
@@ -10,13 +10,17 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
-// startServer runs a server until the spec ends and counts its requests.
+// startServer runs a server until the spec ends and counts its requests. Its responses
+// name the attempts that they answer.
 func startServer(handler http.HandlerFunc) (address string, requests *atomic.Int64) {
 	requests = &atomic.Int64{}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		w.Header().Set(port.HeaderAttempt, r.Header.Get(port.HeaderAttempt))
 		handler(w, r)
 	}))
 	DeferCleanup(server.Close)
--- a/port/porthttp/transport.go
+++ b/port/porthttp/transport.go
@@ -50,18 +50,22 @@
 	return &c
 }
 
-// connTrace records whether a request asked its transport for a connection and
-// whether it obtained one.
+// connTrace records whether a request asked its transport for a connection, whether it
+// obtained one, and whether that had carried an earlier request.
 type connTrace struct {
 	requested atomic.Bool
 	obtained  atomic.Bool
+	reused    atomic.Bool
 }
 
 // attach returns a context for a request whose connections t records.
 func (t *connTrace) attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { t.requested.Store(true) },
-		GotConn: func(httptrace.GotConnInfo) { t.obtained.Store(true) },
+		GotConn: func(i httptrace.GotConnInfo) {
+			t.obtained.Store(true)
+			t.reused.Store(i.Reused)
+		},
 	})
 }
 
--- a/port/porthttp/upstream.go
+++ b/port/porthttp/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/port"
@@ -166,8 +167,17 @@
 	return answer, errors.Wrap(err, "the answer can't be decoded")
 }
 
-// post sends a request with a JSON body at most once.
-func (u *Upstream) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
+// response is the response to a request that is not a GET.
+type response struct {
+	*http.Response
+	// attributed is whether the response is proved to answer the request: it names the
+	// request, or no other one was sent on the connection.
+	attributed bool
+}
+
+// post sends a request with a JSON body at most once. A response that names another
+// request is an error.
+func (u *Upstream) post(ctx context.Context, address, path string, body any) (*response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "encoding the request: %v", err)
@@ -177,11 +187,18 @@
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonConnect, "%v", err)
 	}
+	attempt := uuid.NewString()
+	req.Header.Set(port.HeaderAttempt, attempt)
 	resp, err := u.client.Do(req)
 	if err != nil {
 		return nil, sendError(&trace, err)
 	}
-	return resp, nil
+	named := resp.Header.Get(port.HeaderAttempt)
+	if named != "" && named != attempt {
+		resp.Body.Close()
+		return nil, lostError("status %d to another request", resp.StatusCode)
+	}
+	return &response{Response: resp, attributed: named != "" || !trace.reused.Load()}, nil
 }
 
 // get decodes the response to a GET request. Its error is a *verdict.Error.
@@ -210,9 +227,9 @@
 }
 
 // parseRefusal returns the refusal in a response that is not a success, and the
-// error of the request. Only a port.Refusal with NotRun set, in a response whose
-// status allows a refusal, proves that the request did not run.
-func parseRefusal(resp *http.Response) (port.Refusal, *verdict.Error) {
+// error of the request. Only a port.Refusal with NotRun set, in an attributed response
+// whose status allows a refusal, proves that the request did not run.
+func parseRefusal(resp *response) (port.Refusal, *verdict.Error) {
 	data, err := readAll(resp.Body, maxSmallResponseBytes)
 	if err != nil {
 		return port.Refusal{}, lostError("status %d: %v", resp.StatusCode, err)
@@ -221,6 +238,9 @@
 	if json.Unmarshal(data, &refusal) != nil || !refusal.NotRun || !statusAllowsRefusal(resp.StatusCode) {
 		return port.Refusal{}, lostError("status %d without a refusal", resp.StatusCode)
 	}
+	if !resp.attributed {
+		return port.Refusal{}, lostError("status %d with a refusal that may be that of an earlier request", resp.StatusCode)
+	}
 	reason := verdict.ReasonUpstreamRefused
 	if resp.StatusCode == http.StatusTooManyRequests {
 		reason = verdict.ReasonUpstreamBusy
@@ -251,7 +271,7 @@
 }
 
 // isEventStream reports whether a response is a stream of server-sent events.
-func isEventStream(resp *http.Response) bool {
+func isEventStream(resp *response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
 }
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -127,7 +127,7 @@
 func (s *Service) routes() {
 	s.router.Handle(fault.Path, s.Faults).Methods(http.MethodGet, http.MethodPost)
 	work := s.router.NewRoute().Subrouter()
-	work.Use(s.holdWhilePaused)
+	work.Use(s.holdWhilePaused, web.EchoAttempt)
 	work.HandleFunc("/v1/report", s.handleReport).Methods(http.MethodGet)
 	work.HandleFunc("/v1/order", s.handleOrder).Methods(http.MethodPost)
 	work.HandleFunc("/v1/generate", s.handleGenerate).Methods(http.MethodPost)
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -123,7 +123,7 @@
 	s.router.Handle(fault.Path, s.Faults).Methods(http.MethodGet, http.MethodPost)
 	s.router.HandleFunc(EffectsPath, s.serveEffects).Methods(http.MethodGet)
 	vmRoutes := s.router.NewRoute().Subrouter()
-	vmRoutes.Use(s.holdWhilePaused)
+	vmRoutes.Use(s.holdWhilePaused, web.EchoAttempt)
 	vmRoutes.HandleFunc("/v1/report", s.serveReport).Methods(http.MethodGet)
 	vmRoutes.HandleFunc("/v1/call", s.serveCall).Methods(http.MethodPost)
 	return s
--- a/standin/web/web.go
+++ b/standin/web/web.go
@@ -49,6 +49,16 @@
 	return errors.Wrap(decoder.Decode(into), "decoding the body")
 }
 
+// EchoAttempt repeats the header field port.HeaderAttempt of each request in its response.
+func EchoAttempt(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if attempt := r.Header.Get(port.HeaderAttempt); attempt != "" {
+			w.Header().Set(port.HeaderAttempt, attempt)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // ReadJSON decodes the JSON body of a request. If the body is too large, invalid or
 // has unknown fields, it answers with status 400 and returns false.
 func ReadJSON(w http.ResponseWriter, r *http.Request, into any) bool {
