gateway: Leave a silent upstream only for an event that continues the stream

Streams were broken off although their engine was only silent for a second: the node left it as soon as another engine had sent the head of an answer. An empty rest, an error event, an event elsewhere or a connection that closed after the head then ended the stream.

Cause: took the head of the second answer as proof that the request goes on there. A head promises no event. A second gap, found by reading: events that the first engine relayed while the second one was being asked come once more from there; if they were the last ones, the rest brought nothing new and counted as empty.

Ruled out: the rest of the bookkeeping of moves by reading and with the race detector. Attempts, sends, budget and places at upstreams are returned on each path; an attempt that ends well during a move cancels it; one that fails waits for it within its deadline.

Change: the move of a stream succeeds once its upstream has brought an event that continues what was relayed. Until then the running attempt goes on. The events are read once more when the stream is relayed. A stream that was asked for from an earlier event is whole if it repeats the events up to the last one that was relayed.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -224,6 +224,10 @@
 	return n, err
 }
 
+// Unread makes later reads return data first, which was read before. It must not be called
+// during a Read.
+func (r *Response) Unread(data []byte) { r.body = io.MultiReader(bytes.NewReader(data), r.body) }
+
 // Framed reports whether the response has a length or a transfer encoding. The body of
 // another response ends with its connection.
 func (r *Response) Framed() bool { return r.framed }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -239,6 +239,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the response has a content encoding")
 	}
 	if t.info.Stream && t.resp.Status < http.StatusMultipleChoices {
+		f.events.overlaps = t.lastEvent != f.events.lastID
 		return f.relayStream(t.resp, t.info, &t.assignment)
 	}
 	return f.relayComplete(t.resp, t.info, t.assignment.Target, f.lastSend())
@@ -250,6 +251,7 @@
 func (f *forwarder) open(t *try, lastEvent string) *verdict.Error {
 	p := f.node.deps.Protocol
 	target := t.assignment.Target
+	t.lastEvent = lastEvent
 	resp, err := f.node.pool.Do(t.ctx, target.Address, p.Encode(f.req, Attempt{
 		Target:    target,
 		Remaining: time.Until(f.deadline),
@@ -387,7 +389,7 @@
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
 		}
-		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count})
+		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count, relayed: f.events.relayed})
 	}
 	if !inOrder {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", f.events.lastID)
--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -32,7 +32,11 @@
 	// relayed says that an event was relayed, with an id or without; resumed says that
 	// this was so when the current stream began.
 	relayed, resumed bool
-	// fresh says that the current stream has brought an event that was relayed.
+	// overlaps says that the current stream was asked to continue after an earlier event
+	// than the last one that was relayed.
+	overlaps bool
+	// fresh says that the current stream has brought an event that was relayed, or, if it
+	// overlaps, the last one that was relayed before.
 	fresh bool
 }
 
@@ -66,6 +70,9 @@
 				return nil, false
 			}
 			start += n
+			if b.overlaps && id == b.lastID {
+				b.fresh = true
+			}
 		case positionAfterGap:
 			return whole[start:at], false
 		case positionNext:
--- a/gateway/eventbuffer_test.go
+++ b/gateway/eventbuffer_test.go
@@ -154,4 +154,21 @@
 		Entry("that is empty, the first, and states its end", "", "", true, true),
 		Entry("but not if it is empty and ends with its connection", "", "", false, false),
 	)
+
+	// Guards against a whole answer that is broken off: the last events were relayed from
+	// one upstream while another one was already asked for them.
+	DescribeTable("are complete at the end of a stream that was asked for before they were relayed", func(second string, whole bool) {
+		b := &eventBuffer{}
+		_, _ = b.add([]byte(events(1, 2, 3)))
+		b.overlaps = true
+		b.discardPending()
+		out, inOrder := b.add([]byte(second))
+		Expect(inOrder).To(BeTrue())
+		Expect(out).To(BeEmpty())
+		Expect(b.checkEnd(true) == nil).To(Equal(whole))
+	},
+		Entry("that repeats them to the last", events(2, 3), true),
+		Entry("but not if it ends earlier", events(2), false),
+		Entry("but not if it is empty", "", false),
+	)
 })
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
@@ -35,6 +37,8 @@
 	// the upstream has begun to answer.
 	resp *exchange.Response
 	info ResponseInfo
+	// lastEvent is the id of the event after which the upstream was asked to continue.
+	lastEvent string
 }
 
 // end closes the response and stops counting the request at the upstream.
@@ -46,17 +50,18 @@
 	b.Done(time.Now(), &t.assignment)
 }
 
-// position is how much of a stream was relayed: the id of the last event and the number
-// of events.
+// position is how much of a stream was relayed: the id of the last event, the number of
+// events with an id, and whether there was an event, with an id or without.
 type position struct {
-	lastID string
-	events int
+	lastID  string
+	events  int
+	relayed bool
 }
 
 // movableAttempt is a running attempt that can be moved to another upstream. A move
 // sends the request to the other upstream first, and ends the attempt only once that one
-// has begun to answer: a silent upstream may go on, while the other one may have no room,
-// refuse the request or fail.
+// has begun to answer, a stream by an event that continues it: a silent upstream may go
+// on, while the other one may have no room, refuse the request or fail.
 type movableAttempt struct {
 	f   *forwarder
 	try *try
@@ -281,12 +286,42 @@
 	if e == nil && !f.replaces(t) {
 		e = verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d in place of the running answer", t.resp.Status)
 	}
+	if e == nil && t.info.Stream {
+		e = f.awaitEvent(t, at)
+	}
 	if e != nil {
 		f.noteFailure(t, e, at.events)
 	}
 	return e
 }
 
+// awaitEvent waits until the stream of a move has brought an event that continues what was
+// relayed. The bytes that it reads are read again when the stream is relayed. It may be
+// called while an attempt of the request runs.
+func (f *forwarder) awaitEvent(t *try, at position) *verdict.Error {
+	events := eventBuffer{lastID: at.lastID, relayed: at.relayed, resumed: at.relayed}
+	var begun []byte
+	buf := make([]byte, streamBufferBytes)
+	for {
+		n, err := t.resp.Read(buf)
+		begun = append(begun, buf[:n]...)
+		_, inOrder := events.add(buf[:n])
+		switch {
+		case events.fresh:
+			t.resp.Unread(begun)
+			return nil
+		case !inOrder:
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", at.lastID)
+		case errors.Is(err, io.EOF):
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream ended before an event")
+		case err != nil:
+			return f.readFailed(t.assignment.Target, "the stream was cut off", err)
+		case len(begun) > maxEventBytes:
+			return f.readFailed(t.assignment.Target, "the stream was cut off", bounded.TooLong(limitEvent, maxEventBytes))
+		}
+	}
+}
+
 // replaces reports whether the head of an upstream's response promises an answer of the
 // same kind as the running one, and no failure.
 func (f *forwarder) replaces(t *try) bool {
