exchange: Read the answer of an upstream that stops reading the request

A caller got 502 although the engine had answered: with a long body the engine may answer and close before the body is in. Where the answer was a refusal, a request that may not be repeated was also counted as one that may have run.

Cause: a failed write ended the exchange without a look at what had arrived.

Evidence: an upstream that answers 413 to a request of 8 MB and closes with the body unread: "sending: write: connection reset by peer".

Ruled out: a request of which no byte was written; it keeps its failure. An answer that is cut off or that belongs to another request fails as in any other exchange.

Change: if a part of the request was written, the response is read in either case. The connection is not used again. Not covered: an engine that answers, keeps the connection and reads nothing for longer than the request's time; its answer is read only once the request is written.

"An answer to a request that the upstream does not read to its end" failed before.

--- a/exchange/cutoff_test.go
+++ b/exchange/cutoff_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -118,3 +119,41 @@
 		}
 	})
 })
+
+// Guards against an upstream's answer that is dropped: it came before the request was
+// written to its end, and the upstream did not read the rest.
+var _ = Describe("An answer to a request that the upstream does not read to its end", func() {
+	const body = 8 << 20
+	It("is the answer to the request, and its connection is not used again", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					// The body is not read.
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\n"+idHeader+": 1\r\nContent-Length: 3\r\n\r\nbig")
+					time.Sleep(50 * time.Millisecond)
+					// Closing with unread bytes resets the connection.
+					_ = c.Close()
+				}()
+			}
+		}()
+		pool := NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
+		r := request("1")
+		r.Body = make([]byte, body)
+		resp, err := pool.Do(context.Background(), l.Addr().String(), r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Status).To(Equal(http.StatusRequestEntityTooLarge))
+		answer, err := io.ReadAll(resp)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(Equal("big"))
+		resp.Close()
+		Expect(pool.hosts).To(BeEmpty())
+	})
+})
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -139,20 +139,26 @@
 	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	c.noteCarried(r.ID)
-	if n, err := c.net.Write(data); err != nil {
+	n, sendErr := c.net.Write(data)
+	if sendErr != nil && n == 0 {
 		stopAbort()
 		p.put(c, false)
-		if n == 0 && !reused && ctx.Err() == nil {
-			return nil, errors.Mark(errors.Wrap(err, "sending"), ErrNotSent)
+		if !reused && ctx.Err() == nil {
+			return nil, errors.Mark(errors.Wrap(sendErr, "sending"), ErrNotSent)
 		}
-		return nil, errors.Wrap(err, "sending")
+		return nil, errors.Wrap(sendErr, "sending")
 	}
+	// An upstream may answer a request that it does not read to its end.
 	resp, err := c.readMatchingResponse(r, reused)
 	if err != nil {
 		stopAbort()
 		p.put(c, false)
+		if sendErr != nil {
+			return nil, errors.Wrap(sendErr, "sending")
+		}
 		return nil, err
 	}
+	c.closeAfterResponse = c.closeAfterResponse || sendErr != nil
 	return &Response{
 		Status:    resp.StatusCode,
 		Header:    resp.Header,
