gateway: Count a crash whose answer ended with its connection

What callers saw: if an engine crashes within the first event of a stream that has neither a length nor chunks, and its connection ends without a reset, requests with the deadly part go on from engine to engine, and sound ones are lost with the engines.

Cause: such a stream ends with io.EOF, and endStream took one that is not whole for a bad answer. Only lost upstreams are checked for a crash, so no evidence was recorded.

Change: a stream without framing that is not whole is a lost upstream. Its port is checked as after a reset, so an upstream that still accepts connections has not crashed. Streams that state their end and are not whole stay bad answers.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -430,7 +430,12 @@
 // stream is not whole.
 func (f *forwarder) endStream(resp *exchange.Response) *verdict.Error {
 	if err := f.events.checkEnd(resp.Framed()); err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", err)
+		reason := verdict.ReasonBadAnswer
+		if !resp.Framed() {
+			// The connection has ended, as it does if the upstream crashes.
+			reason = verdict.ReasonUpstreamLost
+		}
+		return verdict.New(verdict.MayHaveRun, reason, "%v", err)
 	}
 	if !f.answerStarted {
 		copyHeader(f.w.Header(), resp.Header)
