formation: Use a replica's members once another instance answers for its head

Cause: a crashed engine starts again at its address under a new id, while its old record is kept for 12 s. The new instance answers the probe of the old head, which therefore counted as running (upstream.back), so that dismantling went on ordering it to leave. The orders were answered 421, which was taken for a refusal, until the record was gone.

Such an answer to an order to close or to leave shows that the head's process has ended, so it has left, and its members are free. An engine that refuses an order, or its sender, answers otherwise (409, 412), and one that can't be reached still costs the full time.

Ruled out: a refused connection as a proof, as a disrupted link may refuse too.

--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -18,7 +18,7 @@
 	model      string
 	service    string
 	members    []string
-	// head is the head's VM ID, set once the head was ordered to leave.
+	// head is the head's VM ID, set once the head was ordered to close or to leave.
 	head             string
 	formedAt         time.Duration
 	expectedJoinTime time.Duration
@@ -55,13 +55,15 @@
 	coldMembers map[string]bool
 }
 
-// handleLeave records the result of an order to leave.
-func (p *Planner) handleLeave(now time.Duration, a *replica, vm string, res Result) {
-	if res.Accepted && a.head == vm {
+// handleEnd records the result of an order to leave or to close. A head whose process has
+// ended has left: the instance at its address refuses earlier orders to it.
+func (p *Planner) handleEnd(now time.Duration, a *replica, o Order, res Result) {
+	left := o.Kind == Leave && res.Accepted
+	if a.head == o.VM && (left || res.Replaced) {
 		a.headLeft = true
 		p.replan = true
 	}
-	if res.Answered && a.leftAt == 0 {
+	if o.Kind == Leave && res.Answered && a.leftAt == 0 {
 		a.leftAt = now
 	}
 }
@@ -305,6 +307,7 @@
 	if ok && head.Member.Generation == a.generation && !r.isDead(head) {
 		switch state := r.memberState(head); {
 		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing) && r.now-a.dismantlingSince < closeTimeout:
+			a.head = head.ID
 			if r.sendDue(a, "close") {
 				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
 			}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -57,6 +57,9 @@
 	Accepted bool
 	// Answered says that the VM answered at all, even with a refusal.
 	Answered bool
+	// Replaced says that an order was answered by another instance at the VM's address:
+	// the VM's process has ended.
+	Replaced bool
 	// State is the state of the VM's membership, from the answer to a probe.
 	State fleet.MemberState
 	// ProcessDelayed says that this process was delayed while it waited for the
@@ -277,15 +280,15 @@
 	switch o.Kind {
 	case Probe:
 		return p.handleProbe(now, o, res)
-	case Leave:
+	case Leave, Close:
 		if r, ok := p.replicas[o.Replica]; ok {
-			p.handleLeave(now, r, o.VM, res)
-		}
-	case Open, Close, Join, Stage:
-		if !res.Accepted {
-			p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
-				"generation", o.Generation, "model", o.Model, "status", res.Status)
+			p.handleEnd(now, r, o, res)
 		}
+	case Open, Join, Stage:
+	}
+	if !res.Accepted && (o.Kind != Leave || res.Replaced) {
+		p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
+			"generation", o.Generation, "model", o.Model, "status", res.Status)
 	}
 	return nil
 }
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -65,6 +65,20 @@
 		Expect(w.run(stallTime, w.servesAtLeast(1, 1))).To(BeTrue())
 	})
 
+	// Guards against members that stay unused after their head has crashed: another
+	// instance answered probes at its address, so the head was taken for a running one.
+	DescribeTable("uses the members of a replica as soon as another instance answers for its head", func(crashFirst time.Duration) {
+		startFleet(1, 1, 11)
+		head := w.member("large", 0)
+		head.down = true
+		w.run(crashFirst, nil)
+		head.replaced = true
+		Expect(w.run(stallTime, w.servesAtLeast(1, 1))).To(BeTrue())
+	},
+		Entry("at once", time.Duration(0)),
+		Entry("after probes have shown that the head is gone", time.Second),
+	)
+
 	// A member that loses its connection to the log for a few seconds (in one
 	// run, seven VMs did for five seconds) is no longer in the list of VMs
 	// although it still works.
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -31,6 +31,8 @@
 	vm fleet.VM
 	// down engines answer nothing and never recover.
 	down bool
+	// replaced engines are down, and another instance answers at their address.
+	replaced bool
 	// unlisted engines work, but their reports are marked as no longer listed.
 	unlisted bool
 	// leavingSince is when the engine was first reported as leaving.
@@ -219,6 +221,10 @@
 	for _, o := range orders {
 		e := w.engines[o.VM]
 		switch {
+		case e != nil && e.replaced && o.Kind == Probe:
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, Slowdown: 1}))
+		case e != nil && e.replaced:
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Replaced: true, Status: "421"}))
 		case e == nil || e.down || w.lost != nil && w.lost(o):
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
