poison: Report parts that no answer began with before others

Cause: a report holds 16 suspects, those touched last first. If a crash has many bystanders, their parts, which answers began with and which are thus no suspects in practice, could take all places for as long as no answer with them began, and no peer heard of the deadly part. Found by reading; not seen in a play.

Change: of suspects with as many crashes, parts without a start come first, also when the table is full.

The new entry failed before and passes with the change (go test ./poison).

--- a/poison/table.go
+++ b/poison/table.go
@@ -291,18 +291,23 @@
 	t.stale = true
 }
 
-// compareStrength orders suspects: those with the most crashes first, then parts before
-// contents, then those touched last.
+// compareStrength orders suspects: those with the most crashes first, then parts that no
+// answer has begun with, other parts and contents, then those touched last.
 func (t *Table) compareStrength(a, b string) int {
 	x, y := t.suspects[a], t.suspects[b]
-	contents := 0
-	if x.content != y.content {
-		contents = 1
-		if y.content {
-			contents = -1
-		}
+	return cmp.Or(cmp.Compare(y.unexplained, x.unexplained), cmp.Compare(x.kind(), y.kind()), y.touched.Compare(x.touched), cmp.Compare(a, b))
+}
+
+// kind returns 0 for a part that no answer has begun with, 1 for another part and 2 for a
+// content.
+func (s *suspect) kind() int {
+	switch {
+	case s.content:
+		return 2
+	case s.lastStart.IsZero():
+		return 0
 	}
-	return cmp.Or(cmp.Compare(y.unexplained, x.unexplained), contents, y.touched.Compare(x.touched), cmp.Compare(a, b))
+	return 1
 }
 
 // Standing returns how requests with a part are treated.
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -388,6 +388,19 @@
 		Expect(r.Suspects[0].Part).To(Equal("deadly"))
 	})
 
+	// Guards against a deadly part that no peer hears of, because the parts of many
+	// bystanders of its crash came after it.
+	It("leave a part that no answer began with in the report", func() {
+		b := newBench("n")
+		b.RecordCrash(b.now, []string{"deadly"}, 1)
+		for i := range 3 * maxReported {
+			part := fmt.Sprint("common", i)
+			b.start(part)
+			b.RecordCrash(b.now, []string{part, Content(part)}, 1)
+		}
+		Expect(b.Report(b.now).Suspects[0].Part).To(Equal("deadly"))
+	})
+
 	It("keep a report within its size", func() {
 		b := newBench("n")
 		id := func(i int) string { return fmt.Sprint(i) + strings.Repeat("f", maxIDBytes-3) }
