gateway: End the claim of a request with its reason

Cause: a request claims its suspected parts, and gave them up only after its attempt. If the parts became sound while it waited, or its answer had begun, the claim stayed for the whole stream. A part suspected once more meanwhile was then tried by no other request at any node, for seconds.

Change: the claims end when nothing is suspected of the request, and when its answer begins.

Both new entries of gateway/parts_test.go failed before (with recordStart split off first, so that it can be called) and pass with the change.

--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -55,6 +55,7 @@
 	case len(suspected) > 0:
 		return evidence, poison.Suspected, p.table.Claim(now, request, suspected)
 	}
+	p.table.Release(request)
 	return evidence, poison.Sound, true
 }
 
@@ -204,5 +205,12 @@
 
 // recordStart records that an upstream has begun to answer.
 func (f *forwarder) recordStart() {
-	f.node.updateParts(func(t *poison.Table) bool { return t.RecordStart(time.Now(), f.suspects()) })
+	f.node.updateParts(func(t *poison.Table) bool { return recordStart(t, time.Now(), f.req.ID, f.suspects()) })
+}
+
+// recordStart records that an answer to a request with these parts has begun, which is the
+// outcome that the request's claims are for. It reports whether peers should be told.
+func recordStart(t *poison.Table, now time.Time, request string, parts []string) bool {
+	t.Release(request)
+	return t.RecordStart(now, parts)
 }
