poison: Let requests run that tell parts apart which were convicted together

Cause: if the first part of the deadly requests had no answer before the first crash, three crashes convict it with the deadly part, as the evidence is the same. Then all requests with it, the sound ones too, were refused for two minutes, and no answer could clear it.

Change: in a request that has not all of the parts that were convicted together, they are only suspected, so one such request at a time runs, claimed 1 s ahead. Its start clears the sound part, and its crash convicts the other one alone.

The new entry failed before and passes with the change (go test ./poison).

--- a/poison/assess.go
+++ b/poison/assess.go
@@ -23,7 +23,7 @@
 	t.stale = false
 	var parts, contents []*candidate
 	for part, s := range t.suspects {
-		s.convicted, s.unexplained = false, 0
+		s.convicted, s.unexplained, s.twins = false, 0, nil
 		c := &candidate{suspect: s, part: part, open: s.open()}
 		c.count = s.count(c.open)
 		if s.content {
@@ -67,7 +67,7 @@
 		}
 		var explained []CrashID
 		for _, c := range convicted {
-			c.convicted, c.unexplained = true, c.count
+			c.convicted, c.unexplained, c.twins = true, c.count, otherParts(convicted, c)
 			explained = append(explained, c.open...)
 		}
 		return explained
@@ -75,6 +75,17 @@
 	return nil
 }
 
+// otherParts returns the parts of all candidates but one.
+func otherParts(candidates []*candidate, c *candidate) []string {
+	var out []string
+	for _, other := range candidates {
+		if other != c {
+			out = append(out, other.part)
+		}
+	}
+	return out
+}
+
 // compare orders candidates: before others those that no answer has begun with, and then
 // those that explain the most crashes. What a deadly part shares with bystanders explains
 // their crashes too, but answers have begun with it.
--- a/poison/table.go
+++ b/poison/table.go
@@ -103,6 +103,9 @@
 	// that the suspect explains them.
 	unexplained int
 	convicted   bool
+	// twins lists the parts that were convicted with this one, because the evidence
+	// does not tell them apart.
+	twins []string
 	// reported is the standing that Transitions last returned.
 	reported Standing
 }
@@ -339,15 +342,20 @@
 }
 
 // Judge returns the evidence against the first of these parts that is convicted, if one
-// is, and otherwise the parts that are suspected. While the peers may know more than this
-// node, these include each part that no answer is known to have begun with.
+// is, and otherwise the parts that are suspected. A part that was convicted with others is
+// only suspected in a request without one of these: its outcome tells them apart. While
+// the peers may know more than this node, the suspected parts include each one that no
+// answer is known to have begun with.
 func (t *Table) Judge(now time.Time, parts []string) (Evidence, bool, []string) {
 	var suspected []string
 	behind := t.behind(now)
 	for _, part := range parts {
 		switch t.Standing(now, part) {
 		case Convicted:
-			return t.Evidence(now, part), true, nil
+			if !t.tellsApart(parts, part) {
+				return t.Evidence(now, part), true, nil
+			}
+			suspected = append(suspected, part)
 		case Suspected:
 			suspected = append(suspected, part)
 		case Sound:
@@ -359,6 +367,12 @@
 	return Evidence{}, false, suspected
 }
 
+// tellsApart reports whether the outcome of a request with these parts would tell one of
+// them apart from a part that was convicted with it.
+func (t *Table) tellsApart(parts []string, part string) bool {
+	return slices.ContainsFunc(t.suspects[part].twins, func(twin string) bool { return !slices.Contains(parts, twin) })
+}
+
 // behind reports whether the peers may know more than this node.
 func (t *Table) behind(now time.Time) bool {
 	return !t.lastReport.IsZero() && (now.Sub(t.lastReport) > standstill || now.Sub(t.resumed) < catchUpTime)
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -98,6 +98,26 @@
 		Expect(b.standing("twin")).To(Equal(Convicted))
 	})
 
+	// Guards against sound requests that are refused for minutes, because a part that they
+	// share with the deadly ones had no answer before the first crash.
+	It("lets a request run that tells it apart from a part that was convicted with it", func() {
+		b := newBench("n")
+		for range 3 {
+			b.crash([]string{"common", "deadly"})
+		}
+		Expect(b.standing("common")).To(Equal(Convicted))
+		_, convicted, _ := b.Judge(b.now, []string{"common", "deadly", Content("1")})
+		Expect(convicted).To(BeTrue())
+		_, convicted, suspected := b.Judge(b.now, []string{"common", "friend", Content("2")})
+		Expect(convicted).To(BeFalse())
+		Expect(suspected).To(ConsistOf("common"))
+		b.start("common", "friend")
+		Expect(b.standing("common")).To(Equal(Sound))
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		_, convicted, _ = b.Judge(b.now, []string{"common", "deadly", Content("3")})
+		Expect(convicted).To(BeTrue())
+	})
+
 	// Guards against a conviction that was lifted: of four crashes in quick succession only
 	// two counted, and a bystander of two of them seemed as likely a cause.
 	It("stays convicted beside a part that was on fewer of the upstreams", func() {
