--- a/port/porthttp/stream_test.go
+++ b/port/porthttp/stream_test.go
@@ -46,6 +46,7 @@
 		Entry("with an error if there is no final chunk", chunkEvent("r1", 0, false), 1, mayHaveRun),
 		Entry("with an error after the final chunk of another request", chunkEvent("r1", 0, false)+chunkEvent("r2", 1, true), 2, mayHaveRun),
 		Entry("with an error if the final chunk is truncated", chunkEvent("r1", 0, false)+strings.TrimSpace(chunkEvent("r1", 1, true)), 1, mayHaveRun),
+		Entry("with an error if the final chunk lacks its blank line", chunkEvent("r1", 0, false)+strings.TrimSuffix(chunkEvent("r1", 1, true), "\n"), 1, mayHaveRun),
 		Entry("empty", "", 0, mayHaveRun),
 		Entry("with an error at an event that is not a chunk", chunkEvent("r1", 0, false)+"data: {\"index\":1}\n\n", 1, mayHaveRun),
 		Entry("with an error at an event that is too large", chunkEvent("r1", 0, false)+"data: "+strings.Repeat("x", 65<<10)+"\n\n", 1, mayHaveRun),
