--- a/formation/planner.go
+++ b/formation/planner.go
@@ -66,6 +66,9 @@
 	Conflict bool
 	// Report is the answer to a probe.
 	Report VMReport
+	// Replaced says that an order was answered by another instance at the VM's address:
+	// the VM's process has ended.
+	Replaced bool
 	// ProcessDelayed says that this process was delayed while it waited for the
 	// answer, so that a missing answer does not show that the VM is
 	// unreachable.
@@ -296,15 +299,15 @@
 	switch o.Kind {
 	case Probe:
 		return p.handleProbe(now, o, res)
-	case Leave:
+	case Leave, Close:
 		if r, ok := p.replicas[o.Replica]; ok {
-			p.handleLeave(now, r, o.VM, res)
-		}
-	case Open, Close, Join, Stage:
-		if !res.Accepted {
-			p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
-				"generation", o.Generation, "model", o.Model, "status", res.Status)
+			p.handleEnd(now, r, o, res)
 		}
+	case Open, Join, Stage:
+	}
+	if !res.Accepted && (o.Kind != Leave || res.Replaced) {
+		p.s.Logger.Warn(decisions.OrderNotAccepted, "order", string(o.Kind), "upstream", o.VM, "replica", o.Replica,
+			"generation", o.Generation, "model", o.Model, "status", res.Status)
 	}
 	return nil
 }
--- a/poison/table.go
+++ b/poison/table.go
@@ -103,6 +103,9 @@
 	// that the suspect explains them.
 	unexplained int
 	convicted   bool
+	// twins lists the parts that were convicted with this one, because the evidence
+	// does not tell them apart.
+	twins []string
 	// reported is the standing that Transitions last returned.
 	reported Standing
 }
@@ -291,18 +294,23 @@
 	t.stale = true
 }
 
-// compareStrength orders suspects: those with the most crashes first, then parts before
-// contents, then those touched last.
+// compareStrength orders suspects: those with the most crashes first, then parts that no
+// answer has begun with, other parts and contents, then those touched last.
 func (t *Table) compareStrength(a, b string) int {
 	x, y := t.suspects[a], t.suspects[b]
-	contents := 0
-	if x.content != y.content {
-		contents = 1
-		if y.content {
-			contents = -1
-		}
+	return cmp.Or(cmp.Compare(y.unexplained, x.unexplained), cmp.Compare(x.kind(), y.kind()), y.touched.Compare(x.touched), cmp.Compare(a, b))
+}
+
+// kind returns 0 for a part that no answer has begun with, 1 for another part and 2 for a
+// content.
+func (s *suspect) kind() int {
+	switch {
+	case s.content:
+		return 2
+	case s.lastStart.IsZero():
+		return 0
 	}
-	return cmp.Or(cmp.Compare(y.unexplained, x.unexplained), contents, y.touched.Compare(x.touched), cmp.Compare(a, b))
+	return 1
 }
 
 // Standing returns how requests with a part are treated.
@@ -334,15 +342,20 @@
 }
 
 // Judge returns the evidence against the first of these parts that is convicted, if one
-// is, and otherwise the parts that are suspected. While the peers may know more than this
-// node, these include each part that no answer is known to have begun with.
+// is, and otherwise the parts that are suspected. A part that was convicted with others is
+// only suspected in a request without one of these: its outcome tells them apart. While
+// the peers may know more than this node, the suspected parts include each one that no
+// answer is known to have begun with.
 func (t *Table) Judge(now time.Time, parts []string) (Evidence, bool, []string) {
 	var suspected []string
 	behind := t.behind(now)
 	for _, part := range parts {
 		switch t.Standing(now, part) {
 		case Convicted:
-			return t.Evidence(now, part), true, nil
+			if !t.tellsApart(parts, part) {
+				return t.Evidence(now, part), true, nil
+			}
+			suspected = append(suspected, part)
 		case Suspected:
 			suspected = append(suspected, part)
 		case Sound:
@@ -354,6 +367,12 @@
 	return Evidence{}, false, suspected
 }
 
+// tellsApart reports whether the outcome of a request with these parts would tell one of
+// them apart from a part that was convicted with it.
+func (t *Table) tellsApart(parts []string, part string) bool {
+	return slices.ContainsFunc(t.suspects[part].twins, func(twin string) bool { return !slices.Contains(parts, twin) })
+}
+
 // behind reports whether the peers may know more than this node.
 func (t *Table) behind(now time.Time) bool {
 	return !t.lastReport.IsZero() && (now.Sub(t.lastReport) > standstill || now.Sub(t.resumed) < catchUpTime)
