porthttp: Read what upstreams say of themselves in any answer

Cause: porthttp read Retry-After as whole seconds of a refusal only, handed it on as the node's advice to callers, and knew no announcement of leaving. The refusal gets a reason of its own (upstream_paused, upstream_leaving) and no advice to callers. Trace.BeforeWrite can withhold a request right before its first byte: its connection is closed, nothing is written, the verdict is not_run.

--- a/port/port.go
+++ b/port/port.go
@@ -14,6 +14,27 @@
 // VMID identifies a VM.
 type VMID string
 
+// Headers by which the process on an upstream VM tells something of itself in any of
+// its answers: whatever the request and the status, also at the head of a stream.
+const (
+	// HeaderLeaving, with the value "1", says that the process is about to end and
+	// takes no new requests.
+	HeaderLeaving = "Vm-Leaving"
+	// HeaderBoot is the Report.Boot of the process that answers.
+	HeaderBoot = "Vm-Boot"
+	// HeaderRetryAfter, in a refusal with status 429 or 503, is the time in seconds,
+	// fractions allowed, for which the process wants no requests from the sender.
+	// Reports, cache events, orders and cancellations don't count as requests.
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Incarnation is one run of the process on a VM.
+type Incarnation struct {
+	VM VMID
+	// Boot is the Report.Boot of the run; empty if unknown.
+	Boot string
+}
+
 // VMKind says what runs on a VM.
 type VMKind string
 
--- a/port/porthttp/upstream.go
+++ b/port/porthttp/upstream.go
@@ -9,7 +9,6 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,7 +26,6 @@
 	// are being received together; the smallest entry VMs have less than 200 MB.
 	callResponsesMemoryBytes = 16 << 20
 	limitCallResponsesMemory = "call_responses_memory"
-	maxRetryAfter            = time.Hour
 )
 
 // reasonStaleFencing is the port.Refusal.Reason of an order whose generation is
@@ -50,8 +48,10 @@
 // NewUpstream returns a client of upstream VMs. If client is nil, the client of
 // NewHTTPClient is used.
 func NewUpstream(client *http.Client) *Upstream {
+	c := withoutRedirects(client)
+	c.Transport = &tracedTransport{base: c.Transport}
 	return &Upstream{
-		client:        withoutRedirects(client),
+		client:        c,
 		callResponses: bounded.NewBudget(limitCallResponsesMemory, callResponsesMemoryBytes),
 	}
 }
@@ -197,6 +197,10 @@
 // sendError returns the error, with its verdict, of a request that failed with
 // err before there was a usable response.
 func sendError(trace *connTrace, err error) *verdict.Error {
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
+		return withheld.reason
+	}
 	if trace.neverConnected(err) {
 		return verdict.Refuse(verdict.ReasonConnect, "%v", err)
 	}
@@ -221,12 +225,31 @@
 	if json.Unmarshal(data, &refusal) != nil || !refusal.NotRun || !statusAllowsRefusal(resp.StatusCode) {
 		return port.Refusal{}, lostError("status %d without a refusal", resp.StatusCode)
 	}
-	reason := verdict.ReasonUpstreamRefused
-	if resp.StatusCode == http.StatusTooManyRequests {
-		reason = verdict.ReasonUpstreamBusy
+	said := readSaid(resp)
+	return refusal, verdict.Refuse(refusalReason(resp.StatusCode, said), "upstream refused: %s%s", refusal.Reason, describePause(said))
+}
+
+// refusalReason returns the reason for the refusal of a request. What the upstream says
+// of itself takes precedence over the status.
+func refusalReason(status int, said Said) verdict.Reason {
+	switch {
+	case said.Pause > 0:
+		return verdict.ReasonUpstreamPaused
+	case said.Leaving:
+		return verdict.ReasonUpstreamLeaving
+	case status == http.StatusTooManyRequests:
+		return verdict.ReasonUpstreamBusy
 	}
-	failure := verdict.Refuse(reason, "upstream refused: %s", refusal.Reason)
-	return refusal, failure.WithRetryAfter(retryAfter(resp.Header))
+	return verdict.ReasonUpstreamRefused
+}
+
+// describePause returns the part of a refusal's detail that names the pause that the
+// upstream asks for; empty if it asks for none.
+func describePause(said Said) string {
+	if said.Pause == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", and wants no requests for %s", said.Pause)
 }
 
 // statusAllowsRefusal reports whether a response with this status may have a
@@ -240,16 +263,6 @@
 	return false
 }
 
-// retryAfter returns the time in the header Retry-After, limited to
-// maxRetryAfter. It returns 0 if the header is not a positive number of seconds.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
-		return 0
-	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-}
-
 // isEventStream reports whether a response is a stream of server-sent events.
 func isEventStream(resp *http.Response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
