router: Honour pauses and leaving that upstreams announce

Cause: the router knew nothing of what upstreams say of themselves; an upstream that asked for a pause was picked again as soon as its next report had arrived. Change: the router holds pauses and leaving by the process (VM and boot) at an upstream's address. Requests not taken are no samples of the outlier detection; paused slots count for admission only while all pause.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -3,7 +3,11 @@
 // node uses. Each strategy is a package in a folder below this one.
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/port"
+)
 
 // Upstream is one eligible replica or one VM of a plain service.
 type Upstream struct {
@@ -13,6 +17,8 @@
 	Generation int64
 	// Address is the host:port of the VM that takes requests.
 	Address string
+	// Process is the process at Address, as far as health checking knows it.
+	Process port.Incarnation
 	// Pool is the model's name, or the result of ServicePool for a plain
 	// service.
 	Pool string
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -24,6 +24,9 @@
 	UpstreamGone         = "upstream.gone"
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
+	UpstreamPaused       = "upstream.paused"
+	UpstreamLeaving      = "upstream.leaving"
+	UpstreamUnusedWord   = "upstream.unused_word"
 	UpstreamProbed       = "upstream.probed"
 	UpstreamTooLong      = "upstream.too_long"
 	UpstreamUnattributed = "upstream.unattributed"
@@ -101,6 +104,9 @@
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; the requests that could be are being moved to other replicas: their number."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
+		{UpstreamPaused, "An upstream refused a request and wants none from this node for a time: its boot, the time."},
+		{UpstreamLeaving, "The process on a VM said in an answer, or a peer reported that it said, that it is about to end; it gets no new requests and is replaced: its boot, whether its mark ended with a new boot."},
+		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer was not used as it is: what is wrong with it."},
 		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -80,9 +80,11 @@
 
 // Next decides whether to retry after a failure. A retry is allowed if the verdict
 // permits it, attempts and time are left, and the budget of the class has a token or
-// the attempt progressed.
+// the attempt progressed. A request for which all upstreams pause for too long is
+// not retried.
 func (p *Policy) Next(now time.Time, f Failure) Decision {
-	if !f.Err.Verdict.AllowsRetry(f.Repeatable) || f.Attempt >= MaxAttempts {
+	allPaused := f.Err.Reason == verdict.ReasonAllPaused
+	if allPaused || !f.Err.Verdict.AllowsRetry(f.Repeatable) || f.Attempt >= MaxAttempts {
 		return p.refuse(f.Err.Reason)
 	}
 	wait := max(f.Err.RetryAfter, p.backoffDelay(f.Attempt))
--- a/router/feedback.go
+++ b/router/feedback.go
@@ -31,7 +31,7 @@
 		return
 	}
 	r, ok := u.recordFinish(now, m.RequestID)
-	if !ok {
+	if !ok || m.NotTaken {
 		return
 	}
 	if m.OK && m.FirstToken+m.PerToken > 0 {
--- a/router/load.go
+++ b/router/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/kernel"
 )
 
 const (
@@ -31,6 +32,11 @@
 	correctionWeight float64
 	// requests holds the requests in flight by their ids.
 	requests map[string]inFlightRequest
+	// leavingSince is when the upstream's process was first heard to be leaving; zero
+	// if it was not.
+	leavingSince time.Time
+	// pausedAt is when the upstream's process last asked for a pause; zero if it did not.
+	pausedAt time.Time
 }
 
 // inFlightRequest is a request that this node sent to an upstream and that has
@@ -41,6 +47,8 @@
 	picks  int
 	sentAt time.Time
 	class  string
+	// ask is that of the latest Pick message.
+	ask kernel.AskID
 	// coldBytes is the size of the prompt in bytes, or 0 if the upstream was
 	// known to hold a prefix of it in its cache.
 	coldBytes int
@@ -54,9 +62,9 @@
 }
 
 // recordSend adds a request that is sent to the upstream.
-func (u *upstream) recordSend(now time.Time, request, class string, coldBytes int) {
-	picks := u.requests[request].picks + 1
-	u.requests[request] = inFlightRequest{picks: picks, sentAt: now, class: class, coldBytes: coldBytes}
+func (u *upstream) recordSend(now time.Time, m Pick, coldBytes int) {
+	picks := u.requests[m.RequestID].picks + 1
+	u.requests[m.RequestID] = inFlightRequest{picks: picks, sentAt: now, class: m.Class, ask: m.Ask, coldBytes: coldBytes}
 	u.candidate.InFlight++
 	u.addCorrection(now, 1)
 }
--- a/router/messages.go
+++ b/router/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/notice"
 	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
@@ -64,6 +65,10 @@
 	// ExpectedWork is the service time on an idle upstream; 0 means that the
 	// service uses its estimate for the class.
 	ExpectedWork time.Duration
+	// Deadline is when the answer must be complete. While all upstreams pause, the
+	// request waits if the earliest of them takes requests again in time for it. A
+	// zero Deadline means that the request does not wait.
+	Deadline time.Time
 	// ExpectedPrefill is the part of ExpectedWork that is spent on processing
 	// the prompt; 0 means that the service uses its estimate for the class.
 	ExpectedPrefill time.Duration
@@ -73,8 +78,37 @@
 type Picked struct {
 	// Upstream is the selected upstream.
 	Upstream balance.Upstream
+	// Waited is how long the request waited for the end of a pause.
+	Waited time.Duration
 }
 
+// CancelPick withdraws a Pick message whose reply is no longer awaited, whether or not
+// an upstream was picked.
+type CancelPick struct {
+	// Ask and RequestID are those of the Pick message.
+	Ask       kernel.AskID
+	RequestID string
+}
+
+// Noticed reports what the process of an upstream said of itself in an answer.
+type Noticed struct {
+	Process port.Incarnation
+	Notice  notice.Notice
+}
+
+// Confirm asks whether a request may still be sent to the upstream that a Pick message
+// selected. The reply is Confirmed, or a *verdict.Error if the upstream has paused or is
+// leaving since; the request must then not be sent.
+type Confirm struct {
+	// Ask is the identifier that the reply carries.
+	Ask kernel.AskID
+	// Upstream is the selected upstream.
+	Upstream balance.Upstream
+}
+
+// Confirmed is the reply to a Confirm message for an upstream that still takes requests.
+type Confirmed struct{}
+
 // Progressed reports the latencies of a request in flight, so that a straggler is
 // detected before its long answers end. It is optional and may be repeated.
 type Progressed struct {
@@ -96,6 +130,9 @@
 	// OK is false if the upstream failed the request; a cancellation by the
 	// caller is not a failure.
 	OK bool
+	// NotTaken says that the upstream took no requests at that time by its own
+	// announcement, or got none. The outlier detection does not count it.
+	NotTaken bool
 	// FirstToken is the time to the first token or, for a plain service, to
 	// the answer; 0 if there was none or a Progressed message reported it
 	// before.
--- a/router/pick.go
+++ b/router/pick.go
@@ -11,9 +11,13 @@
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
-// pick returns the reply to a Pick message: Picked or *verdict.Error.
+// pick returns the reply to a Pick message, Picked or *verdict.Error, or nil if the
+// upstreams that could be picked all pause.
 func (s *Service) pick(now time.Time, m Pick) kernel.Message {
 	candidates := s.candidates(now, m)
+	if len(candidates) == 0 && s.pausing(now, m) {
+		return nil
+	}
 	if len(candidates) == 0 {
 		s.count("refused." + string(verdict.ReasonNoReplica))
 		return verdict.Refuse(verdict.ReasonNoReplica, "no upstream of pool %q", m.Pool).
@@ -26,7 +30,7 @@
 	if s.cached(chosen.ID, m.PrefixHashes) {
 		coldBytes = 0
 	}
-	s.upstreams[chosen.ID].recordSend(now, m.RequestID, m.Class, coldBytes)
+	s.upstreams[chosen.ID].recordSend(now, m, coldBytes)
 	for _, h := range m.PrefixHashes {
 		s.prefixes.Add(chosen.ID, h)
 	}
@@ -70,8 +74,8 @@
 	return false
 }
 
-// candidates returns the upstreams that may be picked, ordered by id. Upstreams
-// that the outlier detection holds back are used only if there are no others.
+// candidates returns the upstreams that may be picked, ordered by id: none that is
+// leaving or has asked for a pause that goes on. Upstreams that the outlier detection holds back are used only if there are no others.
 // The slice is valid until the next call for the same pool.
 func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
 	p, ok := s.pools[m.Pool]
@@ -80,7 +84,7 @@
 	}
 	p.scratch = p.scratch[:0]
 	for _, u := range p.members {
-		if usable(now, m, u) && s.inService(now, p, u) {
+		if usable(now, m, u) && s.takes(now, u) && s.inService(now, p, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
@@ -88,7 +92,7 @@
 		return p.scratch
 	}
 	for _, u := range p.members {
-		if usable(now, m, u) {
+		if usable(now, m, u) && s.takes(now, u) {
 			p.scratch = append(p.scratch, &u.candidate)
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -4,12 +4,17 @@
 // The service estimates the load of the upstreams from their reports and the
 // node's own requests, keeps an index of the prompt prefixes in their caches,
 // leaves out stragglers, and computes the node's share of a pool for admission.
-// It never picks an upstream whose eligibility has expired.
+// It never picks an upstream whose eligibility has expired, that has said it is leaving,
+// or that has asked for a pause which has not passed by the monotonic clock. While all
+// upstreams that could take a request pause, the request waits in order of arrival if
+// it has the time, and is refused at once otherwise.
 package router
 
 import (
+	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -18,7 +23,9 @@
 	"github.com/tamarackcleat/tamarackcleat/balance/prefix"
 	"github.com/tamarackcleat/tamarackcleat/balance/twochoice"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
+	"github.com/tamarackcleat/tamarackcleat/notice"
 	"github.com/tamarackcleat/tamarackcleat/outlier"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // Name is the name of the service.
@@ -53,6 +60,9 @@
 	DisableEjection bool
 	// Metrics is the registry for the counters; nil means a new registry.
 	Metrics metrics.Registry
+	// Logger logs what upstreams say of themselves. If it is nil, New creates one that
+	// discards it.
+	Logger *slog.Logger
 }
 
 // Service is the kernel service "router".
@@ -65,6 +75,12 @@
 	prefixes  *prefix.Index
 	// estimates holds the work estimates by class.
 	estimates map[string]*workEstimate
+	// pauses holds the pauses that processes of upstreams asked this node for.
+	pauses *notice.Pauses[port.Incarnation]
+	// waiting holds the requests that wait for the end of a pause, in order of
+	// arrival, and wakeAt is when the next waitTick is due; zero if none is.
+	waiting []waitingPick
+	wakeAt  time.Time
 }
 
 // pool holds the upstreams of one model or plain service that this node uses.
@@ -91,6 +107,9 @@
 	if c.Metrics == nil {
 		c.Metrics = metrics.NewRegistry()
 	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Service{
 		config:    c,
 		nodes:     1,
@@ -98,6 +117,7 @@
 		upstreams: map[string]*upstream{},
 		prefixes:  prefix.NewIndex(),
 		estimates: map[string]*workEstimate{},
+		pauses:    notice.NewPauses[port.Incarnation](),
 	}
 }
 
@@ -108,7 +128,8 @@
 func (s *Service) Handle(now time.Time, msg kernel.Message) []kernel.Effect {
 	switch m := msg.(type) {
 	case UpstreamsChanged:
-		s.replaceUpstreams(m)
+		s.replaceUpstreams(now, m)
+		return s.retryWaiting(now)
 	case EligibilityRenewed:
 		s.extendEligibility(m)
 	case NodesChanged:
@@ -119,11 +140,25 @@
 			u.applyReport(m)
 		}
 	case Pick:
-		return []kernel.Effect{kernel.Reply{ID: m.Ask, Msg: s.pick(now, m)}}
+		return s.handlePick(now, m)
+	case CancelPick:
+		s.cancelPick(now, m)
+		return s.retryWaiting(now)
+	case Noticed:
+		s.handleNoticed(now, m)
+		return s.retryWaiting(now)
+	case Confirm:
+		return []kernel.Effect{kernel.Reply{ID: m.Ask, Msg: s.confirm(now, m.Upstream)}}
+	case waitTick:
+		if m.at.Equal(s.wakeAt) {
+			s.wakeAt = time.Time{}
+			return s.retryWaiting(now)
+		}
 	case Progressed:
 		s.handleProgressed(now, m)
 	case Finished:
 		s.handleFinished(now, m)
+		return s.retryWaiting(now)
 	case CacheEvents:
 		s.applyCacheEvents(m)
 	}
@@ -155,15 +190,21 @@
 // is left out, so that two random choices are likely to find a free slot. If
 // slots are free, the node may add its equal part of them to the requests that it
 // already runs, so that a node with more callers than the others uses what the
-// others leave. The share is at least 1 if the pool has an upstream.
+// others leave. The slots of upstreams that pause count only while all upstreams do,
+// so that requests get to wait or to be refused here. The share is at least 1 if the
+// pool has an upstream.
 func (s *Service) Share(now time.Time, pool string) int {
 	p, ok := s.pools[pool]
 	if !ok {
 		return 0
 	}
 	slots, load, own := 0, 0, 0
+	allPause := !slices.ContainsFunc(p.members, func(u *upstream) bool { return !s.paused(now, u) })
 	for _, u := range p.members {
 		own += u.candidate.InFlight
+		if s.paused(now, u) && !allPause {
+			continue
+		}
 		if !s.config.DisableEjection && p.outliers.State(u.candidate.ID, now) != outlier.Healthy {
 			continue
 		}
--- a/router/upstreams.go
+++ b/router/upstreams.go
@@ -3,15 +3,17 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/outlier"
+	"github.com/tamarackcleat/tamarackcleat/port"
 )
 
 // replaceUpstreams replaces the set of eligible upstreams. The load, cached
 // prefixes and latencies of an upstream are kept as long as its generation and
 // its pool stay the same.
-func (s *Service) replaceUpstreams(m UpstreamsChanged) {
+func (s *Service) replaceUpstreams(now time.Time, m UpstreamsChanged) {
 	wanted, sizes := s.selectSubset(m.Upstreams)
 	for id, u := range s.upstreams {
 		w, ok := wanted[id]
@@ -21,7 +23,7 @@
 	}
 	for id, w := range wanted {
 		if u, ok := s.upstreams[id]; ok {
-			u.candidate.Upstream = w
+			s.setUpstream(now, u, w)
 			continue
 		}
 		s.addUpstream(w)
@@ -33,6 +35,7 @@
 		})
 	}
 	s.updateNodeCounts()
+	s.pauses.Retain(now, func(port.Incarnation) bool { return true })
 }
 
 // extendEligibility sets the time at which the eligibility of upstreams expires.
