health: Count a VM as leaving from its process's own announcement on

Cause: only the VM list and the latest report said that a VM is leaving, so an older report, a probe that is due in 2 s or a lagging list kept it in service. Change: what a process announces in any answer (Announced, or the answer to a probe) counts at once and until a report of another process that was asked for later; the late word of an earlier process does not mark its successor. Nodes pass it on with the VM's status, by its boot, and the lease holder observes the VM as leaving by any node's word, so that the controller replaces it as it does VMs that the list calls leaving: no new message, nothing written for each. Upstreams carry their process.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -105,7 +105,7 @@
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; the requests that could be are being moved to other replicas: their number."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
 		{UpstreamPaused, "An upstream refused a request and wants none from this node for a time: its boot, the time."},
-		{UpstreamLeaving, "The process on a VM said in an answer, or a peer reported that it said, that it is about to end; it gets no new requests and is replaced: its boot, whether its mark ended with a new boot."},
+		{UpstreamLeaving, "The process on a VM said in an answer that it is about to end, so it gets no new requests and is replaced; or that mark ended because another process reports from the VM: the boot of the process that said it."},
 		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer was not used as it is: what is wrong with it."},
 		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
--- a/health/health.go
+++ b/health/health.go
@@ -1,6 +1,8 @@
 package health
 
 import (
+	"cmp"
+	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -39,10 +41,18 @@
 	// suspected says that a request found the VM unreachable or leaving since
 	// its last report.
 	suspected bool
+	// leaving is set while the VM's process has announced that it is leaving.
+	leaving *leavingMark
+	// previousBoot is the boot identifier before that of Report; empty if there was
+	// none.
+	previousBoot string
 }
 
 // Service is the kernel service of health checking.
 type Service struct {
+	// Logger logs what VMs announce of themselves. New sets one that discards it.
+	Logger *slog.Logger
+
 	replicas    Replicas
 	rng         *rand.Rand
 	vms         map[port.VMID]*vmState
@@ -81,6 +91,7 @@
 // New returns the service of the node self. rng spreads probes over time.
 func New(self record.NodeID, nodes Nodes, observes IsObserver, replicas Replicas, rng *rand.Rand) *Service {
 	return &Service{
+		Logger:       slog.New(slog.DiscardHandler),
 		self:         self,
 		nodes:        nodes,
 		observes:     observes,
@@ -136,6 +147,9 @@
 	case Suspected:
 		s.markSuspected(m.Upstream)
 		return s.publish(now)
+	case Announced:
+		s.markLeaving(now, m.Process)
+		return s.publish(now)
 	case publishTick:
 		return append(s.publish(now), setTimer(publishEvery, publishTick{}))
 	}
@@ -192,13 +206,15 @@
 		return nil
 	}
 	out := []kernel.Effect{setTimer(ProbeInterval, probeTick{m.VM})}
+	if m.Err == nil && m.Report.VM == m.VM {
+		s.applyReport(now, st, m)
+	}
+	if m.Leaving {
+		s.markLeaving(now, port.Incarnation{VM: m.VM, Boot: cmp.Or(m.Boot, m.Report.Boot)})
+	}
 	if m.Err != nil || m.Report.VM != m.VM {
 		return out
 	}
-	st.Report = m.Report
-	st.LastSeen = m.SentAt
-	st.AsOf, st.ReportedBy, st.Source = m.SentAt, now, s.self
-	st.suspected = false
 	if u, ok := s.servedUpstream(m.VM); ok {
 		for _, name := range s.subscribers {
 			out = append(out, kernel.Send{To: name, Msg: LoadReported{ID: u, Report: m.Report}})
@@ -207,6 +223,18 @@
 	return out
 }
 
+// applyReport stores the report of a VM.
+func (s *Service) applyReport(now time.Time, st *vmState, m Probed) {
+	if m.Report.Boot != st.Report.Boot {
+		st.previousBoot = st.Report.Boot
+	}
+	st.Report = m.Report
+	st.LastSeen = m.SentAt
+	st.AsOf, st.ReportedBy, st.Source = m.SentAt, now, s.self
+	st.suspected = false
+	s.updateLeaving(st)
+}
+
 // servedUpstream returns the id of the eligible upstream whose requests the VM
 // receives, or false if there is none.
 func (s *Service) servedUpstream(vm port.VMID) (string, bool) {
@@ -309,14 +337,14 @@
 }
 
 // sameUpstreams reports whether two sets of upstreams have the same ids,
-// generations, addresses and slots.
+// generations, addresses, processes and slots.
 func sameUpstreams(a, b map[string]Upstream) bool {
 	if len(a) != len(b) {
 		return false
 	}
 	for id, u := range a {
 		v, ok := b[id]
-		if !ok || u.Generation != v.Generation || u.Address != v.Address || u.Slots != v.Slots {
+		if !ok || u.Generation != v.Generation || u.Address != v.Address || u.Process != v.Process || u.Slots != v.Slots {
 			return false
 		}
 	}
@@ -348,7 +376,7 @@
 		if st.LastSeen.Before(oldest) {
 			oldest = st.LastSeen
 		}
-		if st.VM.Leaving || st.Report.State == port.EngineLeaving || st.suspected {
+		if st.isLeaving() || st.suspected {
 			result = leaving
 		}
 	}
@@ -357,6 +385,7 @@
 		ID:            r.Name,
 		Generation:    int64(r.Generation),
 		Address:       lead.VM.Address,
+		Process:       port.Incarnation{VM: lead.VM.ID, Boot: lead.Report.Boot},
 		Pool:          r.Model,
 		Zone:          lead.VM.Zone,
 		Slots:         lead.Report.Slots,
@@ -379,13 +408,14 @@
 func (s *Service) addPlain(now time.Time) {
 	for id, st := range s.probing {
 		fresh := !st.LastSeen.IsZero() && now.Sub(st.LastSeen) <= ReportTTL
-		ready := st.Report.State == port.EngineReady && !st.VM.Leaving && !st.suspected
+		ready := st.Report.State == port.EngineReady && !st.isLeaving() && !st.suspected
 		if st.VM.Kind != port.KindPlain || !fresh || !ready {
 			continue
 		}
 		s.eligible[string(id)] = Upstream{
 			ID:      string(id),
 			Address: st.VM.Address,
+			Process: port.Incarnation{VM: id, Boot: st.Report.Boot},
 			Pool:    st.VM.Service,
 			Plain:   true,
 			Zone:    st.VM.Zone,
--- a/health/messages.go
+++ b/health/messages.go
@@ -9,7 +9,9 @@
 // reported, within ReportTTL, the replica and generation that the control
 // ledger holds, and none of them is missing or leaving. A VM that executed an
 // outdated order to join or leave therefore makes its replica ineligible, so that the
-// replica never serves with a VM that belongs to another replica or generation.
+// replica never serves with a VM that belongs to another replica or generation. A VM
+// whose process announced that it is leaving counts as leaving until a later report
+// comes from another process, whatever older reports, peers or the VM list say.
 package health
 
 import (
@@ -61,7 +63,19 @@
 	// or later.
 	SentAt time.Time
 	Report port.Report
-	Err    error
+	// Leaving says that the VM announced its leaving with the answer, of which Report
+	// may be empty, and Boot which process did; empty if the answer doesn't say.
+	Leaving bool
+	Boot    string
+	Err     error
+}
+
+// Announced says that the process on a VM announced in an answer that it is leaving. It
+// takes no new requests whatever its reports, peers or the VM list say.
+type Announced struct {
+	// Process is the process that said so. Its boot is that of the latest report before
+	// the request if the answer does not name it.
+	Process port.Incarnation
 }
 
 // Suspected says that a request found an upstream unreachable or leaving. The
@@ -79,6 +93,8 @@
 	Generation int64
 	// Address is the address that requests are sent to.
 	Address string
+	// Process is the process at Address, by its latest report.
+	Process port.Incarnation
 	// Pool is the name of the model or plain service.
 	Pool string
 	// Plain says that Pool is a plain service.
@@ -120,6 +136,8 @@
 
 // Observation is what a node knows about one VM.
 type Observation struct {
+	// VM is the VM as the VM list describes it; Leaving also says that the process
+	// which gave Report announced to some node that it is leaving.
 	VM port.VM
 	// Listed says that the current VM list holds the VM.
 	Listed bool
--- a/health/share.go
+++ b/health/share.go
@@ -43,6 +43,9 @@
 	Rank        int              `json:"rank,omitempty"`
 	Model       string           `json:"model,omitempty"`
 	HeldWeights []string         `json:"held_weights,omitempty"`
+	// Leaving says that the process with the identifier Boot announced that it is
+	// leaving.
+	Leaving bool `json:"leaving,omitempty"`
 	// Busy says that requests run or wait on the VM.
 	Busy bool `json:"busy,omitempty"`
 	// AskedAgeMillis and AnsweredAgeMillis are the times in milliseconds from
@@ -223,6 +226,7 @@
 		Rank:        r.Rank,
 		Model:       r.Model,
 		HeldWeights: r.HeldWeights,
+		Leaving:     st.announced(r.Boot),
 		Busy:        r.Running+r.Queued > 0,
 	}
 }
@@ -346,9 +350,11 @@
 }
 
 // observation returns the latest state of a VM that this node probed or another node
-// reported: states are ordered by the times of the probes that showed them. If no node is known to watch the VM, LastSeen is no earlier than the time
-// at which this node began to observe all VMs: a new lease holder knows little until
-// other nodes have reported their shares, and must not count VMs as lost before that.
+// reported: states are ordered by the times of the probes that showed them. That its
+// process is leaving counts whichever node heard it, and whenever. If no node is known
+// to watch the VM, LastSeen is no earlier than the time at which this node began to
+// observe all VMs: a new lease holder knows little until other nodes have reported
+// their shares, and must not count VMs as lost before that.
 func (s *Service) observation(st *vmState) Observation {
 	best := st.Observation
 	watched := st.probing
@@ -369,9 +375,24 @@
 	if !watched && s.observingSince.After(best.LastSeen) {
 		best.LastSeen = s.observingSince
 	}
+	best.VM.Leaving = best.VM.Leaving || s.heardLeaving(st, best.Report.Boot)
 	return best
 }
 
+// heardLeaving reports whether this node or another one heard that the process with a
+// boot identifier on a VM is leaving.
+func (s *Service) heardLeaving(st *vmState, boot string) bool {
+	if st.announced(boot) {
+		return true
+	}
+	for _, share := range s.remoteShares {
+		if v, ok := share.vms[st.VM.ID]; ok && v.Leaving && v.Boot == boot {
+			return true
+		}
+	}
+	return false
+}
+
 // asOf returns the latest time at which, or after which, the VM certainly reported a
 // status: that of the probe that first showed it, or of a later one by the node's
 // latest report.
