standin: Let VMs announce their leaving and ask for pauses

Change: engine and plain service say in every answer which process gives it and, while they leave or a fault switch asks for it, that they are leaving; another switch begins a pause, in which they refuse requests with Retry-After. GET /notices counts at the VM the requests that don't heed this.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -94,6 +94,7 @@
 	loadHistory *loadHistory
 	chunks      chunkCounter
 	requests    requestSet
+	notices     fault.Notices
 	closed      context.Context
 	close       context.CancelFunc
 
@@ -126,8 +127,9 @@
 
 func (s *Service) routes() {
 	s.router.Handle(fault.Path, s.Faults).Methods(http.MethodGet, http.MethodPost)
+	s.router.Handle(fault.NoticesPath, &s.notices).Methods(http.MethodGet)
 	work := s.router.NewRoute().Subrouter()
-	work.Use(s.holdWhilePaused)
+	work.Use(s.holdWhilePaused, s.announce)
 	work.HandleFunc("/v1/report", s.handleReport).Methods(http.MethodGet)
 	work.HandleFunc("/v1/order", s.handleOrder).Methods(http.MethodPost)
 	work.HandleFunc("/v1/generate", s.handleGenerate).Methods(http.MethodPost)
@@ -150,6 +152,27 @@
 	})
 }
 
+// announce is a middleware that adds what the VM says of itself to the header of each
+// answer.
+func (s *Service) announce(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		boot, leaving := s.boot, s.member.stopping
+		s.mu.Unlock()
+		s.notices.Announce(w.Header(), boot, leaving || s.Faults.Get().AnnounceLeaving)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// beginPause returns the length of a pause that begins now, 0 for none.
+func (s *Service) beginPause() (d time.Duration) {
+	s.Faults.Consume(func(f *Faults) bool {
+		d, f.PauseMillis = time.Duration(f.PauseMillis)*time.Millisecond, 0
+		return true
+	})
+	return d
+}
+
 // waitUnpaused waits while the VM is paused. It returns false if the context
 // ended first.
 func (s *Service) waitUnpaused(ctx context.Context) bool {
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -35,6 +35,12 @@
 	BreakAfter int `json:"break_after"`
 	// Endless is the part of the answers to prompts that does not end.
 	Endless fault.EndlessPart `json:"endless"`
+	// AnnounceLeaving makes all answers say that the VM is leaving, while it serves on
+	// and its reports don't say so. A VM that leaves says so in any case.
+	AnnounceLeaving bool `json:"announce_leaving"`
+	// PauseMillis, if over 0, is the length in milliseconds of a pause that begins with
+	// the next request: the VM refuses all requests in it and says for how long.
+	PauseMillis int `json:"pause_ms"`
 	// LoseCacheEvery, if over 0, loses every nth cache event.
 	LoseCacheEvery int `json:"lose_cache_every"`
 }
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -26,6 +26,9 @@
 	if !web.ReadJSON(w, r, &req) {
 		return
 	}
+	if s.notices.Refuse(w, s.beginPause) {
+		return
+	}
 	answer := AnswerTo(req.Prompt, req.Seed, req.MaxTokens)
 	if !validResume(req, answer) {
 		web.WriteRefusal(w, http.StatusUnprocessableEntity, refusedPrefix)
--- a/standin/plainservice/plainservice.go
+++ b/standin/plainservice/plainservice.go
@@ -66,6 +66,12 @@
 	Endless fault.EndlessPart `json:"endless"`
 	// RefuseNext is the number of calls that are refused as not run.
 	RefuseNext int `json:"refuse_next"`
+	// AnnounceLeaving makes all answers say that the VM is leaving, while it serves on
+	// and its reports don't say so. A VM that leaves says so in any case.
+	AnnounceLeaving bool `json:"announce_leaving"`
+	// PauseMillis, if over 0, is the length in milliseconds of a pause that begins with
+	// the next request: the VM refuses all requests in it and says for how long.
+	PauseMillis int `json:"pause_ms"`
 	// CrashBefore is the number of calls that crash the VM before they take effect.
 	CrashBefore int `json:"crash_before"`
 	// CrashAfter is the number of calls that crash the VM after they take effect.
@@ -99,6 +105,7 @@
 
 	settings Settings
 	router   *mux.Router
+	notices  fault.Notices
 
 	mu sync.Mutex
 	// boot is the boot id in the VM's reports; a crash changes it.
@@ -121,9 +128,10 @@
 		effects:  Effects{ByKey: map[string]int{}},
 	}
 	s.router.Handle(fault.Path, s.Faults).Methods(http.MethodGet, http.MethodPost)
+	s.router.Handle(fault.NoticesPath, &s.notices).Methods(http.MethodGet)
 	s.router.HandleFunc(EffectsPath, s.serveEffects).Methods(http.MethodGet)
 	vmRoutes := s.router.NewRoute().Subrouter()
-	vmRoutes.Use(s.holdWhilePaused)
+	vmRoutes.Use(s.holdWhilePaused, s.announce)
 	vmRoutes.HandleFunc("/v1/report", s.serveReport).Methods(http.MethodGet)
 	vmRoutes.HandleFunc("/v1/call", s.serveCall).Methods(http.MethodPost)
 	return s
@@ -142,6 +150,26 @@
 	})
 }
 
+// announce adds what the VM says of itself to the header of each answer.
+func (s *Service) announce(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		boot, leaving := s.boot, s.leaving
+		s.mu.Unlock()
+		s.notices.Announce(w.Header(), boot, leaving || s.Faults.Get().AnnounceLeaving)
+		next.ServeHTTP(w, r)
+	})
+}
+
+// beginPause returns the length of a pause that begins now, 0 for none.
+func (s *Service) beginPause() (d time.Duration) {
+	s.Faults.Consume(func(f *Faults) bool {
+		d, f.PauseMillis = time.Duration(f.PauseMillis)*time.Millisecond, 0
+		return true
+	})
+	return d
+}
+
 // serveReport handles GET /v1/report.
 func (s *Service) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
@@ -166,6 +194,9 @@
 	if !web.ReadJSON(w, r, &req) {
 		return
 	}
+	if s.notices.Refuse(w, s.beginPause) {
+		return
+	}
 	if !s.beginCall() {
 		web.WriteRefusal(w, http.StatusServiceUnavailable, reasonLeaving)
 		return
