entry: Heed what upstreams announce, up to the moment of sending

Cause: answers of upstreams were read for the request only; a refusal with Retry-After excluded the upstream from the request, suspected it until its next report, counted as a failure for its ejection, and made the request wait and hand the time to callers. Change: what any answer says (call, head of a stream, refusal, report, order, probe for a crash) is passed to the router and health checking, for the process that was meant and the one that answered. The router confirms each pick right before the first byte; a withheld request has not run and is picked anew, which takes nothing from the retry budget. Refusals by announcement neither exclude nor suspect the upstream nor count for its ejection; a process that ends after its announcement has not crashed. Withdrawn picks are told to the router, which before counted one whose caller went away during the pick as running for good.

--- a/entry/bridge.go
+++ b/entry/bridge.go
@@ -87,6 +87,7 @@
 			ID:            u.ID,
 			Generation:    u.Generation,
 			Address:       u.Address,
+			Process:       u.Process,
 			Pool:          poolName(u),
 			Zone:          u.Zone,
 			Slots:         u.Slots,
--- a/entry/call.go
+++ b/entry/call.go
@@ -211,12 +211,19 @@
 		if failure == nil {
 			return body, nil
 		}
+		withheld := c.wasWithheld(failure)
 		worst = worst.Combine(failure.Verdict)
 		failure = failure.WithVerdict(worst)
 		if ctx.Err() != nil {
 			return nil, c.contextFailure(failure)
 		}
-		exclude = append(exclude, upstream)
+		if withheld {
+			attempt--
+			continue
+		}
+		if !notTaken(failure) {
+			exclude = append(exclude, upstream)
+		}
 		if failure := c.retry(ctx, failure, attempt, false); failure != nil {
 			return nil, failure
 		}
@@ -230,18 +237,25 @@
 		return nil, "", failure
 	}
 	started := time.Now()
-	answer, err := c.node.upstream.Call(ctx, u.Address, port.CallRequest{
+	answer, err := c.node.upstream.Call(c.send(ctx, u), u.Address, port.CallRequest{
 		RequestID:      c.id,
 		Class:          c.class.Name,
 		IdempotencyKey: c.key,
 		Body:           c.body,
 	})
 	took := time.Since(started)
-	c.node.kernel.Post(router.Name, router.Finished{RequestID: c.id, Upstream: u.ID, OK: err == nil, FirstToken: took})
-	if err == nil {
+	if err != nil {
+		failure = verdict.FromError(err)
+	}
+	c.node.kernel.Post(router.Name, router.Finished{
+		RequestID: c.id, Upstream: u.ID, OK: err == nil, NotTaken: notTaken(failure), FirstToken: took,
+	})
+	if failure == nil {
 		return answer.Body, u.ID, nil
 	}
-	failure = verdict.FromError(err)
+	if c.wasWithheld(failure) {
+		return nil, u.ID, failure
+	}
 	c.trace.add(api.TraceEvent{Step: "failed", Upstream: u.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail})
 	c.node.suspectUpstream(u.ID, failure)
 	return nil, u.ID, failure
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -169,10 +169,21 @@
 	if failure != nil {
 		return failure
 	}
+	for {
+		failure, withheld := g.attemptOnce(ctx, attemptID, trial)
+		if !withheld {
+			return failure
+		}
+	}
+}
+
+// attemptOnce runs the request on the upstream that the router picks. It reports whether
+// the request was withheld from that upstream, so that another one must be picked.
+func (g *generateTask) attemptOnce(ctx context.Context, attemptID string, trial bool) (failure *verdict.Error, withheld bool) {
 	u, failure := g.selectUpstream(ctx, trial)
 	if failure != nil {
 		g.endTrial(trial, attemptID, record.TrialNotRun)
-		return failure
+		return failure, false
 	}
 	if trial {
 		defer g.node.trials.begin(u.ID)()
@@ -180,12 +191,15 @@
 	timing := newAttemptTiming(g.answer.Tokens())
 	failure = g.streamFrom(ctx, u, timing)
 	g.reportFinished(u, failure, timing)
+	if g.wasWithheld(failure) {
+		return failure, true
+	}
 	if failure != nil {
 		g.handleFailure(ctx, u, failure, failedAttempt{id: attemptID, trial: trial, progressed: timing.firstToken > 0})
-		return failure
+		return failure, false
 	}
 	g.endTrial(trial, attemptID, record.TrialSurvived)
-	return nil
+	return nil, false
 }
 
 // progressInterval is the time between two reports to the router on a running
@@ -249,6 +263,7 @@
 		RequestID: g.id,
 		Upstream:  u.ID,
 		OK:        failure == nil || failure.Reason == verdict.ReasonCanceled,
+		NotTaken:  notTaken(failure),
 		PerToken:  t.perTokenSinceReport(time.Now(), g.answer.Tokens()),
 	})
 }
@@ -269,7 +284,7 @@
 	release := g.node.streams.add(u.ID, cancel)
 	defer release()
 	g.answer.DiscardPending()
-	s, err := g.node.upstream.Generate(ctx, u.Address, port.GenerateRequest{
+	s, err := g.node.upstream.Generate(g.send(ctx, u), u.Address, port.GenerateRequest{
 		RequestID:    g.id,
 		Replica:      u.ID,
 		Generation:   u.Generation,
--- a/entry/drivers.go
+++ b/entry/drivers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -73,6 +74,7 @@
 	ctx       context.Context
 	inventory *porthttp.Inventory
 	upstream  *porthttp.Upstream
+	listener  *listener
 	post      post
 }
 
@@ -103,14 +105,21 @@
 func (d *healthDriver) probe(e health.Probe) {
 	ctx, cancel := context.WithTimeout(d.ctx, probeTimeout)
 	defer cancel()
-	report, err := d.upstream.Report(ctx, e.Address)
-	d.post(health.Name, health.Probed{VM: e.VM, SentAt: e.SentAt, Report: report, Err: err})
+	var said porthttp.Said
+	report, err := d.upstream.Report(porthttp.WithTrace(ctx, &porthttp.Trace{
+		GotHead: func(s porthttp.Said) { said = s },
+	}), e.Address)
+	d.listener.noted(port.Incarnation{VM: e.VM, Boot: cmp.Or(report.Boot, e.Boot)}, said)
+	d.post(health.Name, health.Probed{
+		VM: e.VM, SentAt: e.SentAt, Report: report, Leaving: said.Leaving, Boot: said.Boot, Err: err,
+	})
 }
 
 // orderDriver sends the controller's orders to VMs.
 type orderDriver struct {
 	ctx      context.Context
 	upstream *porthttp.Upstream
+	listener *listener
 	post     post
 }
 
@@ -138,7 +147,7 @@
 	if time.Now().After(e.NotAfter) {
 		return errLeaseEnded
 	}
-	err := d.upstream.Order(ctx, e.Address, e.Order)
+	err := d.upstream.Order(d.listener.listen(ctx, port.Incarnation{VM: e.VM}), e.Address, e.Order)
 	if errors.Is(err, porthttp.ErrStaleFencing) {
 		return controller.ErrStaleFencing
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -69,6 +69,7 @@
 	quarantine    *quarantine.Service
 
 	upstream   *porthttp.Upstream
+	listener   *listener
 	peerClient *peerClient
 	streams    *streamRegistry
 	trials     *trials
@@ -97,6 +98,7 @@
 		drained:    make(chan struct{}),
 	}
 	n.stats = newStats(n.registry)
+	n.listener = &listener{post: n.kernel.Post, stats: n.stats, logger: n.logger}
 	n.kernel.OnUnhandled = func(what any) { n.logger.Error("unhandled message or effect", "what", what) }
 	return n, n.assemble(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
@@ -110,6 +112,7 @@
 	// mayControl reports whether this node holds the control lease or may claim it.
 	mayControl := func(now time.Time) bool { return holder() == n.id || !n.isLive(now, holder()) }
 	n.health = health.New(n.id, n.nodeNames, mayControl, ledgers.Control, rng)
+	n.health.Logger = n.logger
 	n.peers = peers.New(n.settings.Advertise, n, n.log, n.health, holder, rng)
 	n.configuration = configuration.New(n.log)
 	n.quarantine = quarantine.New(n.id, n.log, n.isLive, newID)
@@ -123,7 +126,7 @@
 		Metrics: n.registry,
 		Logger:  n.logger,
 	})
-	selection := router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry})
+	selection := router.New(router.Config{Node: string(n.id), Zone: n.settings.Zone, Rand: rng, Metrics: n.registry, Logger: n.logger})
 	n.subscribe()
 	services := []kernel.Service{
 		n.log,
@@ -192,9 +195,10 @@
 		ctx:       ctx,
 		inventory: porthttp.NewInventory(p.VMs, p.Weights, client),
 		upstream:  n.upstream,
+		listener:  n.listener,
 		post:      n.kernel.Post,
 	})
-	n.kernel.Bind(&orderDriver{ctx: ctx, upstream: n.upstream, post: n.kernel.Post})
+	n.kernel.Bind(&orderDriver{ctx: ctx, upstream: n.upstream, listener: n.listener, post: n.kernel.Post})
 	n.kernel.Bind(&peerDriver{ctx: ctx, client: n.peerClient, post: n.kernel.Post})
 	n.kernel.Bind(n.streams)
 }
@@ -294,7 +298,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashProbeTimeout)
 	defer cancel()
 	for probes = 1; ; probes++ {
-		report, err := n.upstream.Report(ctx, u.Address)
+		report, err := n.upstream.Report(n.listener.listen(ctx, u.Process), u.Address)
 		switch {
 		case err == nil:
 			return report.Replica != u.ID || report.Generation != u.Generation, probes, nil
--- a/entry/request.go
+++ b/entry/request.go
@@ -41,6 +41,8 @@
 	trace      *requestTrace
 	// promptBytes is the size of the prompt; 0 for calls.
 	promptBytes int
+	// withheld is why the request was last not sent to the upstream that was picked.
+	withheld *verdict.Error
 }
 
 // newRequest assigns a request its id, starts its trace and puts the id into the
--- a/entry/requeststeps.go
+++ b/entry/requeststeps.go
@@ -56,9 +56,12 @@
 	return u, failure
 }
 
-// pickFrom selects an upstream that is not excluded; it refuses if there is none.
+// pickFrom selects an upstream that is not excluded; it refuses if there is none. While
+// all of them pause it waits, if the time suffices.
 func (q *request) pickFrom(ctx context.Context, pool string, exclude []string, prefixes []uint64) (balance.Upstream, *verdict.Error) {
+	var ask kernel.AskID
 	msg, failure := q.node.ask(ctx, router.Name, func(id kernel.AskID) kernel.Message {
+		ask = id
 		return router.Pick{
 			Ask:          id,
 			RequestID:    q.id,
@@ -67,13 +70,18 @@
 			Exclude:      exclude,
 			Class:        q.class.Name,
 			PromptBytes:  q.promptBytes,
+			Deadline:     q.deadline,
 		}
 	})
 	if failure != nil {
+		q.node.kernel.Post(router.Name, router.CancelPick{Ask: ask, RequestID: q.id})
 		return balance.Upstream{}, failure
 	}
 	switch m := msg.(type) {
 	case router.Picked:
+		if m.Waited > 0 {
+			q.trace.add(api.TraceEvent{Step: "waited", Upstream: m.Upstream.ID, Detail: "all upstreams paused, for " + m.Waited.String()})
+		}
 		q.trace.add(api.TraceEvent{Step: "routed", Upstream: m.Upstream.ID})
 		return m.Upstream, nil
 	case *verdict.Error:
--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -62,14 +62,21 @@
 	return end.progressed && !end.trial && g.crashCount == 1
 }
 
-// handleFailure excludes the upstream of a failed attempt from the next attempts,
+// handleFailure excludes the upstream of a failed attempt from the next attempts, unless
+// the upstream announced that it takes no requests, which the router heeds,
 // reports the upstream to health checking if it can't take other requests, and
 // reports the request to the quarantine service if it may have crashed the
-// upstream. After such a report it waits for a broadcast to the live peers.
+// upstream. The end of a process that announced its leaving is no crash. After such a report it waits for a broadcast to the live peers.
 func (g *generateTask) handleFailure(ctx context.Context, u balance.Upstream, failure *verdict.Error, end failedAttempt) {
-	g.excluded = append(g.excluded, u.ID)
+	if !notTaken(failure) {
+		g.excluded = append(g.excluded, u.ID)
+	}
 	g.trace.add(api.TraceEvent{Step: "failed", Upstream: u.ID, Verdict: failure.Verdict, Reason: failure.Reason, Detail: failure.Detail})
 	crashed := failure.Verdict != verdict.NotRun && ctx.Err() == nil && g.node.hasCrashed(u)
+	if crashed && g.node.isLeaving(ctx, u.Process) {
+		crashed = false
+		g.trace.add(api.TraceEvent{Step: "planned_end", Upstream: u.ID, Detail: "the upstream had announced that it is leaving"})
+	}
 	if crashed || failure.Verdict == verdict.NotRun {
 		g.node.suspectUpstream(u.ID, failure)
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -195,7 +195,7 @@
 		st.probing = false
 		return nil
 	}
-	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address, SentAt: now}}
+	return []kernel.Effect{Probe{VM: vm, Address: st.VM.Address, Boot: st.Report.Boot, SentAt: now}}
 }
 
 // handleProbed stores the report of a VM, schedules the next probe, and tells
--- a/health/messages.go
+++ b/health/messages.go
@@ -52,6 +52,8 @@
 type Probe struct {
 	VM      port.VMID
 	Address string
+	// Boot is that of the VM's latest report.
+	Boot string
 	// SentAt is when the probe was requested; Probed returns it.
 	SentAt time.Time
 }
