--- a/entry/notices_test.go
+++ b/entry/notices_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +15,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/tamarackcleat/tamarackcleat/balance"
 	"github.com/tamarackcleat/tamarackcleat/health"
 	"github.com/tamarackcleat/tamarackcleat/kernel"
 	"github.com/tamarackcleat/tamarackcleat/notice"
@@ -21,6 +24,7 @@
 	"github.com/tamarackcleat/tamarackcleat/router"
 	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
 // heeded returns what a VM counted of the requests that it did not want.
@@ -109,3 +113,44 @@
 		Expect(heeded(c.plainService).AfterLeavingMillis).To(BeEmpty())
 	})
 })
+
+// Guards against a request that is written although the router would no longer pick its
+// upstream, and against a resend that counts it as sent.
+var _ = Describe("A request whose upstream pauses between the pick and the sending", func() {
+	It("is not sent, is known as withheld, and its trace says so", func() {
+		received := 0
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { received++ }))
+		DeferCleanup(server.Close)
+		selection := router.New(router.Config{Node: "n"})
+		n := &Node{
+			upstream: porthttp.NewUpstream(nil), kernel: kernel.NewNode(time.Now), logger: slog.New(slog.DiscardHandler),
+			traces: newTraces("n"), stats: newStats(metrics.NewRegistry()),
+		}
+		n.listener = &listener{post: n.kernel.Post, stats: n.stats, logger: n.logger}
+		Expect(n.kernel.Register(selection)).To(Succeed())
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go n.kernel.Run(ctx)
+		u := balance.Upstream{
+			ID: "v", Pool: "p", Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1,
+			Process: port.Incarnation{VM: "v", Boot: "b1"},
+		}
+		n.kernel.Post(router.Name, router.UpstreamsChanged{Upstreams: []balance.Upstream{u}})
+		q := &request{node: n, id: "r1", trace: n.traces.begin("r1", "", "")}
+		send := func() *verdict.Error {
+			_, err := n.upstream.Call(q.send(ctx, u), u.Address, port.CallRequest{RequestID: q.id})
+			return verdict.FromError(err)
+		}
+		Expect(send().Reason).To(Equal(verdict.ReasonUpstreamLost), "the server's answer is no answer")
+		Expect(received).To(Equal(1))
+		n.kernel.Post(router.Name, router.Noticed{Process: u.Process, Notice: notice.Notice{Pause: time.Hour}})
+		failure := send()
+		Expect(failure.Reason).To(Equal(verdict.ReasonUpstreamPaused))
+		Expect(failure.Verdict).To(Equal(verdict.NotRun))
+		Expect(q.wasWithheld(failure)).To(BeTrue())
+		Expect(received).To(Equal(1))
+		explained, _ := n.traces.explain("r1")
+		Expect(explained.Events).To(ContainElement(And(HaveField("Step", "withheld"), HaveField("Upstream", "v"),
+			HaveField("Detail", MatchRegexp("asked for a pause .* ago")))))
+	})
+})
