--- a/router/notices_test.go
+++ b/router/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -290,3 +291,31 @@
 		Expect(s.FreeSlots("m")).To(Equal(8))
 	})
 })
+
+// Guards against a table that keeps the marks of processes that have ended.
+var _ = Describe("The memory of what upstreams announced", func() {
+	It("is some MB for 10,000 processes, also when others come after them", func() {
+		s := newRouter()
+		before := heapBytes()
+		var held []int64
+		for round := range 10 {
+			now := at(round * 120_000)
+			for i := range 10_000 {
+				process := processOf(i, fmt.Sprint("0190b6a2-7b8e-7c11-9a55-1f2e3d4c5b6a", round))
+				s.Handle(now, router.Noticed{Process: process, Notice: notice.Notice{Pause: time.Minute}})
+			}
+			held = append(held, heapBytes()-before)
+			s.Handle(now.Add(110*time.Second), router.UpstreamsChanged{Upstreams: withProcesses(2, "b1")})
+		}
+		AddReportEntry("bytes", held)
+		Expect(held).To(HaveEach(BeNumerically("<", 8<<20)))
+	})
+})
+
+// heapBytes returns the live bytes of the heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
