health: Publish only for the first announcement of a process

Every answer of a leaving process made the service evaluate its share again; only the first one changes anything. The tests of health pass; nothing was measured.

--- a/health/health.go
+++ b/health/health.go
@@ -148,8 +148,9 @@
 		s.markSuspected(m.Upstream)
 		return s.publish(now)
 	case Announced:
-		s.markLeaving(now, m.Process)
-		return s.publish(now)
+		if s.markLeaving(now, m.Process) {
+			return s.publish(now)
+		}
 	case publishTick:
 		return append(s.publish(now), setTimer(publishEvery, publishTick{}))
 	}
--- a/health/leaving.go
+++ b/health/leaving.go
@@ -15,21 +15,22 @@
 }
 
 // markLeaving records that a process announced that it is leaving, and logs its first
-// announcement.
-func (s *Service) markLeaving(now time.Time, p port.Incarnation) {
+// announcement. It reports whether that changed anything.
+func (s *Service) markLeaving(now time.Time, p port.Incarnation) bool {
 	st, ok := s.vms[p.VM]
 	if !ok {
-		return
+		return false
 	}
 	if p.Boot == "" {
 		p.Boot = st.Report.Boot
 	}
 	ended := st.previousBoot != "" && st.previousBoot == p.Boot
 	if ended || st.announced(p.Boot) {
-		return
+		return false
 	}
 	st.leaving = &leavingMark{boot: p.Boot, at: now}
 	s.Logger.Info(decisions.UpstreamLeaving, "vm", string(p.VM), "boot", p.Boot, "ended", false)
+	return true
 }
 
 // updateLeaving ends the mark of a process after a report of another process that was
