--- a/health/leaving_test.go
+++ b/health/leaving_test.go
@@ -88,6 +88,18 @@
 		Expect(publish(other, at(100))).To(BeEmpty())
 	})
 
+	// Guards against a node that restarts, while the log is away or not, and sends
+	// requests to a VM that had announced its leaving to the process before.
+	It("never takes requests of a node that starts later", func() {
+		other := f.service("n", nil, start)
+		for ms := 0; ms < 10_000; ms += 500 {
+			for _, v := range f.vms {
+				other.Handle(at(ms), health.Probed{VM: v.ID, SentAt: at(ms), Report: f.reports[v.ID], Leaving: v.ID == vm})
+				Expect(publish(other, at(ms))).To(BeEmpty())
+			}
+		}
+	})
+
 	It("takes no calls of a plain service either", func() {
 		plain := port.VM{ID: "p", Kind: port.KindPlain, Service: "bookings", Address: "p:1"}
 		s.Handle(at(10), health.InventoryFetched{VMs: append(f.vms, plain)})
