--- a/port/porthttp/fuzz_test.go
+++ b/port/porthttp/fuzz_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/tamarackcleat/tamarackcleat/notice"
+	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -47,3 +50,26 @@
 		t.Fatal("the stream does not end")
 	})
 }
+
+// FuzzSaid reads arbitrary headers of an answer. The pause is never negative nor longer
+// than notice.MaxPause, and only a refusal with status 429 or 503 asks for one.
+func FuzzSaid(f *testing.F) {
+	for _, seed := range []string{"1", "1.5", "-1", "NaN", "Inf", "1e400", "0x1p-2", "", " 3 ", "1,2", "Fri, 04 Dec 2026 10:00:00 GMT"} {
+		f.Add(503, seed, "2", "1")
+		f.Add(200, "1", seed, seed)
+	}
+	f.Fuzz(func(t *testing.T, status int, first, second, leaving string) {
+		said := readSaid(&http.Response{StatusCode: status, Header: http.Header{
+			port.HeaderRetryAfter: {first, second}, port.HeaderLeaving: {leaving}, port.HeaderBoot: {first},
+		}})
+		if said.Pause < 0 || said.Pause > notice.MaxPause {
+			t.Fatalf("pause %v", said.Pause)
+		}
+		if said.Pause > 0 && status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+			t.Fatalf("a pause with status %d", status)
+		}
+		if said.Leaving != (strings.TrimSpace(leaving) == "1") {
+			t.Fatalf("leaving %v by %q", said.Leaving, leaving)
+		}
+	})
+}
