notice: Tell when one more request may run at an upstream after a pause

A request that waits for the end of a pause must know when a step lets one more request run, or it would have to poll. NextPlace returns that time.

--- a/notice/notice_test.go
+++ b/notice/notice_test.go
@@ -80,6 +80,17 @@
 		Expect(all).To(BeFalse())
 	})
 
+	It("tells when one more request may run", func() {
+		Expect(p.NextPlace(start, "a", 100)).To(BeZero())
+		p.Record(start, "a", 2*time.Second)
+		Expect(p.NextPlace(at(500), "a", 0)).To(Equal(1500 * time.Millisecond))
+		Expect(p.NextPlace(at(500), "a", 1)).To(Equal(1700 * time.Millisecond))
+		Expect(p.NextPlace(at(2050), "a", 0)).To(BeZero())
+		Expect(p.NextPlace(at(2050), "a", 3)).To(Equal(350 * time.Millisecond))
+		Expect(p.NextPlace(at(2050), "a", 1000)).To(Equal(950 * time.Millisecond))
+		Expect(p.NextPlace(at(3000), "a", 1000)).To(BeZero())
+	})
+
 	It("is forgotten with its incarnation", func() {
 		p.Record(start, "a", 2*time.Second)
 		p.Record(start, "b", 2*time.Second)
--- a/notice/pauses.go
+++ b/notice/pauses.go
@@ -54,6 +54,19 @@
 	return 1 << (since / stepTime)
 }
 
+// NextPlace returns how long it takes until more requests than running may run at an
+// upstream; 0 if they may now.
+func (p *Pauses[K]) NextPlace(now time.Time, upstream K, running int) time.Duration {
+	if p.Limit(now, upstream) > running {
+		return 0
+	}
+	place := p.until[upstream]
+	for step := 0; step < steps && 1<<step <= running; step++ {
+		place = place.Add(stepTime)
+	}
+	return place.Sub(now)
+}
+
 // Remaining returns how long the pause of an upstream goes on; 0 if there is none.
 func (p *Pauses[K]) Remaining(now time.Time, upstream K) time.Duration {
 	end, known := p.until[upstream]
