exchange: Ask right before the write whether a request may still be sent

Cause: a connection may take 400 ms to open, and an upstream may say meanwhile that it is leaving or wants no requests; the request was written all the same. Change: Request.Admit is called once a connection is there, right before the first byte. If it refuses, the error is ErrNotSent and the connection goes back to the pool.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -84,6 +84,17 @@
 	// stands for one that always does. A response that doesn't may be a copy of an
 	// earlier one, so it is accepted only on a connection's first request.
 	Identifies func(h http.Header) bool
+	// Admit, if it is not nil, is called when a connection is there, right before the
+	// first byte is written. If it returns an error, nothing is sent.
+	Admit func() error
+}
+
+// admit returns the error for which the request must not be sent now; nil if there is none.
+func (r *Request) admit() error {
+	if r.Admit == nil {
+		return nil
+	}
+	return r.Admit()
 }
 
 // encode returns the request in wire format.
@@ -137,6 +148,10 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if err := r.admit(); err != nil {
+		p.put(c, true)
+		return nil, errors.Mark(err, ErrNotSent)
+	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	c.noteCarried(r.ID)
 	if n, err := c.net.Write(data); err != nil {
