dispatch: Select no upstream that asked this node for a pause, and few requests after it

Cause: an engine that answers 503 with Retry-After wants nothing from this machine for so long; nothing kept the balancer from selecting it again at once. Change: the balancer holds the pauses beside its loads, under one mutex, so that the choice and the count of a request can't let two requests take the last place of a step.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/notice"
 )
 
 const (
@@ -34,6 +35,9 @@
 	// Exclude lists the instances (fleet.Target.InstanceKey) of upstreams that
 	// the request was sent to before.
 	Exclude []string
+	// NeverPaused leaves only upstreams that are neither in a pause nor in the steps
+	// after one; their places belong to requests that wait for them.
+	NeverPaused bool
 	// Failover reports whether the request was moved away from a stalled upstream.
 	// All nodes move their requests away from it at the same moment, so the scores
 	// of such requests have a larger random part (failoverJitter).
@@ -91,6 +95,10 @@
 	loads map[targetKey]*load
 	// peers holds the loads that peers reported, by the id of the peer's process.
 	peers map[string]peerLoad
+	// pauses holds the pauses that upstreams asked this node for.
+	pauses *notice.Pauses[fleet.Incarnation]
+	// onPlace is called when a request has ended at an upstream that may run only few.
+	onPlace func()
 }
 
 // peerLoad holds the loads that a peer reported last, by the id of the VM that takes
@@ -111,7 +119,7 @@
 // New returns a Balancer without loads. It draws random numbers from rng, which must
 // not be used concurrently by others.
 func New(rng *rand.Rand) *Balancer {
-	return &Balancer{rng: rng, loads: map[targetKey]*load{}, peers: map[string]peerLoad{}}
+	return &Balancer{rng: rng, loads: map[targetKey]*load{}, peers: map[string]peerLoad{}, pauses: notice.NewPauses[fleet.Incarnation](), onPlace: func() {}}
 }
 
 func keyOf(t fleet.Target) targetKey { return targetKey{t.ID, t.Boot, t.Replica} }
@@ -137,7 +145,7 @@
 	var bestScore time.Duration
 	for pass := 0; pass < 2 && !found; pass++ {
 		for _, t := range targets {
-			if slices.Contains(r.Exclude, t.InstanceKey()) || pass == 0 && b.isSuspect(now, t) {
+			if slices.Contains(r.Exclude, t.InstanceKey()) || pass == 0 && b.isSuspect(now, t) || !b.hasPlace(now, t, r.NeverPaused) {
 				continue
 			}
 			score, ok := b.score(now, engine, t, r)
@@ -287,7 +295,15 @@
 // Assignment.
 func (b *Balancer) Done(now time.Time, a *Assignment) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	limited := b.pauses.Limit(now, a.Target.Incarnation()) != notice.Unlimited
+	b.done(now, a)
+	b.mu.Unlock()
+	if limited {
+		b.onPlace()
+	}
+}
+
+func (b *Balancer) done(now time.Time, a *Assignment) {
 	l := b.loadOf(a.Target)
 	l.inFlight--
 	if a.promptRead {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -47,6 +47,9 @@
 // successive replicas with the same head.
 func (t *Target) InstanceKey() string { return t.ID + " " + t.Replica }
 
+// Incarnation returns the run of the VM's process that takes the requests.
+func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.Boot} }
+
 type poolKey struct{ service, model string }
 
 // NewView returns a view with the targets that follow from the VMs. It has none
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -35,6 +35,15 @@
 	State MemberState
 }
 
+// Incarnation identifies a run of a VM's process. It is a part of messages between nodes.
+type Incarnation struct {
+	ID   string `json:"id"`
+	Boot int64  `json:"boot,omitempty"`
+}
+
+// Incarnation returns the run of the VM's process that reported itself.
+func (v *VM) Incarnation() Incarnation { return Incarnation{v.ID, v.Boot} }
+
 // VM is an upstream VM as it reported itself, with what the node adds to the
 // report.
 type VM struct {
