gossip: Tell peers which upstreams said in an answer that they are leaving

Cause: only the node that got an answer with Server-Leaving knew of it; the holder of the control lease, which replaces a leaving member, may be another one. Change: a message lists the incarnations (id and boot), directly and merged in the tree; at most 200, cut at the sender, in merges and at the receiver.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -210,6 +210,7 @@
 	g.mu.Lock()
 	self := g.table.self
 	local.Node, local.Zone, local.Cores = self.ID, self.Zone, self.Cores
+	local.Leaving = local.Leaving[:min(maxLeaving, len(local.Leaving))]
 	messages := g.table.nextMessages(time.Now(), local)
 	clear(g.changedVMs)
 	g.fullRequested = false
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,9 +1,12 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/poison"
 )
 
@@ -53,14 +56,23 @@
 	// Closing lists the ids of the head VMs of replicas that the holder of the
 	// control lease is ending.
 	Closing []string `json:"closing,omitempty"`
+	// Leaving lists the incarnations of VMs that said in an answer that they are
+	// leaving, while their reports don't say so; at most maxLeaving.
+	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
 }
 
 // maxCount bounds each count in a message. The sum of all that a node adds up stays far
 // below the largest int.
 const maxCount = 1 << 31
 
-// clampCounts replaces counts that no sound node sends by the nearest possible ones.
+// maxLeaving bounds Message.Leaving. Reports follow within seconds, and a VM that is left
+// out is named in a later message.
+const maxLeaving = 200
+
+// clampCounts replaces counts that no sound node sends by the nearest possible ones, and
+// shortens lists that are too long.
 func (m *Message) clampCounts() {
+	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 	m.Nodes = clampCount(m.Nodes)
 	for _, loads := range []loadMap{m.Loads, m.Excess} {
 		for vm, l := range loads {
@@ -87,13 +99,15 @@
 }
 
 // hasLists reports whether any of the message's lists that are merged has an entry.
-func (m *Message) hasLists() bool { return len(m.Silent)+len(m.Dead)+len(m.Closing) > 0 }
+func (m *Message) hasLists() bool { return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving) > 0 }
 
 // mergeLists adds the lists in another message to the message.
 func (m *Message) mergeLists(other Message) {
 	m.Silent = union(m.Silent, other.Silent)
 	m.Dead = union(m.Dead, other.Dead)
 	m.Closing = union(m.Closing, other.Closing)
+	m.Leaving = unionFunc(m.Leaving, other.Leaving, compareIncarnations)
+	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 }
 
 // merge adds the state in another message to the message, whose Loads must not be
@@ -116,11 +130,18 @@
 
 // union returns the ids in either of two lists, sorted and without duplicates. It
 // returns a itself if b is empty.
-func union(a, b []string) []string {
+func union(a, b []string) []string { return unionFunc(a, b, strings.Compare) }
+
+// unionFunc is union with an order.
+func unionFunc[T comparable](a, b []T, compare func(T, T) int) []T {
 	if len(b) == 0 {
 		return a
 	}
 	out := slices.Concat(a, b)
-	slices.Sort(out)
+	slices.SortFunc(out, compare)
 	return slices.Compact(out)
 }
+
+func compareIncarnations(a, b fleet.Incarnation) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(a.Boot, b.Boot))
+}
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/poison"
 	"github.com/tamarackcleat/tamarackcleat/relay"
 )
@@ -83,7 +84,8 @@
 			}
 			local := Message{Node: n.self.ID, Zone: n.self.Zone, Cores: n.self.Cores,
 				Loads: map[string]dispatch.Load{"vm": {InFlight: 1, PendingPromptTokens: 10}}, Silent: []string{"head of " + n.self.ID},
-				Parts: n.parts.Report(s.now)}
+				Leaving: []fleet.Incarnation{{ID: "engine of " + n.self.ID, Boot: 7}},
+				Parts:   n.parts.Report(s.now)}
 			for _, o := range n.nextMessages(s.now, local) {
 				s.deliver(address, o)
 			}
@@ -176,6 +178,38 @@
 		Expect(slices.Compact(silent)).To(HaveLen(29))
 	})
 
+	// Guards against issue #25: only the nodes that a leaving upstream had told knew it.
+	It("receive the upstreams that told any other node that they are leaving, and each only once", func() {
+		s := newSimulation(3, 10)
+		s.runRounds(8)
+		n := s.nodes[s.order[0]]
+		leaving := map[fleet.Incarnation]int{}
+		for _, p := range n.peers {
+			if n.isCurrent(s.now, p) {
+				for _, i := range p.lastMessage.Leaving {
+					leaving[i]++
+				}
+			}
+		}
+		Expect(leaving).To(And(HaveLen(29), HaveEach(1)))
+		Expect(leaving).To(HaveKey(fleet.Incarnation{ID: "engine of " + s.runningNodes()[1].self.ID, Boot: 7}))
+	})
+
+	It("send and use no more than a bounded number of leaving upstreams", func() {
+		var m, other Message
+		for i := range maxLeaving {
+			m.Leaving = append(m.Leaving, fleet.Incarnation{ID: fmt.Sprint("a", i)})
+			other.Leaving = append(other.Leaving, fleet.Incarnation{ID: fmt.Sprint("b", i)})
+		}
+		m.mergeLists(other)
+		Expect(m.Leaving).To(HaveLen(maxLeaving))
+		long, err := json.Marshal(Message{Node: "n", Leaving: append(m.Leaving, other.Leaving...)})
+		Expect(err).NotTo(HaveOccurred())
+		received, err := decodeMessage(long)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Leaving).To(HaveLen(maxLeaving))
+	})
+
 	// Guards against issue #24 at large sites: each part of the tree lost upstreams of its
 	// own to the same part of a prompt.
 	It("know within eight rounds what crashes upstreams by crashes that two of them saw", func() {
