gateway: Heed what upstreams say in their answers: that they leave, or want no requests

Cause: neither Server-Leaving nor Retry-After of an engine was read on the platform's path. A leaving engine got requests until its report reached the node through the store, and an engine that wanted no requests got more of them than others, because it refused fast. Change: - platform decodes both headers into notice.Notice, for requests and for the holder's orders and probes; a 421 says nothing for the expected incarnation. - state keeps, by incarnation, what upstreams said of their leaving. Each report of that incarnation is applied as leaving, a new view is published at once, and nothing but a new incarnation (or 5 min without a record) ends it. Peers are told until the report says so. The end of a leaving process is no crash. - the balancer keeps the pauses; mayWrite asks view and pauses right before the write, for first sends, resends, resumptions and moves alike. A request that was not written goes elsewhere without a retry and without an exclusion. - if all upstreams of a pool pause, requests wait in order, up to half of their time, or are refused at once (all_upstreams_paused) with the earliest end plus a spread. An upstream's own Retry-After is not handed on; Server-Leaving is, as any other field of an answer. Pauses hold for requests only: reports and orders are not held back, so that the holder still sees a pausing head.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -56,8 +56,7 @@
 // status, the verdict and the reason.
 func writeFailure(w http.ResponseWriter, e *verdict.Error) {
 	if e.RetryAfter > 0 {
-		s := strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64)
-		w.Header().Set("Retry-After", strings.TrimRight(strings.TrimRight(s, "0"), "."))
+		setRetryAfter(w.Header(), e.RetryAfter)
 	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(statusOf(e))
@@ -65,6 +64,21 @@
 	_, _ = w.Write([]byte(string(e.Verdict) + " " + string(e.Reason) + "\n"))
 }
 
+// setRetryAfter tells a caller how long to wait before it tries again.
+func setRetryAfter(h http.Header, d time.Duration) {
+	s := strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	h.Set("Retry-After", strings.TrimRight(strings.TrimRight(s, "0"), "."))
+}
+
+// replaceRetryAfter removes an upstream's time from an answer: it holds for this node and
+// that upstream alone. Callers get one if pauses keep them from all upstreams.
+func (f *forwarder) replaceRetryAfter(h http.Header) {
+	h.Del("Retry-After")
+	if next, all := f.nextPlace(); all {
+		setRetryAfter(h, pausedRetryAfter(next))
+	}
+}
+
 // millisSince returns the time since t in milliseconds, for log lines.
 func millisSince(t time.Time) float64 {
 	return float64(time.Since(t).Microseconds()) / 1e3
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
@@ -56,12 +55,13 @@
 			return f.contextError(ctx, e)
 		}
 		if f.next == nil {
-			if e.Reason == verdict.ReasonNoReplica || f.lastSend() || !f.repeatable(e) {
-				return e
+			if noUpstream(e) || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
+				return f.withPauseEnd(e)
 			}
-			if !f.takeRetry() {
+			// A request that was not written has not arrived, so the next one is no retry.
+			if !f.withheld && !f.takeRetry() {
 				f.node.count("retry.denied." + string(verdict.ReasonRetryBudget))
-				return e
+				return f.withPauseEnd(e)
 			}
 		}
 		f.node.count("retry." + string(e.Reason))
@@ -70,6 +70,11 @@
 	}
 }
 
+// noUpstream reports whether a request failed because no upstream can take it.
+func noUpstream(e *verdict.Error) bool {
+	return e.Reason == verdict.ReasonNoReplica || e.Reason == verdict.ReasonAllPaused
+}
+
 // checkBeforeSending refuses a request that must not be sent to an upstream. A request
 // that was moved has been sent already.
 func (f *forwarder) checkBeforeSending(ctx context.Context) *verdict.Error {
@@ -111,11 +116,11 @@
 // answer. The last attempt also relays a failure that the upstream itself answered with.
 func (f *forwarder) attempt(ctx context.Context) *verdict.Error {
 	t := f.next
-	f.next = nil
+	f.next, f.withheld = nil, false
 	if t == nil {
 		f.sends++
 		var e *verdict.Error
-		if t, e = f.assign(ctx, f.exclude, f.failover); e != nil {
+		if t, e = f.place(ctx); e != nil {
 			return e
 		}
 		f.exclude = append(f.exclude, t.assignment.Target.InstanceKey())
@@ -130,6 +135,9 @@
 	if a != nil {
 		f.endMovable(a, e != nil)
 	}
+	if e != nil {
+		f.noteWithheld(t, e)
+	}
 	if cause := context.Cause(t.ctx); e != nil && (errors.Is(cause, errSilent) || errors.Is(cause, errSlow)) {
 		f.failover = true
 		return verdict.New(e.Verdict, verdict.ReasonStalled, "upstream %s: %v", t.assignment.Target.ID, cause)
@@ -140,11 +148,18 @@
 // assign selects an upstream that is not excluded and counts the request there. failover
 // says that the request leaves an upstream that stopped making progress.
 func (f *forwarder) assign(ctx context.Context, exclude []string, failover bool) (*try, *verdict.Error) {
-	view := f.node.state.View()
-	targets := usableTargets(view.Targets(f.service.Name, f.model()), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
-	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, Failover: failover}
+	return f.pick(ctx, exclude, failover, false)
+}
+
+// pick is assign; with neverPaused only at an upstream that did not ask for a pause lately.
+func (f *forwarder) pick(ctx context.Context, exclude []string, failover, neverPaused bool) (*try, *verdict.Error) {
+	targets := f.usable()
+	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
 	assignment, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
 	if !ok {
+		if _, all := f.node.balancer.NextPlace(time.Now(), targets, exclude); all {
+			return nil, f.refusePaused()
+		}
 		return nil, verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(exclude)).
 			WithRetryAfter(noRoomRetryAfter())
 	}
@@ -165,6 +180,10 @@
 // noteFailure draws conclusions about the upstream of a failed try. events is the number
 // of events that were relayed.
 func (f *forwarder) noteFailure(t *try, e *verdict.Error, events int) {
+	if f.node.state.isLeaving(t.assignment.Target.Incarnation()) {
+		// Its process may end with requests in flight; that is no crash.
+		return
+	}
 	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
 	if e.Reason == verdict.ReasonUpstreamLost && events == 0 && t.ctx.Err() == nil {
 		f.countCrash(t.assignment.Target)
@@ -250,21 +269,26 @@
 func (f *forwarder) open(t *try, lastEvent string) *verdict.Error {
 	p := f.node.deps.Protocol
 	target := t.assignment.Target
-	resp, err := f.node.pool.Do(t.ctx, target.Address, p.Encode(f.req, Attempt{
+	r := p.Encode(f.req, Attempt{
 		Target:    target,
 		Remaining: time.Until(f.deadline),
 		Team:      f.team.Name,
 		Priority:  f.priority(),
 		LastEvent: lastEvent,
-	}))
+	})
+	r.Admit = func() error { return f.node.mayWrite(t) }
+	resp, err := f.node.pool.Do(t.ctx, target.Address, r)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
-		return verdict.Refuse(verdict.ReasonConnect, "%v", err).WithRetryAfter(retryAfterFailure)
+		return f.notSent(t, err)
 	case err != nil:
 		return f.readFailed(target, "no answer", err)
 	}
 	t.resp, t.info = resp, p.Classify(resp.Status, resp.Header)
 	f.node.balancer.RecordProgress(time.Now(), &t.assignment)
+	if !t.info.Misdirected {
+		f.node.heed(target.Incarnation(), t.info.Notice, f.req.ID)
+	}
 	if t.info.NotRun {
 		return f.refusedByUpstream(resp, t.info, target)
 	}
@@ -292,11 +316,14 @@
 // not run the request. It reads the rest of the response, so that the connection can
 // be reused.
 func (f *forwarder) refusedByUpstream(resp *exchange.Response, a ResponseInfo, t fleet.Target) *verdict.Error {
-	reason := verdict.ReasonUpstreamBusy
+	reason := refusalReason(a.Notice)
 	if a.Misdirected || a.FaultyVM != "" {
 		reason = verdict.ReasonUpstreamRefused
 	}
 	detail := "status " + strconv.Itoa(resp.Status)
+	if a.Notice.Pause > 0 {
+		detail += ", wants no requests for " + strconv.FormatInt(a.Notice.Pause.Milliseconds(), 10) + " ms"
+	}
 	if a.FaultyVM != "" {
 		detail += ", faulty VM " + a.FaultyVM
 	}
@@ -328,6 +355,9 @@
 	}
 	h := f.w.Header()
 	copyHeader(h, resp.Header)
+	if a.Notice.Pause > 0 {
+		f.replaceRetryAfter(h)
+	}
 	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	f.writeHeader(resp.Status)
 	if _, err := body.WriteTo(f.w); err != nil {
@@ -338,7 +368,8 @@
 
 // untriedLeft reports whether there is an upstream that the request was not sent to.
 func (f *forwarder) untriedLeft() bool {
-	return len(f.node.state.View().Targets(f.service.Name, f.model())) > len(f.exclude)
+	_, allPaused := f.nextPlace()
+	return !allPaused && len(f.node.state.View().Targets(f.service.Name, f.model())) > len(f.exclude)
 }
 
 // writeHeader writes the header of the answer.
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -35,6 +35,9 @@
 	// the upstream has begun to answer.
 	resp *exchange.Response
 	info ResponseInfo
+	// withheld says that the request was not written, because the upstream had said
+	// meanwhile that it is leaving or wants no requests.
+	withheld bool
 }
 
 // end closes the response and stops counting the request at the upstream.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -95,6 +95,7 @@
 	runningAttempts *attemptRegistry
 	silence         *silenceRecord
 	parts           *partTable
+	pauseLines      *pauseLines
 	onSilent        func(vm string)
 	deadVMs         func() []string
 	closingHeads    func() []string
@@ -130,6 +131,7 @@
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
 		silence:         newSilenceRecord(),
+		pauseLines:      newPauseLines(),
 		onSilent:        func(string) {},
 		deadVMs:         func() []string { return nil },
 		closingHeads:    func() []string { return nil },
@@ -140,6 +142,8 @@
 	}
 	n.parts = newPartTable(n.id)
 	n.settings.Store(&s)
+	n.OnChange(func() {})
+	n.balancer.OnPlace(n.pauseLines.wakeFirst)
 	n.state.detailed = n.isHolder
 	n.state.inUse = n.balancer.HasRequests
 	n.Follow(keyed.NewStream(deps.Streams.Config, n.state.applyConfig), n.configPause, nil)
@@ -175,7 +179,12 @@
 
 // OnChange sets a function to call when the node's view has changed; f must not
 // block. Call OnChange before Run.
-func (n *Node) OnChange(f func()) { n.state.changed = f }
+func (n *Node) OnChange(f func()) {
+	n.state.changed = func() {
+		n.pauseLines.wakeAll()
+		f()
+	}
+}
 
 // SetDeadVMs sets the function that returns the ids of VMs that don't answer
 // probes; the node reports them to its peers. Call SetDeadVMs before Run.
@@ -314,6 +323,7 @@
 			if now.Sub(lastSweep) >= poolSweepInterval {
 				lastSweep = now
 				n.pool.CloseExpired()
+				n.expireNotices(now)
 			}
 		}
 	}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -60,7 +60,7 @@
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
 		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()),
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(),
 	}
 }
 
@@ -78,6 +78,9 @@
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
 	n.mergeParts(now, m.Parts)
+	for _, i := range m.Leaving {
+		n.markLeaving(i, false, "peer", m.Node)
+	}
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/notice"
 )
 
 // Request is a caller's request as the Protocol decoded it.
@@ -68,6 +69,8 @@
 	// HasContentEncoding says that the body has a content encoding, such as
 	// compression.
 	HasContentEncoding bool
+	// Notice is what the upstream says of itself.
+	Notice notice.Notice
 }
 
 // Protocol translates between the platform's HTTP messages and the types of this
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -54,7 +54,11 @@
 	// failover says that an attempt was ended because its upstream stopped making
 	// progress.
 	failover bool
-	events   eventBuffer
+	// withheld says that the last attempt was not written to its upstream, and
+	// withheldCount how many were not.
+	withheld      bool
+	withheldCount int
+	events        eventBuffer
 	// relayedPosition holds how much of the stream was relayed, for moves of the
 	// attempt.
 	relayedPosition atomic.Pointer[position]
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -76,6 +76,8 @@
 	// upstreams that lost their record around an outage of the log, and members
 	// of replicas.
 	goneAt map[string]time.Duration
+	// leaving holds what upstreams said in answers.
+	leaving leavingMarks
 }
 
 func newState(d Decoder, configKey string, logger *slog.Logger) *state {
@@ -87,6 +89,7 @@
 		digests:      map[string]uint64{},
 		unchanged:    map[string]fleet.VM{},
 		goneAt:       map[string]time.Duration{},
+		leaving:      leavingMarks{},
 		readsFailing: true,
 		changed:      func() {},
 		detailed:     func() bool { return true },
@@ -216,6 +219,7 @@
 	vm.LastSeen = now
 	delete(s.goneAt, vm.ID)
 	was, known := s.builder.VM(vm.ID)
+	vm.Leaving = s.leaving.apply(vm)
 	if vm.Leaving {
 		vm.LeavingSince = now
 		if known && was.Leaving && was.Boot == vm.Boot {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -81,6 +81,15 @@
 	// ReasonUpstreamBusy marks an upstream that refused the request because of its
 	// load.
 	ReasonUpstreamBusy Reason = "upstream_busy"
+	// ReasonUpstreamPaused marks an upstream that refused a request and wants no
+	// requests for some time, or a request that was not sent to such an upstream.
+	ReasonUpstreamPaused Reason = "upstream_paused"
+	// ReasonUpstreamLeaving marks an upstream that refused a request because its
+	// process is about to end, or a request that was not sent to such an upstream.
+	ReasonUpstreamLeaving Reason = "upstream_leaving"
+	// ReasonAllPaused marks a request whose time does not suffice for the earliest
+	// end of the pauses that all its upstreams have asked for.
+	ReasonAllPaused Reason = "all_upstreams_paused"
 	// ReasonConnect marks a connection that could not be established.
 	ReasonConnect Reason = "connect_failed"
 	// ReasonUpstreamLost marks a connection that was lost after bytes of the
