soak: Engines that leave and that pause by their answers, with checks at the engines

Change: drainEngine also with an engine that says in its answers only that it is leaving, and pauseEngine. The stand-in records which requests reach such engines. The check goes by the process of a node: no request that was sent later than 2 s after its first such answer, and at most two in a pause later than 0.5 s after it, unless an unplanned fault came between.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -46,6 +46,7 @@
 		c.checkAnsweredInTime(a)
 	}
 	c.checkLeavingEngines()
+	c.checkNotices()
 	c.checkConfigVersions()
 	c.checkAbandoned()
 	c.checkRetryBudget()
@@ -177,6 +178,49 @@
 	}
 }
 
+const (
+	// pauseBound is how long after an engine has asked a node for a pause the node may
+	// still send it requests, and tolerated the number of those that may come later.
+	pauseBound     = 500 * time.Millisecond
+	toleratedPause = 2
+)
+
+// checkNotices checks that a process of a node sends no request to an engine that a caller
+// sent later than drainBound after the engine had told that process in an answer that it is
+// leaving, and no more than toleratedPause requests in a pause that the engine had asked it
+// for. It ignores what was told before the last unplanned fault.
+func (c *checker) checkNotices() {
+	type process struct {
+		node        *node
+		incarnation int64
+		upstream    int64
+		pause       time.Time
+	}
+	for _, u := range slices.Concat(c.system.generators, c.system.plainUpstreams) {
+		told, late := map[process]time.Time{}, map[process]int{}
+		for _, arrival := range u.Arrivals() {
+			a, known := c.byID[arrival.ID]
+			if !known {
+				continue
+			}
+			p := process{a.node, a.incarnation, arrival.Incarnation, arrival.PausedUntil}
+			at, wasTold := told[p]
+			if !wasTold || !c.system.faults.faultFreeExceptPlanned(a.node, at, arrival.At) {
+				told[p] = arrival.At
+				continue
+			}
+			if arrival.Leaving && a.sentAt.After(at.Add(drainBound)) {
+				c.addViolation("sent to %s %v after it had answered that it is leaving: %v", u.ID, a.sentAt.Sub(at), a)
+			}
+			if !arrival.PausedUntil.IsZero() && arrival.At.After(at.Add(pauseBound)) {
+				if late[p]++; late[p] == toleratedPause+1 {
+					c.addViolation("more than %d requests sent to %s in its pause, the last %v after it had asked for it: %v", toleratedPause, u.ID, arrival.At.Sub(at), a)
+				}
+			}
+		}
+	}
+}
+
 // faultFreeExceptPlanned is faultFree, but ignores planned operations.
 func (l *faultLog) faultFreeExceptPlanned(n *node, from, to time.Time) bool {
 	_, found := l.overlapping(n, from.Add(-contactBound), to, false)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -106,7 +106,10 @@
 // inject only these, because most guarantees with a time bound apply only once
 // contactBound has passed since the last fault, which is rarely so in the runs of the
 // other seeds.
-var plannedFaults = []faultFunc{stopNode, reloadNode, drainEngine, drainEngine, publishConfigs}
+var plannedFaults = []faultFunc{
+	stopNode, reloadNode, publishConfigs, pauseEngine,
+	drainEngine((*standin.Engine).StartLeaving), drainEngine((*standin.Engine).AnnounceLeaving),
+}
 
 // allFaults are the faults of the other seeds. A function that is listed twice is
 // chosen twice as often, since it affects only one of many upstreams.
@@ -378,24 +381,39 @@
 	u.SetFaults(standin.EngineFaults{})
 }
 
-// drainEngine makes an engine report that it is leaving, ends the engine after
-// drainBound+duration, and starts it again as a new incarnation.
-func drainEngine(s *testSystem, rng *rand.Rand, duration time.Duration) {
+// drainEngine returns a faultFunc that makes an engine say that it is leaving, in its
+// report or in its answers, ends the engine drainBound+duration later, and starts it again
+// as a new incarnation.
+func drainEngine(sayLeaving func(*standin.Engine)) faultFunc {
+	return func(s *testSystem, rng *rand.Rand, duration time.Duration) {
+		u, ok := s.claimAnyUpstream(rng)
+		if !ok {
+			return
+		}
+		defer u.claimed.Store(false)
+		end := s.faults.begin(u.ID+" leaves", nil, true)
+		sayLeaving(u.Engine)
+		time.Sleep(drainBound + duration)
+		endAbsence := s.faults.begin(u.ID+" is gone", nil, false)
+		u.Crash()
+		u.Unlist()
+		time.Sleep(duration / 2)
+		u.Restart()
+		endAbsence()
+		end()
+	}
+}
+
+// pauseEngine makes an engine refuse requests and ask for a pause.
+func pauseEngine(s *testSystem, rng *rand.Rand, duration time.Duration) {
 	u, ok := s.claimAnyUpstream(rng)
 	if !ok {
 		return
 	}
 	defer u.claimed.Store(false)
-	end := s.faults.begin(u.ID+" leaves", nil, true)
-	u.StartLeaving()
-	time.Sleep(drainBound + duration)
-	endAbsence := s.faults.begin(u.ID+" is gone", nil, false)
-	u.Crash()
-	u.Unlist()
-	time.Sleep(duration / 2)
-	u.Restart()
-	endAbsence()
-	end()
+	defer s.faults.begin(u.ID+" pauses", nil, true)()
+	u.AskForPause(duration)
+	time.Sleep(duration)
 }
 
 // storeFault returns a faultFunc that injects faults into the store.
