gateway: Use the project's one set of words for what upstreams say, with ages

A request that is not written says for how long the upstream has been known to leave, or how much longer its pause lasts, so that explain shows it; an upstream that is gone has a reason of its own. The end of a mark by a new incarnation has a log line.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -24,12 +24,12 @@
 	UpstreamGone         = "upstream.gone"
 	UpstreamSilent       = "upstream.silent"
 	UpstreamSuspected    = "upstream.suspected"
+	UpstreamPaused       = "upstream.paused"
+	UpstreamLeaving      = "upstream.leaving"
+	UpstreamUnusedWord   = "upstream.unused_word"
 	UpstreamProbed       = "upstream.probed"
 	UpstreamTooLong      = "upstream.too_long"
 	UpstreamUnattributed = "upstream.unattributed"
-	UpstreamLeaving      = "upstream.leaving"
-	UpstreamPaused       = "upstream.paused"
-	UpstreamNoticeUnused = "upstream.notice_unused"
 	UpstreamDead         = "upstream.dead"
 	UpstreamEvicted      = "upstream.evicted"
 	UpstreamBack         = "upstream.back"
@@ -104,12 +104,12 @@
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; the requests that could be are being moved to other replicas: their number."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
+		{UpstreamPaused, "An upstream refused a request and wants none from this node for a time: its boot, the time."},
+		{UpstreamLeaving, "The process on a VM said in an answer that it is about to end, so it gets no new requests and is replaced; or that mark ended because another process reports from the VM: the boot of the process that said it."},
+		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer was not used as it is: what is wrong with it."},
 		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
-		{UpstreamLeaving, "An upstream said in an answer, to this node or to a peer, that it is leaving, so it gets no further requests: boot, whether its own report said so before, who told it."},
-		{UpstreamPaused, "An upstream answered that it wants no requests from this node for some time, and gets none: length of the pause, what it answered."},
-		{UpstreamNoticeUnused, "The time for which an upstream wants no requests could not be used as it was given: problem, the pause that was used."},
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
 		{UpstreamBack, "A VM that was considered dead answers probes again."},
--- a/gateway/leaving.go
+++ b/gateway/leaving.go
@@ -65,6 +65,14 @@
 	return true, known
 }
 
+// logLeavingEnded logs that a mark no longer counts, because another process reports from
+// the VM.
+func (s *state) logLeavingEnded(was fleet.VM) {
+	if _, marked := s.leaving[was.Incarnation()]; marked {
+		s.logger.Info(decisions.UpstreamLeaving, "upstream", was.ID, "boot", was.Boot, "ended", true)
+	}
+}
+
 // isLeaving reports whether an upstream is known to be leaving, also if it has left the
 // view since.
 func (s *state) isLeaving(i fleet.Incarnation) bool {
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -14,7 +14,8 @@
 
 // Causes for which a request is not written to the upstream that it was assigned to.
 var (
-	errUpstreamLeaving = errors.New("the upstream is leaving or gone")
+	errUpstreamLeaving = errors.New("the upstream is leaving")
+	errUpstreamGone    = errors.New("the upstream stopped taking requests")
 	errUpstreamPaused  = errors.New("the upstream wants no further requests now")
 )
 
@@ -22,8 +23,8 @@
 // names the request or the order.
 func (n *Node) heed(i fleet.Incarnation, said notice.Notice, who string) {
 	if said.Unused != "" {
-		n.count("upstream.retry_after_unused." + string(said.Unused))
-		n.logger.Warn(decisions.UpstreamNoticeUnused, "upstream", i.ID, "problem", said.Unused, "pause_ms", said.Pause.Milliseconds(), "request", who)
+		n.count("upstream.unused_word." + string(said.Unused))
+		n.logger.Warn(decisions.UpstreamUnusedWord, "upstream", i.ID, "problem", said.Unused, "pause_ms", said.Pause.Milliseconds(), "request", who)
 	}
 	if said.Leaving {
 		n.markLeaving(i, true, "request", who)
@@ -62,11 +63,13 @@
 func (n *Node) mayWrite(t *try) error {
 	target := t.assignment.Target
 	vm, known := n.View().VM(target.ID)
-	if !known || vm.Boot != target.Boot || vm.Leaving || vm.Unlisted {
-		return errUpstreamLeaving
-	}
-	if !n.balancer.MaySend(time.Now(), &t.assignment) {
-		return errUpstreamPaused
+	switch {
+	case !known || vm.Boot != target.Boot || vm.Unlisted:
+		return errUpstreamGone
+	case vm.Leaving:
+		return errors.Wrapf(errUpstreamLeaving, "known for %d ms", (bootclock.Now() - vm.LeavingSince).Milliseconds())
+	case !n.balancer.MaySend(time.Now(), &t.assignment):
+		return errors.Wrapf(errUpstreamPaused, "pause for %d ms more", n.balancer.PauseRemaining(time.Now(), target.Incarnation()).Milliseconds())
 	}
 	return nil
 }
@@ -75,6 +78,8 @@
 func (f *forwarder) notSent(t *try, err error) *verdict.Error {
 	reason := verdict.ReasonConnect
 	switch {
+	case errors.Is(err, errUpstreamGone):
+		reason = verdict.ReasonUpstreamGone
 	case errors.Is(err, errUpstreamLeaving):
 		reason = verdict.ReasonUpstreamLeaving
 	case errors.Is(err, errUpstreamPaused):
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -219,6 +219,9 @@
 	vm.LastSeen = now
 	delete(s.goneAt, vm.ID)
 	was, known := s.builder.VM(vm.ID)
+	if known && was.Boot != vm.Boot {
+		s.logLeavingEnded(was)
+	}
 	vm.Leaving = s.leaving.apply(vm)
 	if vm.Leaving {
 		vm.LeavingSince = now
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -87,6 +87,9 @@
 	// ReasonUpstreamLeaving marks an upstream that refused a request because its
 	// process is about to end, or a request that was not sent to such an upstream.
 	ReasonUpstreamLeaving Reason = "upstream_leaving"
+	// ReasonUpstreamGone marks a request that was not sent because the upstream stopped
+	// taking requests after it had been selected.
+	ReasonUpstreamGone Reason = "upstream_gone"
 	// ReasonAllPaused marks a request whose time does not suffice for the earliest
 	// end of the pauses that all its upstreams have asked for.
 	ReasonAllPaused Reason = "all_upstreams_paused"
