--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -25,14 +25,7 @@
 
 // violations returns descriptions of the violated guarantees.
 func (s *testSystem) violations() []string {
-	c := &checker{system: s, attempts: s.attempts.list(), byID: map[string]*attempt{}, runs: map[string][]standin.Run{}}
-	c.routeAddedAt, c.keyRemovedAt = s.configs.snapshot()
-	for _, a := range c.attempts {
-		c.byID[a.id] = a
-	}
-	for _, r := range s.fleet.AllRuns() {
-		c.runs[r.ID] = append(c.runs[r.ID], r)
-	}
+	c := s.newChecker()
 	for _, problem := range s.fleet.Violations() {
 		c.addViolation("replicas: %s", problem)
 	}
@@ -57,6 +50,19 @@
 	return c.violations
 }
 
+// newChecker returns a checker of what was recorded so far.
+func (s *testSystem) newChecker() *checker {
+	c := &checker{system: s, attempts: s.attempts.list(), byID: map[string]*attempt{}, runs: map[string][]standin.Run{}}
+	c.routeAddedAt, c.keyRemovedAt = s.configs.snapshot()
+	for _, a := range c.attempts {
+		c.byID[a.id] = a
+	}
+	for _, r := range s.fleet.AllRuns() {
+		c.runs[r.ID] = append(c.runs[r.ID], r)
+	}
+	return c
+}
+
 func (c *checker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
