--- a/dispatch/pauses.go
+++ b/dispatch/pauses.go
@@ -74,6 +74,9 @@
 // hasPlace reports whether an upstream's pause lets one more request of this node run
 // there. With neverPaused it is false also in the steps after a pause.
 func (b *Balancer) hasPlace(now time.Time, t fleet.Target, neverPaused bool) bool {
+	if b.pauses.Len() == 0 {
+		return true
+	}
 	limit := b.pauses.Limit(now, t.Incarnation())
 	return limit == notice.Unlimited || !neverPaused && b.ownRequests(t) < limit
 }
