--- a/gateway/failureanswer.go
+++ b/gateway/failureanswer.go
@@ -67,6 +67,9 @@
 func (f *forwarder) writeAnswer(status int, header http.Header, body *bounded.Input) *verdict.Error {
 	h := f.w.Header()
 	copyHeader(h, header)
+	if status == http.StatusServiceUnavailable {
+		f.replaceRetryAfter(h)
+	}
 	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	f.writeHeader(status)
 	if _, err := body.WriteTo(f.w); err != nil {
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -39,6 +39,9 @@
 	info ResponseInfo
 	// lastEvent is the id of the event after which the upstream was asked to continue.
 	lastEvent string
+	// withheld says that the request was not written, because the upstream had said
+	// meanwhile that it is leaving or wants no requests.
+	withheld bool
 }
 
 // end closes the response and stops counting the request at the upstream.
