porthttp: Take no answer for a request that was withheld

Found by reading: bytes that an upstream sends late, after the answer to an earlier request on a kept connection, could arrive while the connection is being closed and pass for the answer to a request of which nothing was written. Such an answer is dropped. Not shown by a test: the moment can't be forced from outside net/http.

--- a/port/porthttp/trace.go
+++ b/port/porthttp/trace.go
@@ -66,7 +66,11 @@
 		}))
 	}
 	resp, err := t.transport().RoundTrip(req)
-	if err != nil && withheld != nil {
+	if withheld != nil {
+		if err == nil {
+			// A late answer to an earlier request on the connection.
+			resp.Body.Close()
+		}
 		return nil, &withheldError{withheld}
 	}
 	if err == nil && trace.GotHead != nil {
