gateway: Let the load before a planned stop take longer than a second to build up

The spec 'answers each request that the node has begun to read' failed twice beside other load (load of 36 to 60 on 8 cores), at 46 and at 96 of the 100 requests that it sends before the stop begins. Cause: these requests are no check but what it starts from, and had the default second of Eventually. They get 10 s now; what is checked after the stop is as it was.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -99,7 +99,7 @@
 				}
 			}()
 		}
-		Eventually(answered.Load).Should(BeNumerically(">", 100))
+		Eventually(answered.Load, "10s").Should(BeNumerically(">", 100))
 		stop()
 		Eventually(ended, "10s").Should(Receive(BeNil()))
 		// The process would have ended here: requests that are begun later, or are
