formation: Probe a VM again before a join if its report has changed

Cause: the number of orders that a VM has accepted also grows when staging is done, which no answer tells. The next join named the old number, was refused, and was repeated 200 ms later.

Change: before a VM is ordered to join, its number must come from an answer that is newer than its report. As replicas are then formed some milliseconds after their VMs were released, a domain counts as busy for one probe timeout longer; without that the spec "dismantles replicas with leaving members one after the other" failed, as two replicas were down at once.

--- a/formation/accepted.go
+++ b/formation/accepted.go
@@ -23,6 +23,8 @@
 type acceptedOrders struct {
 	boot  int64
 	count int64
+	// answeredAt is when the VM answered that order.
+	answeredAt time.Duration
 }
 
 // acceptedBy returns the number of orders that a VM has accepted, as far as answers have
@@ -55,13 +57,24 @@
 	return recent && s.report.Accepted != nil && s.contradicts(vm) && s.sentAt-vm.LastSeen > probeLag
 }
 
+// acceptedSinceReport reports whether the number of orders that a VM has accepted is known
+// from an answer that came after its report. The number grows without an order when staging
+// is done, which changes the report.
+func (r *round) acceptedSinceReport(vm fleet.VM) bool {
+	answeredAt := r.accepted[vm.ID].answeredAt
+	if s, ok := r.probes[vm.ID]; ok {
+		answeredAt = max(answeredAt, s.answeredAt)
+	}
+	return answeredAt >= vm.LastSeen && r.acceptedBy(vm) != nil
+}
+
 // confirmed reports whether a VM can be ordered to join now: it has reported or answered
 // recently, and the number of orders that it has accepted is known, if it tells it. It
 // probes the VM otherwise.
 func (r *round) confirmed(vm fleet.VM) bool {
 	s, ok := r.probes[vm.ID]
 	silent := ok && s.answeredAt > 0 && s.report.Accepted == nil
-	if r.recentlySeen(vm) && (silent || r.acceptedBy(vm) != nil) {
+	if r.recentlySeen(vm) && (silent || r.acceptedSinceReport(vm)) {
 		return true
 	}
 	r.awaitingProbes = true
@@ -90,7 +103,7 @@
 
 // recordAccepted records that a VM has begun an order, or that it has accepted others than
 // was known.
-func (p *Planner) recordAccepted(o Order, res Result) {
+func (p *Planner) recordAccepted(now time.Duration, o Order, res Result) {
 	switch {
 	case o.Expected == nil:
 	case res.Accepted:
@@ -98,7 +111,7 @@
 		if a, ok := p.accepted[o.VM]; ok && a.boot == o.Boot {
 			count = max(count, a.count)
 		}
-		p.accepted[o.VM] = acceptedOrders{o.Boot, count}
+		p.accepted[o.VM] = acceptedOrders{o.Boot, count, now}
 	case res.Conflict:
 		delete(p.accepted, o.VM)
 	}
--- a/formation/leaving.go
+++ b/formation/leaving.go
@@ -61,11 +61,11 @@
 }
 
 // domainBusy reports whether a replica of a domain is being formed or
-// dismantled. A replica released in this round counts as well, because its
-// members form a new one in the same round.
+// dismantled. A replica that has just been released counts as well, because its
+// members form a new one once they have answered probes.
 func (r *round) domainBusy(domain string) bool {
 	for _, a := range r.replicas {
-		done := a.released && a.releasedAt < r.now
+		done := a.released && r.now-a.releasedAt >= probeTimeout
 		if done || a.standby || len(a.members) == 0 || !a.released && a.isServing(r.reported[a.name]) {
 			continue
 		}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -289,7 +289,7 @@
 // HandleResult handles the result of an order and returns the orders that
 // follow from it.
 func (p *Planner) HandleResult(now time.Duration, o Order, res Result) []Order {
-	p.recordAccepted(o, res)
+	p.recordAccepted(now, o, res)
 	if res.Conflict && o.Expected != nil {
 		return p.handleConflict(now, o, res)
 	}
