--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -154,20 +154,26 @@
 	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	c.noteCarried(r.ID)
-	if n, err := c.net.Write(data); err != nil {
+	n, sendErr := c.net.Write(data)
+	if sendErr != nil && n == 0 {
 		stopAbort()
 		p.put(c, false)
-		if n == 0 && !reused && ctx.Err() == nil {
-			return nil, errors.Mark(errors.Wrap(err, "sending"), ErrNotSent)
+		if !reused && ctx.Err() == nil {
+			return nil, errors.Mark(errors.Wrap(sendErr, "sending"), ErrNotSent)
 		}
-		return nil, errors.Wrap(err, "sending")
+		return nil, errors.Wrap(sendErr, "sending")
 	}
+	// An upstream may answer a request that it does not read to its end.
 	resp, err := c.readMatchingResponse(r, reused)
 	if err != nil {
 		stopAbort()
 		p.put(c, false)
+		if sendErr != nil {
+			return nil, errors.Wrap(sendErr, "sending")
+		}
 		return nil, err
 	}
+	c.closeAfterResponse = c.closeAfterResponse || sendErr != nil
 	return &Response{
 		Status:    resp.StatusCode,
 		Header:    resp.Header,
@@ -239,6 +245,10 @@
 	return n, err
 }
 
+// Unread makes later reads return data first, which was read before. It must not be called
+// during a Read.
+func (r *Response) Unread(data []byte) { r.body = io.MultiReader(bytes.NewReader(data), r.body) }
+
 // Framed reports whether the response has a length or a transfer encoding. The body of
 // another response ends with its connection.
 func (r *Response) Framed() bool { return r.framed }
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -18,7 +19,7 @@
 	model      string
 	service    string
 	members    []string
-	// head is the head's VM ID, set once the head was ordered to leave.
+	// head is the head's VM ID, set once the head was ordered to close or to leave.
 	head             string
 	formedAt         time.Duration
 	expectedJoinTime time.Duration
@@ -32,10 +33,12 @@
 	// dismantlingSince is when the planner began to dismantle the replica; 0 if
 	// it did not.
 	dismantlingSince time.Duration
-	// leftAt is when a member first answered an order to leave. For a replica
-	// whose head is unreachable, it is also set when no member reports any
-	// more.
-	leftAt time.Duration
+	// left holds when members answered an order to leave, except for those that
+	// have reported the replica since.
+	left map[string]time.Duration
+	// unreportedSince is since when no member reports a replica that is being
+	// dismantled; 0 if one does.
+	unreportedSince time.Duration
 	// released says that the replica's members may join others; releasedAt is
 	// since when.
 	released   bool
@@ -55,14 +58,21 @@
 	coldMembers map[string]bool
 }
 
-// handleLeave records the result of an order to leave.
-func (p *Planner) handleLeave(now time.Duration, a *replica, vm string, res Result) {
-	if res.Accepted && a.head == vm {
+// handleEnd records the result of an order to leave or to close. A head whose process has
+// ended has left: the instance at its address refuses earlier orders to it.
+func (p *Planner) handleEnd(now time.Duration, a *replica, o Order, res Result) {
+	left := o.Kind == Leave && res.Accepted
+	if a.head == o.VM && (left || res.Replaced) {
 		a.headLeft = true
 		p.replan = true
 	}
-	if res.Answered && a.leftAt == 0 {
-		a.leftAt = now
+	if o.Kind == Leave && res.Answered {
+		if a.left == nil {
+			a.left = map[string]time.Duration{}
+		}
+		if _, known := a.left[o.VM]; !known {
+			a.left[o.VM] = now
+		}
 	}
 }
 
@@ -265,7 +275,7 @@
 	}
 	for _, id := range a.members {
 		vm, _ := r.view.VM(id)
-		if vm.Member.Replica != a.name && r.sendDue(a, "join "+id) {
+		if vm.Member.Replica != a.name && r.confirmed(vm) && r.sendDue(a, "join "+id) {
 			r.order(r.join(a, vm))
 		}
 	}
@@ -303,8 +313,12 @@
 	}
 	head, ok := rep.Head()
 	if ok && head.Member.Generation == a.generation && !r.isDead(head) {
+		if !r.askedForAccepted(head) {
+			return
+		}
 		switch state := r.memberState(head); {
 		case planned && (state == fleet.MemberOpen || state == fleet.MemberClosing) && r.now-a.dismantlingSince < closeTimeout:
+			a.head = head.ID
 			if r.sendDue(a, "close") {
 				r.order(Order{Kind: Close, VM: head.ID, Address: head.Address, Replica: a.name, Generation: a.generation})
 			}
@@ -348,16 +362,36 @@
 // other members to leave, and releases the replica once the head must have
 // stopped serving for lack of them.
 func (r *round) dismantleWithoutHead(a *replica, rep fleet.Replica) {
-	if len(rep.Members) == 0 && a.leftAt == 0 {
-		a.leftAt = r.now
-	}
+	r.recordReturns(a, rep)
 	for _, m := range rep.Members {
 		if m.Member.Rank != 0 && !r.isDead(m) && r.sendDue(a, "leave "+m.ID) {
 			r.order(Order{Kind: Leave, VM: m.ID, Address: m.Address, Replica: a.name, Generation: a.generation})
 		}
 	}
-	if a.leftAt > 0 && r.now-a.leftAt > r.s.StallTimeout+stallMargin {
+	timeout := r.s.StallTimeout + stallMargin
+	switch {
+	case len(a.left) > 0 && r.now-slices.Min(slices.Collect(maps.Values(a.left))) > timeout:
 		r.release(a, "head_gone")
+	case a.unreportedSince > 0 && r.now-a.unreportedSince > timeout:
+		// The replica may still serve. It is adopted if a member reports again.
+		r.release(a, "unreported")
+		delete(r.replicas, a.name)
+	}
+}
+
+// recordReturns records which members report a replica that is being dismantled,
+// although they had left it, and whether any member reports it.
+func (r *round) recordReturns(a *replica, rep fleet.Replica) {
+	for _, m := range rep.Members {
+		if at, ok := a.left[m.ID]; ok && m.LastSeen > at {
+			delete(a.left, m.ID)
+		}
+	}
+	switch {
+	case len(rep.Members) > 0:
+		a.unreportedSince = 0
+	case a.unreportedSince == 0:
+		a.unreportedSince = r.now
 	}
 }
 
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -65,6 +65,20 @@
 		Expect(w.run(stallTime, w.servesAtLeast(1, 1))).To(BeTrue())
 	})
 
+	// Guards against members that stay unused after their head has crashed: another
+	// instance answered probes at its address, so the head was taken for a running one.
+	DescribeTable("uses the members of a replica as soon as another instance answers for its head", func(crashFirst time.Duration) {
+		startFleet(1, 1, 11)
+		head := w.member("large", 0)
+		head.down = true
+		w.run(crashFirst, nil)
+		head.replaced = true
+		Expect(w.run(stallTime, w.servesAtLeast(1, 1))).To(BeTrue())
+	},
+		Entry("at once", time.Duration(0)),
+		Entry("after probes have shown that the head is gone", time.Second),
+	)
+
 	// A member that loses its connection to the log for a few seconds (in one
 	// run, seven VMs did for five seconds) is no longer in the list of VMs
 	// although it still works.
@@ -188,7 +202,7 @@
 
 	It("keeps the replicas when a new lease holder knows only the VMs' reports", func() {
 		startFleet(2, 2, 11, 11)
-		w.planner.Reset(2)
+		w.planner.Reset(2, w.now)
 		w.run(10*time.Second, nil)
 		Expect(w.serving()).To(Equal(map[string]int{"large": 2, "small": 2}))
 	})
@@ -201,7 +215,7 @@
 		}
 		w.engines["d0-05"].unlisted = true
 		w.engines["d0-05"].vm.Member = fleet.Membership{}
-		w.planner.Reset(2)
+		w.planner.Reset(2, w.now)
 		w.run(20*time.Second, nil)
 	})
 
@@ -415,7 +429,7 @@
 			w.run(30*time.Second, nil)
 			w.gotRequests, w.delayedShare, w.lateOpens = true, 0.5, true
 			for i := range 60 {
-				w.planner.Reset(w.planner.term + 1)
+				w.planner.Reset(w.planner.term+1, w.now)
 				if i%3 == 0 {
 					w.restartEngine()
 				}
@@ -441,6 +455,7 @@
 // forget lets an engine start anew.
 func (e *engine) forget(now time.Duration) {
 	e.vm.Boot, e.vm.Member, e.vm.Model, e.vm.LastModel = int64(now), fleet.Membership{}, "", ""
+	e.accepted = 0
 	e.members, e.lastGeneration, e.lastFence, e.readyAt, e.openAt, e.closedAt, e.brokenAt = nil, 0, 0, 0, 0, 0, 0
 }
 
@@ -471,7 +486,7 @@
 	case 4:
 		w.add(fmt.Sprintf("new-%d", i), e.vm.Domain)
 	case 5:
-		w.planner.Reset(w.planner.term + 1)
+		w.planner.Reset(w.planner.term+1, w.now)
 	}
 	if head := w.headOf(e); head != nil {
 		w.suspect(head.vm.ID)
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -31,6 +31,8 @@
 	vm fleet.VM
 	// down engines answer nothing and never recover.
 	down bool
+	// replaced engines are down, and another instance answers at their address.
+	replaced bool
 	// unlisted engines work, but their reports are marked as no longer listed.
 	unlisted bool
 	// leavingSince is when the engine was first reported as leaving.
@@ -46,6 +48,8 @@
 	// brokenAt is when a head whose replica lacks a member breaks.
 	brokenAt       time.Duration
 	lastGeneration int64
+	// accepted is the number of orders accepted since the start.
+	accepted int64
 	// lastFence is the highest fencing number of an order since the start.
 	lastFence int64
 	// downUntil is when an engine that crashed starts again, cutUntil when one that was
@@ -133,7 +137,7 @@
 	w.planner = NewPlanner(Settings{
 		StallTimeout: stallTime, DrainTime: drainTime, LoadWindow: 5 * time.Second, NoRequestYet: func() bool { return !w.gotRequests }, Logger: slog.New(slog.DiscardHandler),
 	})
-	w.planner.Reset(term)
+	w.planner.Reset(term, w.now)
 }
 
 // add adds a running engine to a domain.
@@ -219,17 +223,26 @@
 	for _, o := range orders {
 		e := w.engines[o.VM]
 		switch {
+		case e != nil && e.replaced && o.Kind == Probe:
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, Report: VMReport{
+				Boot: e.vm.Boot + 1, Accepted: new(int64), Slowdown: 1,
+			}}))
+		case e != nil && e.replaced:
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Replaced: true, Status: "421"}))
 		case e == nil || e.down || w.lost != nil && w.lost(o):
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
-			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, State: e.vm.Member.State, Slowdown: max(1, e.slowdown)}))
+			accepted := e.accepted
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: true, Report: VMReport{
+				Boot: e.vm.Boot, Accepted: &accepted, Member: e.vm.Member, Slowdown: max(1, e.slowdown),
+			}}))
 		case w.rng.Float64() < w.delayedShare:
 			delay := 2*time.Second + time.Duration(w.rng.Int64N(int64(10*time.Second)))
 			w.delayed = append(w.delayed, delayedOrder{w.now + delay, o, w.planner.term})
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		default:
 			ok := w.execute(o, w.planner.term)
-			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: ok}))
+			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Accepted: ok, Conflict: !ok}))
 		}
 	}
 }
@@ -242,6 +255,24 @@
 		return false
 	}
 	e.lastFence = max(e.lastFence, fence)
+	if o.Expected != nil && *o.Expected != e.accepted {
+		return false
+	}
+	begun := w.begin(e, o)
+	if begun && o.Kind != Stage {
+		e.accepted++
+	}
+	return begun || w.holds(e, o)
+}
+
+// holds reports whether an engine is already in the state that an order to join asks for.
+func (w *world) holds(e *engine, o Order) bool {
+	m := e.vm.Member
+	return o.Kind == Join && m.Replica == o.Replica && m.Generation == o.Generation
+}
+
+// begin begins an order and reports whether it changed anything.
+func (w *world) begin(e *engine, o Order) bool {
 	m := &e.vm.Member
 	current := m.Replica == o.Replica && m.Generation == o.Generation
 	switch o.Kind {
@@ -279,8 +310,8 @@
 		return false
 	}
 	m := &e.vm.Member
-	if m.Replica == o.Replica && m.Generation == o.Generation {
-		return true
+	if w.holds(e, o) {
+		return false
 	}
 	if head := w.headOf(e); head != nil && m.Replica != "" && w.mayServe(head) {
 		w.violations = append(w.violations, fmt.Sprintf("%v: %s joins %s while %s of %s may serve", w.now, o.VM, o.Replica, m.Replica, head.vm.ID))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -258,6 +258,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the response has a content encoding")
 	}
 	if t.info.Stream && t.resp.Status < http.StatusMultipleChoices {
+		f.events.overlaps = t.lastEvent != f.events.lastID
 		return f.relayStream(t.resp, t.info, &t.assignment)
 	}
 	return f.relayComplete(t.resp, t.info, t.assignment.Target, f.lastSend())
@@ -269,6 +270,7 @@
 func (f *forwarder) open(t *try, lastEvent string) *verdict.Error {
 	p := f.node.deps.Protocol
 	target := t.assignment.Target
+	t.lastEvent = lastEvent
 	r := p.Encode(f.req, Attempt{
 		Target:    target,
 		Remaining: time.Until(f.deadline),
@@ -336,15 +338,18 @@
 // relayComplete relays an answer that is not a stream, after all of it was received.
 func (f *forwarder) relayComplete(resp *exchange.Response, a ResponseInfo, t fleet.Target, last bool) *verdict.Error {
 	body, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
-	defer body.Release()
+	release := body.Release
+	defer func() { release() }()
 	if err != nil {
 		return f.readFailed(t, "the answer was cut off", err)
 	}
 	if f.answerStarted {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d instead of the rest of the stream", resp.Status)
 	}
-	failed := resp.Status >= http.StatusInternalServerError
+	failed := isFailure(resp)
 	if failed && !last && f.route.Repeatable() && f.attempts < f.route.MaxAttempts && f.untriedLeft() {
+		f.keepFailure(&failureAnswer{status: resp.Status, header: resp.Header, body: body})
+		release = func() {}
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamError, "status %d", resp.Status)
 	}
 	if !failed && !a.Signed {
@@ -353,17 +358,7 @@
 	if !failed {
 		f.recordStart()
 	}
-	h := f.w.Header()
-	copyHeader(h, resp.Header)
-	if a.Notice.Pause > 0 {
-		f.replaceRetryAfter(h)
-	}
-	h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
-	f.writeHeader(resp.Status)
-	if _, err := body.WriteTo(f.w); err != nil {
-		return verdict.New(verdict.Ran, verdict.ReasonCanceled, "%v", err)
-	}
-	return nil
+	return f.writeAnswer(resp.Status, resp.Header, body)
 }
 
 // untriedLeft reports whether there is an upstream that the request was not sent to.
@@ -422,7 +417,7 @@
 		if e := f.writeEvents(resp, events); e != nil {
 			return e
 		}
-		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count})
+		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count, relayed: f.events.relayed})
 	}
 	if !inOrder {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", f.events.lastID)
@@ -461,7 +456,12 @@
 // stream is not whole.
 func (f *forwarder) endStream(resp *exchange.Response) *verdict.Error {
 	if err := f.events.checkEnd(resp.Framed()); err != nil {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", err)
+		reason := verdict.ReasonBadAnswer
+		if !resp.Framed() {
+			// The connection has ended, as it does if the upstream crashes.
+			reason = verdict.ReasonUpstreamLost
+		}
+		return verdict.New(verdict.MayHaveRun, reason, "%v", err)
 	}
 	if !f.answerStarted {
 		copyHeader(f.w.Header(), resp.Header)
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
@@ -38,6 +40,8 @@
 	// withheld says that the request was not written, because the upstream had said
 	// meanwhile that it is leaving or wants no requests.
 	withheld bool
+	// lastEvent is the id of the event after which the upstream was asked to continue.
+	lastEvent string
 }
 
 // end closes the response and stops counting the request at the upstream.
@@ -49,17 +53,18 @@
 	b.Done(time.Now(), &t.assignment)
 }
 
-// position is how much of a stream was relayed: the id of the last event and the number
-// of events.
+// position is how much of a stream was relayed: the id of the last event, the number of
+// events with an id, and whether there was an event, with an id or without.
 type position struct {
-	lastID string
-	events int
+	lastID  string
+	events  int
+	relayed bool
 }
 
 // movableAttempt is a running attempt that can be moved to another upstream. A move
 // sends the request to the other upstream first, and ends the attempt only once that one
-// has begun to answer: a silent upstream may go on, while the other one may have no room,
-// refuse the request or fail.
+// has begun to answer, a stream by an event that continues it: a silent upstream may go
+// on, while the other one may have no room, refuse the request or fail.
 type movableAttempt struct {
 	f   *forwarder
 	try *try
@@ -99,6 +104,9 @@
 	exclude []string
 	// verdict is that on the moves that failed.
 	verdict verdict.Verdict
+	// failure is what the upstream of a move answered with that failed to run the
+	// request; nil if none did.
+	failure *failureAnswer
 }
 
 // attemptRegistry holds the running attempts that can be moved. It is safe for
@@ -176,6 +184,10 @@
 // answer, it takes the place of the attempt, which is canceled.
 func (r *attemptRegistry) perform(a *movableAttempt, t *try, cause error) {
 	e := a.f.openMove(t)
+	var failure *failureAnswer
+	if e != nil && t.resp != nil && isFailure(t.resp) && !t.info.NotRun {
+		failure = a.f.readFailure(t.resp)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	close(a.moved)
@@ -190,6 +202,10 @@
 		a.moves.attempts++
 	}
 	a.moves.verdict = a.moves.verdict.Combine(e.Verdict)
+	if failure != nil {
+		a.moves.failure.release()
+		a.moves.failure = failure
+	}
 	if !a.ended && a.ctx.Err() == nil {
 		a.deny(e)
 	}
@@ -239,6 +255,7 @@
 	f.attempts += used.attempts
 	f.exclude = used.exclude
 	f.worst = f.worst.Combine(used.verdict)
+	f.keepFailure(used.failure)
 	if next != nil && !failed {
 		next.end(f.node.balancer)
 		return
@@ -272,12 +289,42 @@
 	if e == nil && !f.replaces(t) {
 		e = verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d in place of the running answer", t.resp.Status)
 	}
+	if e == nil && t.info.Stream {
+		e = f.awaitEvent(t, at)
+	}
 	if e != nil {
 		f.noteFailure(t, e, at.events)
 	}
 	return e
 }
 
+// awaitEvent waits until the stream of a move has brought an event that continues what was
+// relayed. The bytes that it reads are read again when the stream is relayed. It may be
+// called while an attempt of the request runs.
+func (f *forwarder) awaitEvent(t *try, at position) *verdict.Error {
+	events := eventBuffer{lastID: at.lastID, relayed: at.relayed, resumed: at.relayed}
+	var begun []byte
+	buf := make([]byte, streamBufferBytes)
+	for {
+		n, err := t.resp.Read(buf)
+		begun = append(begun, buf[:n]...)
+		_, inOrder := events.add(buf[:n])
+		switch {
+		case events.fresh:
+			t.resp.Unread(begun)
+			return nil
+		case !inOrder:
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", at.lastID)
+		case errors.Is(err, io.EOF):
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream ended before an event")
+		case err != nil:
+			return f.readFailed(t.assignment.Target, "the stream was cut off", err)
+		case len(begun) > maxEventBytes:
+			return f.readFailed(t.assignment.Target, "the stream was cut off", bounded.TooLong(limitEvent, maxEventBytes))
+		}
+	}
+}
+
 // replaces reports whether the head of an upstream's response promises an answer of the
 // same kind as the running one, and no failure.
 func (f *forwarder) replaces(t *try) bool {
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -98,6 +98,26 @@
 		Expect(b.standing("twin")).To(Equal(Convicted))
 	})
 
+	// Guards against sound requests that are refused for minutes, because a part that they
+	// share with the deadly ones had no answer before the first crash.
+	It("lets a request run that tells it apart from a part that was convicted with it", func() {
+		b := newBench("n")
+		for range 3 {
+			b.crash([]string{"common", "deadly"})
+		}
+		Expect(b.standing("common")).To(Equal(Convicted))
+		_, convicted, _ := b.Judge(b.now, []string{"common", "deadly", Content("1")})
+		Expect(convicted).To(BeTrue())
+		_, convicted, suspected := b.Judge(b.now, []string{"common", "friend", Content("2")})
+		Expect(convicted).To(BeFalse())
+		Expect(suspected).To(ConsistOf("common"))
+		b.start("common", "friend")
+		Expect(b.standing("common")).To(Equal(Sound))
+		Expect(b.standing("deadly")).To(Equal(Convicted))
+		_, convicted, _ = b.Judge(b.now, []string{"common", "deadly", Content("3")})
+		Expect(convicted).To(BeTrue())
+	})
+
 	// Guards against a conviction that was lifted: of four crashes in quick succession only
 	// two counted, and a bystander of two of them seemed as likely a cause.
 	It("stays convicted beside a part that was on fewer of the upstreams", func() {
@@ -388,6 +408,19 @@
 		Expect(r.Suspects[0].Part).To(Equal("deadly"))
 	})
 
+	// Guards against a deadly part that no peer hears of, because the parts of many
+	// bystanders of its crash came after it.
+	It("leave a part that no answer began with in the report", func() {
+		b := newBench("n")
+		b.RecordCrash(b.now, []string{"deadly"}, 1)
+		for i := range 3 * maxReported {
+			part := fmt.Sprint("common", i)
+			b.start(part)
+			b.RecordCrash(b.now, []string{part, Content(part)}, 1)
+		}
+		Expect(b.Report(b.now).Suspects[0].Part).To(Equal("deadly"))
+	})
+
 	It("keep a report within its size", func() {
 		b := newBench("n")
 		id := func(i int) string { return fmt.Sprint(i) + strings.Repeat("f", maxIDBytes-3) }
--- a/port/port.go
+++ b/port/port.go
@@ -14,6 +14,27 @@
 // VMID identifies a VM.
 type VMID string
 
+// Headers by which the process on an upstream VM tells something of itself in any of
+// its answers: whatever the request and the status, also at the head of a stream.
+const (
+	// HeaderLeaving, with the value "1", says that the process is about to end and
+	// takes no new requests.
+	HeaderLeaving = "Vm-Leaving"
+	// HeaderBoot is the Report.Boot of the process that answers.
+	HeaderBoot = "Vm-Boot"
+	// HeaderRetryAfter, in a refusal with status 429 or 503, is the time in seconds,
+	// fractions allowed, for which the process wants no requests from the sender.
+	// Reports, cache events, orders and cancellations don't count as requests.
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Incarnation is one run of the process on a VM.
+type Incarnation struct {
+	VM VMID
+	// Boot is the Report.Boot of the run; empty if unknown.
+	Boot string
+}
+
 // VMKind says what runs on a VM.
 type VMKind string
 
@@ -205,8 +226,15 @@
 	RequestID string `json:"request_id"`
 }
 
+// HeaderAttempt is the name of a header field of each request to an upstream that is not
+// a GET; its value identifies the sending of the request. An upstream repeats the field in
+// its response, so that a copy of an earlier response on the same connection is told
+// apart.
+const HeaderAttempt = "X-Attempt-Id"
+
 // Refusal is the body of a response by which an upstream refuses a request
-// without running it.
+// without running it. If the response has no HeaderAttempt, the refusal proves that the
+// request has not run only on the first request of a connection.
 type Refusal struct {
 	// NotRun is true if the upstream states that it did not run the request.
 	NotRun bool `json:"not_run"`
--- a/port/porthttp/upstream.go
+++ b/port/porthttp/upstream.go
@@ -9,9 +9,9 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/port"
@@ -27,7 +27,6 @@
 	// are being received together; the smallest entry VMs have less than 200 MB.
 	callResponsesMemoryBytes = 16 << 20
 	limitCallResponsesMemory = "call_responses_memory"
-	maxRetryAfter            = time.Hour
 )
 
 // reasonStaleFencing is the port.Refusal.Reason of an order whose generation is
@@ -50,8 +49,10 @@
 // NewUpstream returns a client of upstream VMs. If client is nil, the client of
 // NewHTTPClient is used.
 func NewUpstream(client *http.Client) *Upstream {
+	c := withoutRedirects(client)
+	c.Transport = &tracedTransport{base: c.Transport}
 	return &Upstream{
-		client:        withoutRedirects(client),
+		client:        c,
 		callResponses: bounded.NewBudget(limitCallResponsesMemory, callResponsesMemoryBytes),
 	}
 }
@@ -166,8 +167,17 @@
 	return answer, errors.Wrap(err, "the answer can't be decoded")
 }
 
-// post sends a request with a JSON body at most once.
-func (u *Upstream) post(ctx context.Context, address, path string, body any) (*http.Response, error) {
+// response is the response to a request that is not a GET.
+type response struct {
+	*http.Response
+	// attributed is whether the response is proved to answer the request: it names the
+	// request, or no other one was sent on the connection.
+	attributed bool
+}
+
+// post sends a request with a JSON body at most once. A response that names another
+// request is an error.
+func (u *Upstream) post(ctx context.Context, address, path string, body any) (*response, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "encoding the request: %v", err)
@@ -177,11 +187,18 @@
 	if err != nil {
 		return nil, verdict.Refuse(verdict.ReasonConnect, "%v", err)
 	}
+	attempt := uuid.NewString()
+	req.Header.Set(port.HeaderAttempt, attempt)
 	resp, err := u.client.Do(req)
 	if err != nil {
 		return nil, sendError(&trace, err)
 	}
-	return resp, nil
+	named := resp.Header.Get(port.HeaderAttempt)
+	if named != "" && named != attempt {
+		resp.Body.Close()
+		return nil, lostError("status %d to another request", resp.StatusCode)
+	}
+	return &response{Response: resp, attributed: named != "" || !trace.reused.Load()}, nil
 }
 
 // get decodes the response to a GET request. Its error is a *verdict.Error.
@@ -197,6 +214,10 @@
 // sendError returns the error, with its verdict, of a request that failed with
 // err before there was a usable response.
 func sendError(trace *connTrace, err error) *verdict.Error {
+	var withheld *withheldError
+	if errors.As(err, &withheld) {
+		return withheld.reason
+	}
 	if trace.neverConnected(err) {
 		return verdict.Refuse(verdict.ReasonConnect, "%v", err)
 	}
@@ -210,9 +231,9 @@
 }
 
 // parseRefusal returns the refusal in a response that is not a success, and the
-// error of the request. Only a port.Refusal with NotRun set, in a response whose
-// status allows a refusal, proves that the request did not run.
-func parseRefusal(resp *http.Response) (port.Refusal, *verdict.Error) {
+// error of the request. Only a port.Refusal with NotRun set, in an attributed response
+// whose status allows a refusal, proves that the request did not run.
+func parseRefusal(resp *response) (port.Refusal, *verdict.Error) {
 	data, err := readAll(resp.Body, maxSmallResponseBytes)
 	if err != nil {
 		return port.Refusal{}, lostError("status %d: %v", resp.StatusCode, err)
@@ -221,12 +242,34 @@
 	if json.Unmarshal(data, &refusal) != nil || !refusal.NotRun || !statusAllowsRefusal(resp.StatusCode) {
 		return port.Refusal{}, lostError("status %d without a refusal", resp.StatusCode)
 	}
-	reason := verdict.ReasonUpstreamRefused
-	if resp.StatusCode == http.StatusTooManyRequests {
-		reason = verdict.ReasonUpstreamBusy
+	if !resp.attributed {
+		return port.Refusal{}, lostError("status %d with a refusal that may be that of an earlier request", resp.StatusCode)
+	}
+	said := readSaid(resp.Response)
+	return refusal, verdict.Refuse(refusalReason(resp.StatusCode, said), "upstream refused: %s%s", refusal.Reason, describePause(said))
+}
+
+// refusalReason returns the reason for the refusal of a request. What the upstream says
+// of itself takes precedence over the status.
+func refusalReason(status int, said Said) verdict.Reason {
+	switch {
+	case said.Pause > 0:
+		return verdict.ReasonUpstreamPaused
+	case said.Leaving:
+		return verdict.ReasonUpstreamLeaving
+	case status == http.StatusTooManyRequests:
+		return verdict.ReasonUpstreamBusy
 	}
-	failure := verdict.Refuse(reason, "upstream refused: %s", refusal.Reason)
-	return refusal, failure.WithRetryAfter(retryAfter(resp.Header))
+	return verdict.ReasonUpstreamRefused
+}
+
+// describePause returns the part of a refusal's detail that names the pause that the
+// upstream asks for; empty if it asks for none.
+func describePause(said Said) string {
+	if said.Pause == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", and wants no requests for %s", said.Pause)
 }
 
 // statusAllowsRefusal reports whether a response with this status may have a
@@ -240,18 +283,8 @@
 	return false
 }
 
-// retryAfter returns the time in the header Retry-After, limited to
-// maxRetryAfter. It returns 0 if the header is not a positive number of seconds.
-func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds <= 0 {
-		return 0
-	}
-	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
-}
-
 // isEventStream reports whether a response is a stream of server-sent events.
-func isEventStream(resp *http.Response) bool {
+func isEventStream(resp *response) bool {
 	mediaType, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return err == nil && mediaType == "text/event-stream"
 }
