--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -37,11 +37,11 @@
 	// the upstream has begun to answer.
 	resp *exchange.Response
 	info ResponseInfo
+	// lastEvent is the id of the event after which the upstream was asked to continue.
+	lastEvent string
 	// withheld says that the request was not written, because the upstream had said
 	// meanwhile that it is leaving or wants no requests.
 	withheld bool
-	// lastEvent is the id of the event after which the upstream was asked to continue.
-	lastEvent string
 }
 
 // end closes the response and stops counting the request at the upstream.
