--- a/entry/suspects.go
+++ b/entry/suspects.go
@@ -66,7 +66,8 @@
 // the upstream announced that it takes no requests, which the router heeds,
 // reports the upstream to health checking if it can't take other requests, and
 // reports the request to the quarantine service if it may have crashed the
-// upstream. The end of a process that announced its leaving is no crash. After such a report it waits for a broadcast to the live peers.
+// upstream. After such a report it waits for a broadcast to the live peers. The end of a
+// process that announced its leaving is no crash.
 func (g *generateTask) handleFailure(ctx context.Context, u balance.Upstream, failure *verdict.Error, end failedAttempt) {
 	if !notTaken(failure) {
 		g.excluded = append(g.excluded, u.ID)
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -178,7 +178,7 @@
 		Expect(slices.Compact(silent)).To(HaveLen(29))
 	})
 
-	// Guards against issue #25: only the nodes that a leaving upstream had told knew it.
+	// Guards against a failure in which only the nodes that a leaving upstream had told knew it.
 	It("receive the upstreams that told any other node that they are leaving, and each only once", func() {
 		s := newSimulation(3, 10)
 		s.runRounds(8)
@@ -210,8 +210,8 @@
 		Expect(received.Leaving).To(HaveLen(maxLeaving))
 	})
 
-	// Guards against issue #24 at large sites: each part of the tree lost upstreams of its
-	// own to the same part of a prompt.
+	// Guards against findings that stay in one part of the tree, so that each part loses
+	// upstreams of its own to the same part of a prompt.
 	It("know within eight rounds what crashes upstreams by crashes that two of them saw", func() {
 		s := newSimulation(3, 28)
 		s.runRounds(8)
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -47,7 +47,7 @@
 	to.Merge(to.now, r)
 }
 
-// Guards against issue #24: no two requests with a deadly part are alike, so that a count
+// Guards against a failure in which no two requests with a deadly part are alike, so that a count
 // of whole contents never finds what they share.
 var _ = Describe("A deadly part", func() {
 	It("is convicted after two crashes, and the parts beside it are not", func() {
--- a/port/porthttp/doc.go
+++ b/port/porthttp/doc.go
@@ -4,9 +4,9 @@
 //
 // The guarantee: the error of every failed request to an upstream has a verdict,
 // and that verdict is verdict.NotRun only if no byte of the request was written,
-// because no connection was obtained or the request was withheld, or the upstream stated that it did not run the request. A request with
-// a body is sent at most once: net/http can neither rewind the body, repeat the
-// request nor follow a redirect.
+// because no connection was obtained or the request was withheld, or the upstream
+// stated that it did not run the request. A request with a body is sent at most once:
+// net/http can neither rewind the body, repeat the request nor follow a redirect.
 //
 // What an upstream says of itself in an answer is passed on as soon as the head of the
 // answer has arrived, and a request can be withheld until right before it is written;
--- a/router/pick.go
+++ b/router/pick.go
@@ -75,8 +75,8 @@
 }
 
 // candidates returns the upstreams that may be picked, ordered by id: none that is
-// leaving or has asked for a pause that goes on. Upstreams that the outlier detection holds back are used only if there are no others.
-// The slice is valid until the next call for the same pool.
+// leaving or has asked for a pause that goes on. Upstreams that the outlier detection
+// holds back are used only if there are no others. The slice is valid until the next call for the same pool.
 func (s *Service) candidates(now time.Time, m Pick) []*balance.Candidate {
 	p, ok := s.pools[m.Pool]
 	if !ok {
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 )
 
-// Guards against issue #25 in the built process: requests went on to reach engines that had
+// Guards against a failure of the built process in which requests went on to reach engines that had
 // said in an answer that they leave, or that they want none for a while.
 var _ = Describe("The gateway processes under load", func() {
 	It("send nothing to an engine that leaves and almost nothing in a pause, by what they were answered", func() {
