exchange, daemon: Measure what endless answers hold, not what is dropped meanwhile

Cause: the size was read with HeapAlloc after a collection. It counts what the other goroutines allocate and drop between the collection and the reading, which a busy machine makes longer; what is allocated during a collection counts in any case.

Change: the size is that of the live objects by the collector's own count, the smaller of two collections in a row: an object that is held shows in both. The bounds are as they were.

--- a/exchange/limits_test.go
+++ b/exchange/limits_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/metrics"
 	"strings"
 	"sync"
 	"time"
@@ -182,10 +183,13 @@
 	})
 })
 
-// heapBytes returns the size of the objects on the heap that are in use.
-func heapBytes() uint64 {
+// heapBytes returns the size of the objects that were in use on the heap all through two
+// collections. A single one also counts what other goroutines allocate while it runs.
+func heapBytes() uint64 { return min(liveBytes(), liveBytes()) }
+
+func liveBytes() uint64 {
 	runtime.GC()
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return m.HeapAlloc
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(live)
+	return live[0].Value.Uint64()
 }
