review: Show that a removed key is accepted after a cut from the store

A request whose body comes late is checked against the configuration from before the body, while the age of the proof is that of the newest read.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Builds the programs of the cases, with their stand-ins, into target/review.
+cd "$(dirname "$0")/.." && exec go build -o target/review/ ./review/cmd/...
--- /dev/null
+++ b/review/rig/engine.go
@@ -0,0 +1,353 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/platform/standin"
+)
+
+const (
+	headerAttempt     = "X-Tamarackcleat-Attempt-Id"
+	headerStamp       = "X-Tamarackcleat-Server-Stamp"
+	headerNotExecuted = "X-Tamarackcleat-Not-Executed"
+	headerExpect      = "X-Tamarackcleat-Expect-Instance"
+	headerInstance    = "X-Tamarackcleat-Instance-Id"
+	headerLastEvent   = "Last-Event-Id"
+
+	heartbeat = 1200 * time.Millisecond
+	joinTime  = 200 * time.Millisecond
+	openTime  = 100 * time.Millisecond
+)
+
+// Fleet is a store and the engines of a deployment.
+type Fleet struct {
+	Store  *standin.Store
+	Record *Record
+
+	mu      sync.Mutex
+	engines map[string]*Engine
+	runs    map[string][]Run
+}
+
+// Run is one execution of a request.
+type Run struct {
+	Engine string
+	At     time.Time
+}
+
+// NewFleet starts a store without engines.
+func NewFleet(r *Record) *Fleet {
+	return &Fleet{Store: standin.NewStore(), Record: r, engines: map[string]*Engine{}, runs: map[string][]Run{}}
+}
+
+// PutConfig writes the operator's configuration.
+func (f *Fleet) PutConfig(body []byte) { f.Store.Put("keyed.op", "config", body) }
+
+// Close ends all engines and the store.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	var engines []*Engine
+	for _, e := range f.engines {
+		engines = append(engines, e)
+	}
+	f.mu.Unlock()
+	for _, e := range engines {
+		close(e.done)
+		// The process ends soon, so an error is irrelevant.
+		_ = e.server.Close()
+	}
+	f.Store.Close()
+}
+
+// Runs returns the executions of the request with an id.
+func (f *Fleet) Runs(id string) []Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.runs[id])
+}
+
+// OpenGroups returns how many groups are open.
+func (f *Fleet) OpenGroups() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		if e.group != nil && e.group.State == "open" {
+			n++
+		}
+	}
+	return n
+}
+
+// group is an engine's membership of a group, as engines report it.
+type group struct {
+	Name  string `json:"name"`
+	Epoch int64  `json:"epoch"`
+	Rank  int    `json:"rank"`
+	State string `json:"state"`
+}
+
+// Engine is a model engine that forms groups with the others of its domain.
+type Engine struct {
+	ID      string
+	fleet   *Fleet
+	service string
+	domain  string
+	address string
+	server  *http.Server
+	done    chan struct{}
+	born    int64
+	// answer writes the events of a stream.
+	answer func(w http.ResponseWriter, r *http.Request, id string, after int)
+
+	// The mutex of the fleet guards the fields below.
+
+	group    *group
+	members  []string
+	model    string
+	sequence int64
+	fence    int64
+	active   int
+}
+
+// AddEngine starts a model engine whose streams are written by answer: the events after
+// the one with the number after.
+func (f *Fleet) AddEngine(id, service, domain string, answer func(w http.ResponseWriter, r *http.Request, id string, after int)) (*Engine, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{
+		ID: id, fleet: f, service: service, domain: domain, address: l.Addr().String(), answer: answer,
+		done: make(chan struct{}), born: time.Now().UnixMilli(),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/tamarackcleat/order", e.handleOrder)
+	mux.HandleFunc("/tamarackcleat/report", e.handleReport)
+	mux.HandleFunc("/", e.handleRequest)
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	// The error says that the server was closed.
+	go func() { _ = e.server.Serve(l) }()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.engines[id] = e
+	e.publish()
+	go e.beat()
+	return e, nil
+}
+
+// beat writes the engine's entry at each heartbeat.
+func (e *Engine) beat() {
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.done:
+			return
+		case <-t.C:
+			e.fleet.mu.Lock()
+			e.publish()
+			e.fleet.mu.Unlock()
+		}
+	}
+}
+
+func (e *Engine) state() map[string]any {
+	s := map[string]any{"born": e.born, "sequence": e.sequence, "models": []any{}, "staged": []string{}}
+	if e.model != "" {
+		s["models"] = []any{map[string]any{"name": e.model, "version": 1, "adapters": []string{}}}
+		s["staged"] = []string{e.model}
+	}
+	if e.group != nil {
+		s["group"] = *e.group
+	}
+	return s
+}
+
+func (e *Engine) publish() {
+	s := e.state()
+	for name, value := range map[string]any{
+		"service": e.service, "address": e.address, "zone": "zone-plateau", "version": "v1", "slots": 26, "state": "ready",
+		"coldRemainingMs": 0, "domain": e.domain, "stage": "both",
+	} {
+		s[name] = value
+	}
+	data, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	e.fleet.Store.Put("keyed.servers", e.ID, data)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write needs no handling: the caller has disconnected.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
+	e.fleet.mu.Lock()
+	s := e.state()
+	for name, value := range map[string]any{
+		"stage": "both", "busy": false, "queued": 0, "active": e.active, "kvUsed": 0, "kvTotal": 2470000, "handles": 0, "pace": 1,
+	} {
+		s[name] = value
+	}
+	e.fleet.mu.Unlock()
+	writeJSON(w, http.StatusOK, s)
+}
+
+// order is the body of an order.
+type order struct {
+	Op       string   `json:"op"`
+	Group    string   `json:"group"`
+	Epoch    int64    `json:"epoch"`
+	Model    string   `json:"model"`
+	Members  []string `json:"members"`
+	Fence    *int64   `json:"fence"`
+	Expected *int64   `json:"expected"`
+}
+
+func (e *Engine) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if expect := r.Header.Get(headerExpect); expect != "" && expect != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.fleet.mu.Lock()
+	status := e.execute(o)
+	e.fleet.mu.Unlock()
+	w.WriteHeader(status)
+}
+
+// execute carries out an order and returns the status of the response.
+func (e *Engine) execute(o order) int {
+	if o.Fence != nil {
+		if *o.Fence < e.fence {
+			return http.StatusPreconditionFailed
+		}
+		e.fence = *o.Fence
+	}
+	current := e.group != nil && e.group.Name == o.Group && e.group.Epoch == o.Epoch
+	switch {
+	case o.Op == "join" && current && !slices.Equal(e.members, o.Members), o.Op == "join" && e.group != nil && o.Epoch < e.group.Epoch:
+		return http.StatusPreconditionFailed
+	case o.Op == "join" && current, o.Op == "leave" && e.group == nil, o.Op == "stage" && e.model == o.Model:
+		return http.StatusOK
+	case o.Expected != nil && *o.Expected != e.sequence:
+		return http.StatusConflict
+	}
+	switch o.Op {
+	case "join":
+		e.group = &group{o.Group, o.Epoch, slices.Index(o.Members, e.ID), "joining"}
+		e.members, e.model = o.Members, o.Model
+		e.later(joinTime, e.group, "joining", "ready")
+	case "open":
+		if !current || e.group.State != "ready" {
+			return http.StatusConflict
+		}
+		e.later(openTime, e.group, "ready", "open")
+	case "close":
+		if !current {
+			return http.StatusConflict
+		}
+		e.group.State = "ready"
+	case "leave":
+		if !current {
+			return http.StatusConflict
+		}
+		e.group, e.members = nil, nil
+	case "stage":
+		e.model = o.Model
+	default:
+		return http.StatusBadRequest
+	}
+	e.sequence++
+	e.publish()
+	return http.StatusAccepted
+}
+
+// later changes the state of a membership after a time, if it is still in another one.
+func (e *Engine) later(d time.Duration, g *group, from, to string) {
+	time.AfterFunc(d, func() {
+		e.fleet.mu.Lock()
+		defer e.fleet.mu.Unlock()
+		if e.group == g && g.State == from {
+			g.State = to
+			e.publish()
+		}
+	})
+}
+
+func (e *Engine) handleRequest(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	id := r.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, id)
+	w.Header().Set(headerInstance, e.ID)
+	if r.Header.Get(headerExpect) != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	e.fleet.mu.Lock()
+	switch {
+	case e.group != nil && e.group.Rank != 0:
+		e.fleet.mu.Unlock()
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case e.group == nil || e.group.State != "open":
+		e.fleet.mu.Unlock()
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.fleet.runs[id] = append(e.fleet.runs[id], Run{e.ID, time.Now()})
+	e.active++
+	e.fleet.mu.Unlock()
+	defer func() {
+		e.fleet.mu.Lock()
+		e.active--
+		e.fleet.mu.Unlock()
+	}()
+	w.Header().Set(headerStamp, "stamp-"+e.ID)
+	w.Header().Set("Content-Type", "text/event-stream")
+	// Without a valid event id the stream starts at the first event.
+	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	e.fleet.Record.Add("%s runs %s after event %d", e.ID, id, after)
+	e.answer(w, r, id, after)
+}
+
+// Event returns the nth event of the stream that answers a request; n counts from 1.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: piece %d of %s\n\n", n, n, id) }
+
+// EventNumbers returns the numbers of the pieces in the body of a stream, as their data
+// names them.
+func EventNumbers(id, body string) []int {
+	var out []int
+	for line := range strings.SplitSeq(body, "\n") {
+		if rest, ok := strings.CutPrefix(line, "data: piece "); ok {
+			text, _, _ := strings.Cut(rest, " of "+id)
+			n, err := strconv.Atoi(text)
+			if err != nil {
+				n = -1
+			}
+			out = append(out, n)
+		}
+	}
+	return out
+}
