--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -11,8 +11,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/tamarackcleat/tamarackcleat/platform/standin"
 )
 
 const (
@@ -25,12 +23,14 @@
 
 	heartbeat = 1200 * time.Millisecond
 	joinTime  = 200 * time.Millisecond
-	openTime  = 100 * time.Millisecond
+	openTime  = 300 * time.Millisecond
+	// stallCheck is the time between two checks whether a group is complete.
+	stallCheck = 50 * time.Millisecond
 )
 
 // Fleet is a store and the engines of a deployment.
 type Fleet struct {
-	Store  *standin.Store
+	Store  *Store
 	Record *Record
 
 	mu      sync.Mutex
@@ -45,8 +45,12 @@
 }
 
 // NewFleet starts a store without engines.
-func NewFleet(r *Record) *Fleet {
-	return &Fleet{Store: standin.NewStore(), Record: r, engines: map[string]*Engine{}, runs: map[string][]Run{}}
+func NewFleet(r *Record) (*Fleet, error) {
+	store, err := NewStore()
+	if err != nil {
+		return nil, err
+	}
+	return &Fleet{Store: store, Record: r, engines: map[string]*Engine{}, runs: map[string][]Run{}}, nil
 }
 
 // PutConfig writes the operator's configuration.
@@ -61,6 +65,9 @@
 	}
 	f.mu.Unlock()
 	for _, e := range engines {
+		if e.crashed {
+			continue
+		}
 		close(e.done)
 		// The process ends soon, so an error is irrelevant.
 		_ = e.server.Close()
@@ -96,7 +103,8 @@
 	State string `json:"state"`
 }
 
-// Engine is a model engine that forms groups with the others of its domain.
+// Engine is an engine. A model engine forms groups with the others of its domain; one
+// without a domain serves a plain service.
 type Engine struct {
 	ID      string
 	fleet   *Fleet
@@ -106,7 +114,7 @@
 	server  *http.Server
 	done    chan struct{}
 	born    int64
-	// answer writes the events of a stream.
+	// answer writes the answer to a request.
 	answer func(w http.ResponseWriter, r *http.Request, id string, after int)
 
 	// The mutex of the fleet guards the fields below.
@@ -117,10 +125,112 @@
 	sequence int64
 	fence    int64
 	active   int
+	// stalledSince is since when the group that the engine heads lacks a member; zero
+	// if it lacks none.
+	stalledSince time.Time
+	crashed      bool
+	control      controlFault
+}
+
+// controlFault is what is wrong with an engine's answers to leave orders.
+type controlFault struct {
+	// lateBy is how long after its arrival a leave order is carried out, without an
+	// answer; 0 for at once.
+	lateBy time.Duration
+	// copies says that the last answer on the connection is sent once more when a late
+	// order arrives.
+	copies bool
+	// answers holds the last answer on each connection, by the address of the caller.
+	answers map[string][]byte
+}
+
+// SpoilLeave makes the engine carry out leave orders late and without an answer. With
+// copies it sends the last answer on the connection once more when such an order arrives.
+func (e *Engine) SpoilLeave(lateBy time.Duration, copies bool) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.control.lateBy, e.control.copies = lateBy, copies
+}
+
+// Crash ends the engine for good. Its entry is removed after three heartbeats.
+func (e *Engine) Crash() {
+	e.fleet.mu.Lock()
+	e.crashed, e.group, e.members = true, nil, nil
+	e.fleet.mu.Unlock()
+	close(e.done)
+	// The engine is gone, so an error is irrelevant.
+	_ = e.server.Close()
+	time.AfterFunc(3*heartbeat, func() { e.fleet.Store.Put("keyed.servers", e.ID, nil) })
+}
+
+// OpenGroup returns the members, head first, of one open group; nil if there is none.
+func (f *Fleet) OpenGroup() []*Engine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if e.group == nil || e.group.State != "open" {
+			continue
+		}
+		var out []*Engine
+		for _, id := range e.members {
+			out = append(out, f.engines[id])
+		}
+		return out
+	}
+	return nil
+}
+
+// Progressing reports whether the group that the engine heads is complete.
+func (e *Engine) Progressing() bool {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.group != nil && e.complete()
+}
+
+// complete reports whether all members of the group that the engine heads are in it.
+func (e *Engine) complete() bool {
+	for _, id := range e.members {
+		m := e.fleet.engines[id]
+		if m.crashed || m.group == nil || m.group.Name != e.group.Name || m.group.Epoch != e.group.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// checkStall marks the group that the engine heads as broken if it has lacked a member
+// for StallTime.
+func (e *Engine) checkStall(now time.Time) {
+	if e.group == nil || e.group.Rank != 0 || e.group.State != "open" && e.group.State != "closing" || e.complete() {
+		e.stalledSince = time.Time{}
+		return
+	}
+	if e.stalledSince.IsZero() {
+		e.stalledSince = now
+	}
+	if now.Sub(e.stalledSince) >= StallTime {
+		e.group.State = "broken"
+		e.fleet.Record.Add("%s, the head of %s, is broken", e.ID, e.group.Name)
+		e.publish()
+	}
 }
 
-// AddEngine starts a model engine whose streams are written by answer: the events after
-// the one with the number after.
+// checkJoin records a violation of the rule TWO.
+func (e *Engine) checkJoin(o order) {
+	if e.group == nil || len(e.members) == 0 || e.group.Name == o.Group {
+		return
+	}
+	head := e.fleet.engines[e.members[0]]
+	if head.crashed || head.group == nil || head.group.Name != e.group.Name || head.group.Epoch != e.group.Epoch {
+		return
+	}
+	if state := head.group.State; state == "open" || state == "closing" {
+		e.fleet.Record.Violation("TWO: %s takes a join of %s while %s, the head of its group %s, is %s and not broken", e.ID, o.Group, head.ID, e.group.Name, state)
+	}
+}
+
+// AddEngine starts an engine whose answers are written by answer; of a stream, the events
+// after the one with the number after. Without a domain it serves a plain service.
 func (f *Fleet) AddEngine(id, service, domain string, answer func(w http.ResponseWriter, r *http.Request, id string, after int)) (*Engine, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -145,17 +255,22 @@
 	return e, nil
 }
 
-// beat writes the engine's entry at each heartbeat.
+// beat writes the engine's entry at each heartbeat and checks its group.
 func (e *Engine) beat() {
-	t := time.NewTicker(heartbeat)
+	t := time.NewTicker(stallCheck)
 	defer t.Stop()
+	var published time.Time
 	for {
 		select {
 		case <-e.done:
 			return
-		case <-t.C:
+		case now := <-t.C:
 			e.fleet.mu.Lock()
-			e.publish()
+			e.checkStall(now)
+			if now.Sub(published) >= heartbeat {
+				published = now
+				e.publish()
+			}
 			e.fleet.mu.Unlock()
 		}
 	}
@@ -174,13 +289,19 @@
 }
 
 func (e *Engine) publish() {
+	if e.crashed {
+		return
+	}
 	s := e.state()
 	for name, value := range map[string]any{
 		"service": e.service, "address": e.address, "zone": "zone-plateau", "version": "v1", "slots": 26, "state": "ready",
-		"coldRemainingMs": 0, "domain": e.domain, "stage": "both",
+		"coldRemainingMs": 0,
 	} {
 		s[name] = value
 	}
+	if e.domain != "" {
+		s["domain"], s["stage"] = e.domain, "both"
+	}
 	data, err := json.Marshal(s)
 	if err != nil {
 		panic(err)
@@ -195,7 +316,7 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
-func (e *Engine) handleReport(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) handleReport(w http.ResponseWriter, r *http.Request) {
 	e.fleet.mu.Lock()
 	s := e.state()
 	for name, value := range map[string]any{
@@ -203,8 +324,15 @@
 	} {
 		s[name] = value
 	}
+	body, err := json.Marshal(s)
+	e.noteAnswer(r, http.StatusOK, body)
 	e.fleet.mu.Unlock()
-	writeJSON(w, http.StatusOK, s)
+	if err != nil {
+		panic(err)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write needs no handling: the caller has disconnected.
+	_, _ = w.Write(body)
 }
 
 // order is the body of an order.
@@ -229,11 +357,49 @@
 		return
 	}
 	e.fleet.mu.Lock()
+	if o.Op == "leave" && e.control.lateBy > 0 {
+		e.answerLate(w, r, o)
+		e.fleet.mu.Unlock()
+		return
+	}
 	status := e.execute(o)
+	e.noteAnswer(r, status, nil)
+	e.fleet.Record.Add("%s %s %s answered %d", e.ID, o.Op, o.Group, status)
 	e.fleet.mu.Unlock()
 	w.WriteHeader(status)
 }
 
+// noteAnswer notes the last answer on a connection.
+func (e *Engine) noteAnswer(r *http.Request, status int, body []byte) {
+	if e.control.answers == nil {
+		e.control.answers = map[string][]byte{}
+	}
+	e.control.answers[r.RemoteAddr] = fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), len(body), body)
+}
+
+// answerLate closes the connection without an answer to an order and carries the order out
+// later.
+func (e *Engine) answerLate(w http.ResponseWriter, r *http.Request, o order) {
+	var answer []byte
+	if e.control.copies {
+		answer = e.control.answers[r.RemoteAddr]
+	}
+	e.fleet.Record.Add("%s %s %s gets no answer, is carried out later; bytes of the last answer come again: %d", e.ID, o.Op, o.Group, len(answer))
+	time.AfterFunc(e.control.lateBy, func() {
+		e.fleet.mu.Lock()
+		defer e.fleet.mu.Unlock()
+		e.fleet.Record.Add("%s %s %s carried out late: %d", e.ID, o.Op, o.Group, e.execute(o))
+	})
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	// The caller may have disconnected.
+	_, _ = conn.Write(answer)
+	_ = conn.Close()
+}
+
 // execute carries out an order and returns the status of the response.
 func (e *Engine) execute(o order) int {
 	if o.Fence != nil {
@@ -253,6 +419,7 @@
 	}
 	switch o.Op {
 	case "join":
+		e.checkJoin(o)
 		e.group = &group{o.Group, o.Epoch, slices.Index(o.Members, e.ID), "joining"}
 		e.members, e.model = o.Members, o.Model
 		e.later(joinTime, e.group, "joining", "ready")
@@ -306,6 +473,7 @@
 	}
 	e.fleet.mu.Lock()
 	switch {
+	case e.domain == "":
 	case e.group != nil && e.group.Rank != 0:
 		e.fleet.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -325,10 +493,12 @@
 		e.fleet.mu.Unlock()
 	}()
 	w.Header().Set(headerStamp, "stamp-"+e.ID)
-	w.Header().Set("Content-Type", "text/event-stream")
+	if e.domain != "" {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
 	// Without a valid event id the stream starts at the first event.
 	after, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
-	e.fleet.Record.Add("%s runs %s after event %d", e.ID, id, after)
+	e.fleet.Record.Add("%s runs %s after event %d tenant %s", e.ID, id, after, r.Header.Get("X-Tamarackcleat-Tenant"))
 	e.answer(w, r, id, after)
 }
 
