review: Add an event with a wrong id to the case of spoiled streams

The last event of a stream is dropped if its id is lower than the one before it, and the stream ends as complete.

--- a/review/cmd/copied-answer/main.go
+++ b/review/cmd/copied-answer/main.go
@@ -119,10 +119,11 @@
 // disrupt loses a member of a group for good. With TROUBLE=0 it does nothing, with
 // TROUBLE=late the order to leave is late, but no answer is copied.
 func disrupt(record *rig.Record, fleet *rig.Fleet) {
-	members := fleet.OpenGroup()
-	if !rig.Trouble() || len(members) < groupSize {
+	groups := fleet.OpenGroupMembers()
+	if !rig.Trouble() || len(groups) == 0 {
 		return
 	}
+	members := groups[0]
 	copies := os.Getenv("TROUBLE") != "late"
 	head, lost := members[0], members[len(members)-1]
 	record.Add("%s is lost for good; %s, the head of its group, carries out orders to leave %v late; copies: %t", lost.ID, head.ID, lateBy, copies)
--- a/review/cmd/repeated-event/main.go
+++ b/review/cmd/repeated-event/main.go
@@ -1,5 +1,5 @@
-// Command repeated-event is a case of the review: model engines hand out wrong bytes, an
-// event of a stream for a second time.
+// Command repeated-event is a case of the review: model engines hand out wrong bytes: an
+// event of a stream for a second time, or an event with a wrong digit in its id.
 package main
 
 import (
@@ -24,8 +24,9 @@
 	eventInterval = 40 * time.Millisecond
 	// One in spoilOneIn of the answers of half of the engines is spoiled: 0.025.
 	spoilOneIn = 40
-	// spoiledEvent is the event whose bytes come twice in a spoiled answer.
-	spoiledEvent = 10
+	// In every other spoiled answer the bytes of event repeatedEvent come twice. In the
+	// others a digit in the id of the last event is wrong.
+	repeatedEvent = 10
 	// Each of the clients sends one stream after the other for playTime.
 	clients  = 24
 	playTime = 20 * time.Second
@@ -63,7 +64,11 @@
 // engine may spoil them.
 func (s *spoiler) answer(engine string, faulty bool) func(http.ResponseWriter, *http.Request, string, int) {
 	return func(w http.ResponseWriter, r *http.Request, id string, after int) {
-		spoil := faulty && s.active.Load() && after == 0 && s.answers.Add(1)%spoilOneIn == 1
+		repeat, wrongID := false, false
+		if faulty && s.active.Load() && after == 0 {
+			answer := s.answers.Add(1)
+			repeat, wrongID = answer%(2*spoilOneIn) == 1, answer%(2*spoilOneIn) == 1+spoilOneIn
+		}
 		for n := after + 1; n <= events; n++ {
 			select {
 			case <-r.Context().Done():
@@ -71,9 +76,13 @@
 			case <-time.After(eventInterval):
 			}
 			event := rig.Event(id, n)
-			if spoil && n == spoiledEvent {
+			switch {
+			case repeat && n == repeatedEvent:
 				s.record.Add("%s hands out the bytes of event %d of %s twice", engine, n, id)
 				event += event
+			case wrongID && n == events:
+				s.record.Add("%s hands out event %d of %s with the id 20", engine, n, id)
+				event = strings.Replace(event, "id: 30", "id: 20", 1)
 			}
 			if _, err := io.WriteString(w, event); err != nil {
 				return
@@ -92,7 +101,10 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	fleet := rig.NewFleet(record)
+	fleet, err := rig.NewFleet(record)
+	if err != nil {
+		return err
+	}
 	defer fleet.Close()
 	fleet.PutConfig([]byte(config))
 	spoil := &spoiler{record: record}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -121,3 +121,6 @@
 		a.Header.Set("Connection", "close")
 	}
 }
+
+// Connected reports whether the client keeps a connection.
+func (c *Client) Connected() bool { return c.conn != nil }
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -129,7 +129,28 @@
 	// if it lacks none.
 	stalledSince time.Time
 	crashed      bool
-	control      controlFault
+	// slow is the factor by which the engine's work takes longer; 0 stands for 1.
+	slow    float64
+	control controlFault
+}
+
+// SetSlow makes the engine's work take longer by a factor.
+func (e *Engine) SetSlow(x float64) {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	e.slow = x
+}
+
+// Pace returns the factor by which the work of the group that the engine heads takes
+// longer: that of its slowest member.
+func (e *Engine) Pace() float64 {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	pace := 1.0
+	for _, id := range e.members {
+		pace = max(pace, e.fleet.engines[id].slow)
+	}
+	return pace
 }
 
 // controlFault is what is wrong with an engine's answers to leave orders.
@@ -163,21 +184,22 @@
 	time.AfterFunc(3*heartbeat, func() { e.fleet.Store.Put("keyed.servers", e.ID, nil) })
 }
 
-// OpenGroup returns the members, head first, of one open group; nil if there is none.
-func (f *Fleet) OpenGroup() []*Engine {
+// OpenGroupMembers returns the members, head first, of each open group.
+func (f *Fleet) OpenGroupMembers() [][]*Engine {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var out [][]*Engine
 	for _, e := range f.engines {
 		if e.group == nil || e.group.State != "open" {
 			continue
 		}
-		var out []*Engine
+		var members []*Engine
 		for _, id := range e.members {
-			out = append(out, f.engines[id])
+			members = append(members, f.engines[id])
 		}
-		return out
+		out = append(out, members)
 	}
-	return nil
+	return out
 }
 
 // Progressing reports whether the group that the engine heads is complete.
@@ -320,7 +342,7 @@
 	e.fleet.mu.Lock()
 	s := e.state()
 	for name, value := range map[string]any{
-		"stage": "both", "busy": false, "queued": 0, "active": e.active, "kvUsed": 0, "kvTotal": 2470000, "handles": 0, "pace": 1,
+		"stage": "both", "busy": false, "queued": 0, "active": e.active, "kvUsed": 0, "kvTotal": 2470000, "handles": 0, "pace": max(1, e.slow),
 	} {
 		s[name] = value
 	}
--- a/review/rig/node.go
+++ b/review/rig/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +21,8 @@
 	readyPort     = 8220
 	firstPeerPort = 7340
 	lastPeerPort  = 7355
+	// MemoryLimit is the memory of a process, above which the platform kills it.
+	MemoryLimit = 284 << 20
 	// DrainTime, GraceTime, RevokeTime, StallTime and ContactTime are bounds of the
 	// rules.
 	DrainTime   = 2 * time.Second
@@ -98,7 +101,7 @@
 [limits]
 cpuShare = 0.4
 cores = 1
-memoryMb = 284
+memoryMb = %[13]d
 maxFds = 4200
 linkMbps = 1000.0
 diskMb = 0
@@ -135,7 +138,7 @@
 appendMs = 3.0
 keep_s = 20
 `, n.Name, n.IP, firstPeerPort, lastPeerPort, frontPort, readyPort, ContactTime.Milliseconds(), DrainTime.Milliseconds(),
-		int(GraceTime.Seconds()), RevokeTime.Milliseconds(), StallTime.Milliseconds(), store)
+		int(GraceTime.Seconds()), RevokeTime.Milliseconds(), StallTime.Milliseconds(), store, MemoryLimit>>20)
 }
 
 // Front returns where the node takes requests.
@@ -209,3 +212,18 @@
 	}
 	return errors.Newf("%s: not within %v", what, limit)
 }
+
+// Memory returns the resident memory of the process in bytes; 0 if it can't be read.
+func (n *Node) Memory() int64 {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(status)) {
+		var kb int64
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kb); err == nil {
+			return kb << 10
+		}
+	}
+	return 0
+}
