--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,6 +54,10 @@
 			f.dropNext()
 			return f.contextError(ctx, e)
 		}
+		if f.events.unresumable {
+			f.dropNext()
+			return e
+		}
 		if f.next == nil {
 			if noUpstream(e) || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
 				return f.withPauseEnd(e)
@@ -406,7 +410,7 @@
 // relayEvents takes bytes of a stream and relays the events that are complete now.
 func (f *forwarder) relayEvents(resp *exchange.Response, data []byte, assignment *dispatch.Assignment) *verdict.Error {
 	numbered := f.events.count
-	events, inOrder := f.events.add(data)
+	events, sequenceErr := f.events.add(data)
 	if f.events.count > numbered {
 		f.node.balancer.RecordFirstEvent(time.Now(), assignment)
 	}
@@ -419,8 +423,8 @@
 		}
 		f.relayedPosition.Store(&position{lastID: f.events.lastID, events: f.events.count, relayed: f.events.relayed})
 	}
-	if !inOrder {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", f.events.lastID)
+	if sequenceErr != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", sequenceErr)
 	}
 	if err := f.events.checkPending(); err != nil {
 		return f.readFailed(assignment.Target, "the stream was cut off", err)
--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -18,6 +18,14 @@
 // eventEnd is the blank line that ends an event of a stream.
 var eventEnd = []byte("\n\n")
 
+// Errors of an event that does not continue its stream.
+var (
+	errEventMissing   = errors.New("events are missing before an event")
+	errEventRepeated  = errors.New("an event is repeated or out of order")
+	errEventNumbering = errors.New("an event with a number and one without in the same stream")
+	errUnproved       = errors.New("an event without a number does not show that it continues the stream")
+)
+
 // eventBuffer splits the bytes of an event stream into complete events and tracks
 // their ids, so that a stream resumed at another upstream continues after the last
 // event that was relayed.
@@ -38,89 +46,111 @@
 	// fresh says that the current stream has brought an event that was relayed, or, if it
 	// overlaps, the last one that was relayed before.
 	fresh bool
+	// begun says that the current stream has brought an event with a number, the latest
+	// of which is current.
+	begun   bool
+	current int64
+	// unconfirmed says that lastID is the number of the first event of the answer, which
+	// no second event has followed yet.
+	unconfirmed bool
+	// unresumable says that the answer can't be resumed: its first two events don't
+	// follow each other, and either may have the wrong number.
+	unresumable bool
 }
 
 // add appends bytes of the stream and returns the events that are complete now,
-// without those that were relayed before. It reports false if an event is missing
-// or out of order. The result is valid until the next call.
-func (b *eventBuffer) add(data []byte) ([]byte, bool) {
-	b.pending = append(b.pending, data...)
-	end := bytes.LastIndex(b.pending, eventEnd)
+// without those that were relayed before. If an event does not continue the stream,
+// add returns the events before it and an error; all that counts as relayed is in the
+// result then too. The result is valid until the next call.
+func (b *eventBuffer) add(data []byte) ([]byte, error) {
+	whole := append(b.pending, data...)
+	start, at := 0, 0
+	var err error
+	for {
+		n := eventLength(whole[at:])
+		if n == 0 {
+			break
+		}
+		var isNew bool
+		if isNew, err = b.accept(whole[at : at+n]); err != nil {
+			break
+		}
+		at += n
+		if !isNew {
+			// Repeated events precede all new ones of their stream.
+			start = at
+		}
+	}
+	b.pending = whole[at:]
+	return whole[start:at:at], err
+}
+
+// eventLength returns the length of the event at the beginning of data; 0 if it is not
+// complete. A blank line after an event is an event without content.
+func eventLength(data []byte) int {
+	if len(data) > 0 && data[0] == '\n' {
+		return 1
+	}
+	end := bytes.Index(data, eventEnd)
 	if end < 0 {
-		return nil, true
+		return 0
 	}
-	end += len(eventEnd)
-	whole := b.pending[:end:end]
-	b.pending = b.pending[end:]
-	return b.checkSequence(whole)
+	return end + len(eventEnd)
 }
 
-// checkSequence checks the ids of complete events and returns the new events among
-// them. It reports false if an event is missing or out of order.
-func (b *eventBuffer) checkSequence(whole []byte) ([]byte, bool) {
-	start := 0
-	for at := 0; at < len(whole); {
-		n := bytes.Index(whole[at:], eventEnd) + len(eventEnd)
-		event := whole[at : at+n]
-		id := eventID(event)
-		switch b.position(event, id) {
-		case positionRepeated:
-			if at != start {
-				// A repeated event may only precede new events.
-				return nil, false
-			}
-			start += n
-			if b.overlaps && id == b.lastID {
-				b.fresh = true
-			}
-		case positionAfterGap:
-			return whole[start:at], false
-		case positionNext:
-			if hasContent(event) {
-				b.relayed, b.fresh = true, true
-			}
-			if id != "" {
-				b.count++
-				b.lastID = id
-			}
+// accept accepts the next event of the stream and reports whether it is new. It fails if
+// the event does not continue the stream.
+func (b *eventBuffer) accept(event []byte) (bool, error) {
+	if !hasContent(event) {
+		return true, nil
+	}
+	id := eventID(event)
+	n, numbered := eventNumber(id)
+	last, lastNumbered := eventNumber(b.lastID)
+	switch {
+	case lastNumbered && !numbered, b.relayed && numbered && !lastNumbered:
+		return false, errEventNumbering
+	case lastNumbered:
+		if isNew, err := b.checkNumber(n, last); !isNew {
+			return false, err
 		}
-		at += n
+	case b.resumed:
+		return false, errUnproved
+	default:
+		b.unconfirmed = numbered
+	}
+	b.begun, b.current = numbered, n
+	b.relayed, b.fresh = true, true
+	if id != "" {
+		b.count++
+		b.lastID = id
 	}
-	return whole[start:], true
+	return true, nil
 }
 
-// eventPosition is the position of an event relative to the last relayed event.
-type eventPosition int
-
-const (
-	positionNext eventPosition = iota
-	positionRepeated
-	positionAfterGap
-)
-
-// position compares an event's id with the id of the last relayed event. Only numbers
-// can be checked: if either id is none, the event is taken for the next one in the first
-// stream, and in a resumed stream, which must prove that it continues the first one, for
-// one after a gap.
-func (b *eventBuffer) position(event []byte, id string) eventPosition {
-	unchecked := positionNext
-	if b.resumed && hasContent(event) {
-		unchecked = positionAfterGap
+// checkNumber reports whether the number n of an event shows that the event is the next
+// one to relay after the one with the number last. A stream may begin with events that
+// were relayed before. It fails if the event follows neither on the stream's previous one
+// nor, as the stream's first, on one that was relayed.
+func (b *eventBuffer) checkNumber(n, last int64) (bool, error) {
+	follows := n <= last || n-1 == last
+	if b.begun {
+		follows = n-1 == b.current
 	}
-	last, err := strconv.ParseInt(b.lastID, 10, 64)
-	if err != nil {
-		return unchecked
+	if !follows {
+		b.unresumable = b.unconfirmed
+		if b.begun && n <= b.current {
+			return false, errors.Wrapf(errEventRepeated, "event %d after %d", n, b.current)
+		}
+		return false, errors.Wrapf(errEventMissing, "event %d after %d", n, last)
 	}
-	n, err := strconv.ParseInt(id, 10, 64)
-	switch {
-	case err != nil:
-		return unchecked
-	case n == last+1:
-		return positionNext
-	case n <= last:
-		return positionRepeated
+	if n <= last {
+		b.begun, b.current = true, n
+		b.fresh = b.fresh || b.overlaps && n == last
+		return false, nil
 	}
-	return positionAfterGap
+	b.unconfirmed = false
+	return true, nil
 }
 
 // checkPending returns an error that is marked as bounded.ErrTooLong if the event that
@@ -136,13 +166,13 @@
 // upstream resumes the stream.
 func (b *eventBuffer) discardPending() {
 	b.pending = b.pending[:0]
-	b.resumed, b.fresh = b.relayed, false
+	b.resumed, b.fresh, b.begun, b.unconfirmed = b.relayed, false, false, false
 }
 
 // Errors of a stream that ended, but is not whole.
 var (
 	errEndInEvent = errors.New("the stream ended within an event")
-	errEmptyRest  = errors.New("the resumed stream has no further event")
+	errEmptyRest  = errors.New("the stream has no event after those that were relayed before")
 	errNoEvents   = errors.New("the stream ended with its connection before the first event")
 )
 
@@ -153,7 +183,7 @@
 	switch {
 	case len(b.pending) > 0:
 		return errEndInEvent
-	case b.resumed && !b.fresh:
+	case (b.resumed || b.begun) && !b.fresh:
 		return errEmptyRest
 	case !framed && !b.fresh:
 		return errNoEvents
@@ -180,3 +210,9 @@
 	}
 	return ""
 }
+
+// eventNumber returns the number that an event's id is, or false if it is none.
+func eventNumber(id string) (int64, bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	return n, err == nil
+}
--- a/gateway/eventbuffer_test.go
+++ b/gateway/eventbuffer_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -25,9 +27,9 @@
 	feed := func(b *eventBuffer, pieces ...string) (string, bool) {
 		var out strings.Builder
 		for _, p := range pieces {
-			got, inOrder := b.add([]byte(p))
+			got, err := b.add([]byte(p))
 			out.Write(got)
-			if !inOrder {
+			if err != nil {
 				return out.String(), false
 			}
 		}
@@ -67,8 +69,74 @@
 		Entry("repeated events before new ones are dropped", "4", []int{3, 4, 5}, []int{5}, true),
 		Entry("a missing event", "4", []int{6}, []int{}, false),
 		Entry("a missing event in the middle", "4", []int{5, 7}, []int{5}, false),
-		Entry("a repeated event in the middle", "", []int{1, 2, 2}, []int{}, false),
+		Entry("a repeated event in the middle", "", []int{1, 2, 2}, []int{1, 2}, false),
+		Entry("a repeated event after a later one", "4", []int{5, 6, 5}, []int{5, 6}, false),
+		Entry("repeated events with a gap between them", "4", []int{2, 4, 5}, []int{}, false),
+		Entry("repeated events that go back", "4", []int{4, 3, 4, 5}, []int{}, false),
 	)
+
+	// Guards against a stream that loses an event and ends as complete: an upstream sent an
+	// event twice in one write, and the events before it counted as relayed although they
+	// were not.
+	It("counts as relayed just what it returns, however the bytes are split", func() {
+		for _, ids := range [][]int{{1, 2, 3, 3, 4}, {1, 2, 3, 2, 3, 4}, {1, 1, 2}, {1, 2, 4}, {1, 2, 1}} {
+			all := events(ids...)
+			want, _ := feed(&eventBuffer{}, strings.SplitAfter(all, "\n\n")...)
+			for cut := range all {
+				b := &eventBuffer{}
+				got, inOrder := feed(b, all[:cut], all[cut:])
+				Expect(inOrder).To(BeFalse())
+				Expect(got).To(Equal(want), "%v cut at %d", ids, cut)
+				Expect(got).To(HaveSuffix(event(b.count)))
+				Expect(b.lastID).To(Equal(strconv.Itoa(b.count)))
+			}
+		}
+	})
+
+	// Guards against a stream that loses its last event and ends as complete: the id of that
+	// event was lower than the one before, so the event was dropped as relayed before.
+	DescribeTable("does not take an event of a first stream for one that was relayed before", func(last string) {
+		b := &eventBuffer{}
+		got, inOrder := feed(b, events(1, 2, 3), last)
+		Expect(inOrder).To(BeFalse())
+		Expect(got).To(Equal(events(1, 2, 3)))
+		b.discardPending()
+		got, inOrder = feed(b, events(4))
+		Expect(inOrder).To(BeTrue())
+		Expect(got).To(Equal(events(4)))
+		Expect(b.checkEnd(true)).To(Succeed())
+	},
+		Entry("with the id of the one before", events(3)),
+		Entry("with a lower id", events(1)),
+		Entry("with a higher id", events(40)),
+		Entry("with an id that is no number", "id: 4x\ndata: x\n\n"),
+		Entry("without an id", "ix: 4\ndata: x\n\n"),
+	)
+
+	// Guards against a stream that is resumed after the wrong event: nothing shows which of
+	// its first two events has the wrong id.
+	It("can't be resumed after two first events that do not follow each other", func() {
+		b := &eventBuffer{}
+		got, inOrder := feed(b, events(7), events(2, 3))
+		Expect(inOrder).To(BeFalse())
+		Expect(got).To(Equal(events(7)))
+		Expect(b.unresumable).To(BeTrue())
+
+		b = &eventBuffer{}
+		_, inOrder = feed(b, events(1, 2, 4))
+		Expect(inOrder).To(BeFalse())
+		Expect(b.unresumable).To(BeFalse())
+	})
+
+	// Guards against an answer that ends as complete without its last event, which had too
+	// low an id: the caller had asked for the events after an earlier one.
+	DescribeTable("is not complete if a caller's resumption brought only repeated events", func(ids ...int) {
+		b := &eventBuffer{lastID: "4"}
+		got, inOrder := feed(b, events(ids...))
+		Expect(inOrder).To(BeTrue())
+		Expect(got).To(BeEmpty())
+		Expect(b.checkEnd(true)).NotTo(Succeed())
+	}, Entry("up to the last", 3, 4), Entry("up to an earlier one", 2))
 })
 
 func FuzzEvents(f *testing.F) {
@@ -77,16 +145,20 @@
 	f.Fuzz(func(t *testing.T, data []byte, cut int) {
 		b := &eventBuffer{}
 		cut = max(0, min(cut, len(data)))
-		passed := 0
+		var got []byte
 		for _, piece := range [][]byte{data[:cut], data[cut:]} {
-			out, inOrder := b.add(piece)
-			passed += len(out)
-			if !inOrder {
-				return
+			out, err := b.add(piece)
+			got = append(got, out...)
+			if err != nil {
+				break
 			}
 		}
-		if passed > len(data) {
-			t.Fatalf("%d bytes relayed of %d", passed, len(data))
+		if len(got) > len(data) {
+			t.Fatalf("%d bytes relayed of %d", len(got), len(data))
+		}
+		uncut := &eventBuffer{}
+		if want, _ := uncut.add(data); !bytes.Equal(got, want) || b.lastID != uncut.lastID || b.count != uncut.count {
+			t.Fatalf("%q relayed up to event %q, and %q up to event %q if it comes at once", got, b.lastID, want, uncut.lastID)
 		}
 	})
 }
@@ -98,11 +170,11 @@
 	// part. It returns what is relayed of the second part.
 	resume := func(first, second string) (string, bool) {
 		b := &eventBuffer{}
-		_, inOrder := b.add([]byte(first))
-		Expect(inOrder).To(BeTrue())
+		_, err := b.add([]byte(first))
+		Expect(err).NotTo(HaveOccurred())
 		b.discardPending()
-		out, inOrder := b.add([]byte(second))
-		return string(out), inOrder
+		out, err := b.add([]byte(second))
+		return string(out), err == nil
 	}
 
 	DescribeTable("are relayed only if they continue the stream", func(first, second, want string, inOrder bool) {
@@ -125,10 +197,10 @@
 	)
 
 	It("are relayed as the upstream sends them in the first stream", func() {
-		for _, whole := range []string{"data: x\n\ndata: y\n\n", "id: a\ndata: x\n\nid: b\ndata: x\n\n", events(1) + "data: y\n\n" + events(2)} {
+		for _, whole := range []string{"data: x\n\ndata: y\n\n", "id: a\ndata: x\n\nid: b\ndata: x\n\n", events(1) + ": y\n\n" + events(2)} {
 			b := &eventBuffer{}
-			got, inOrder := b.add([]byte(whole))
-			Expect(inOrder).To(BeTrue())
+			got, err := b.add([]byte(whole))
+			Expect(err).NotTo(HaveOccurred())
 			Expect(string(got)).To(Equal(whole))
 		}
 	})
@@ -146,6 +218,7 @@
 	},
 		Entry("that continues them", events(1), events(2), false, true),
 		Entry("that is the first", "", events(1), false, true),
+		Entry("also after a further blank line", "", events(1)+"\n", true, true),
 		Entry("but not within an event", "", events(1)+"id: 2\n", true, false),
 		Entry("but not after a line of an event", "", events(1)+"id: 2\ndata: x\n", true, false),
 		Entry("but not if a resumed stream brought none", events(1), "", true, false),
@@ -162,8 +235,8 @@
 		_, _ = b.add([]byte(events(1, 2, 3)))
 		b.overlaps = true
 		b.discardPending()
-		out, inOrder := b.add([]byte(second))
-		Expect(inOrder).To(BeTrue())
+		out, err := b.add([]byte(second))
+		Expect(err).NotTo(HaveOccurred())
 		Expect(out).To(BeEmpty())
 		Expect(b.checkEnd(true) == nil).To(Equal(whole))
 	},
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -308,13 +308,13 @@
 	for {
 		n, err := t.resp.Read(buf)
 		begun = append(begun, buf[:n]...)
-		_, inOrder := events.add(buf[:n])
+		_, sequenceErr := events.add(buf[:n])
 		switch {
 		case events.fresh:
 			t.resp.Unread(begun)
 			return nil
-		case !inOrder:
-			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "an event is missing after %q", at.lastID)
+		case sequenceErr != nil:
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "%v", sequenceErr)
 		case errors.Is(err, io.EOF):
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream ended before an event")
 		case err != nil:
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -352,9 +352,11 @@
 
 // engineFaultSets are the faults that injectEngineFaults chooses from. LoseAnswers
 // is listed twice, because only lost answers show whether a request that must not
-// run twice is repeated.
+// run twice is repeated. DuplicateAnswers concerns plain services alone and Spoiling
+// streams alone.
 var engineFaultSets = []standin.EngineFaults{
-	{LoseAnswers: true}, {LoseAnswers: true}, {Fail: true}, {DuplicateAnswers: true}, {TruncateAnswers: true}, {RefuseRequests: true}, {Delay: 150 * time.Millisecond},
+	{LoseAnswers: true}, {LoseAnswers: true}, {Fail: true}, {DuplicateAnswers: true, Spoiling: standin.SpoilRepeat}, {TruncateAnswers: true},
+	{RefuseRequests: true}, {Delay: 150 * time.Millisecond, Spoiling: standin.SpoilLastID},
 }
 
 func injectEngineFaults(s *testSystem, rng *rand.Rand, duration time.Duration) {
