keyed, platform: Take only a read up to the end of the log as proof that a copy is current (CONFIG)

Cause: an answer to log-read holds 1,024 KB of records at most and begins with the offset at which the log ends. readRaw skipped that offset, so each read counted as one up to the end, and the time at which it was sent as proof of the newest configuration.

Evidence, logs of the new spec on the old code: config.in_force version=2 to 10 in one read, then request.answered config=10 config_age_ms=51 status=200, while version 27 had taken the key away.

Change: a read says whether the stream goes on. Only one up to its end moves the time on at which the copy was known to be complete, which serves the API keys, the reports of the upstreams, the lease and the relay to peers. After a partial read the rest is read at once, and stream.read_partly is logged. Same cause elsewhere: an empty page of the newest records that others follow counted as the last one, and is an error.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -64,6 +64,7 @@
 	PeerReceiveFailed     = "peer.receive_failed"
 	PeerEncode            = "peer.encode"
 	LogReadFailed         = "log.read_failed"
+	StreamReadPartly      = "stream.read_partly"
 	StreamTruncated       = "stream.truncated"
 	StreamSource          = "stream.source"
 	StreamSourceLost      = "stream.source_lost"
@@ -145,6 +146,7 @@
 		{PeerReceiveFailed, "Receiving on the socket for peers' messages failed."},
 		{PeerEncode, "This node's registration record could not be encoded."},
 		{LogReadFailed, "A read of a stream of the log failed; the node will retry it."},
+		{StreamReadPartly, "A read of a stream did not reach its end, because a response of the log is limited; it proves nothing about the newest records, and the next read follows at once."},
 		{StreamTruncated, "The log no longer holds the offset from which this node reads a stream; the node reads the newest record of each key instead."},
 		{StreamSource, "This node now polls another peer for the streams of the log, or reads the log itself."},
 		{StreamSourceLost, "The peer that this node polls for the streams does not respond; the node reads the log until a peer responds."},
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -202,6 +202,6 @@
 	return nil, 0, errors.New("away")
 }
 
-func (awayLog) Read(context.Context, string, int64, time.Duration) ([]keyed.Record, int64, error) {
-	return nil, 0, errors.New("away")
+func (awayLog) Read(context.Context, string, int64, time.Duration) (keyed.Page, error) {
+	return keyed.Page{}, errors.New("away")
 }
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -61,12 +61,12 @@
 			Sleep(ctx, relayCheckInterval)
 			continue
 		}
-		var n int
+		var hasRecords, more bool
 		var err error
 		if initialized && !truncated {
-			n, err = f.readFrom(ctx, next)
+			hasRecords, more, err = f.readFrom(ctx, next)
 		} else {
-			n, err = f.readSnapshot(ctx)
+			hasRecords, err = f.readSnapshot(ctx)
 		}
 		switch {
 		case errors.Is(err, ErrTruncated):
@@ -78,7 +78,7 @@
 		case err == nil:
 			f.resetBackoff(retryDelays)
 			truncated = false
-			if n > 0 && f.BatchDelay != nil {
+			if hasRecords && !more && f.BatchDelay != nil {
 				Sleep(ctx, f.BatchDelay())
 			}
 		}
@@ -100,34 +100,45 @@
 // local copy, which a peer may have advanced meanwhile.
 var errStale = errors.New("the log returned older records than the local copy has")
 
-// readSnapshot replaces the local copy by the newest record of each key and returns
-// the number of records.
-func (f *Follower) readSnapshot(ctx context.Context) (int, error) {
+// readSnapshot replaces the local copy by the newest record of each key and reports
+// whether there is one.
+func (f *Follower) readSnapshot(ctx context.Context) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readTimeoutMargin)
 	defer cancel()
 	sentAt := bootclock.Now()
 	records, next, err := f.Log.Newest(ctx, f.Stream.Name)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
 	if !f.Stream.Apply(Batch{Records: records, Snapshot: true, Next: next, SentAt: sentAt}) {
-		return 0, errors.Wrapf(errStale, "log ends at offset %d", next)
+		return false, errors.Wrapf(errStale, "log ends at offset %d", next)
 	}
-	return len(records), nil
+	return len(records) > 0, nil
 }
 
-// readFrom reads and applies the records from an offset and returns their number.
-func (f *Follower) readFrom(ctx context.Context, from int64) (int, error) {
+// errNoProgress is returned if the log returned none of the records that it says are there.
+var errNoProgress = errors.New("the log returned no records although the stream does not end there")
+
+// readFrom reads and applies the records from an offset. It reports whether there were
+// records, and whether the stream has more of them.
+func (f *Follower) readFrom(ctx context.Context, from int64) (hasRecords, more bool, err error) {
 	wait := f.ReadWait()
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
 	sentAt := bootclock.Now()
-	records, next, err := f.Log.Read(ctx, f.Stream.Name, from, wait)
+	page, err := f.Log.Read(ctx, f.Stream.Name, from, wait)
 	if err != nil {
-		return 0, err
+		return false, false, err
+	}
+	hasRecords = len(page.Records) > 0
+	if page.More {
+		if !hasRecords {
+			return false, false, errors.Wrapf(errNoProgress, "from offset %d", from)
+		}
+		f.Logger.Info(decisions.StreamReadPartly, "stream", f.Stream.Name, "from", from, "next", page.Next)
 	}
-	f.Stream.Apply(Batch{Records: records, From: from, Next: next, SentAt: sentAt})
-	return len(records), nil
+	f.Stream.Apply(Batch{Records: page.Records, From: from, Next: page.Next, SentAt: sentAt, More: page.More})
+	return hasRecords, page.More, nil
 }
 
 // Sleep waits for a duration or until the context ends.
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
 
@@ -24,6 +26,37 @@
 	snapshots int
 	// failedReads counts the failed calls of Read.
 	failedReads int
+	// pageSize is the largest number of records that Read returns; 0 for no limit, and a
+	// negative number for none, which emptyReads counts.
+	pageSize, emptyReads int
+}
+
+func (l *fakeLog) setPageSize(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pageSize = n
+}
+
+// addRecords adds a number of records of a key at once, with the values 0, 1 and so on.
+func (l *fakeLog) addRecords(key string, number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range number {
+		l.records = append(l.records, keyed.Record{Key: key, Value: []byte(strconv.Itoa(i)), Offset: int64(len(l.records))})
+	}
+}
+
+// page returns the records from an offset that one read returns. The lock must be held.
+func (l *fakeLog) page(from int64) keyed.Page {
+	out := l.records[from:]
+	if l.pageSize != 0 && len(out) > l.pageSize {
+		out = out[:max(0, l.pageSize)]
+	}
+	if l.pageSize < 0 {
+		l.emptyReads++
+	}
+	next := from + int64(len(out))
+	return keyed.Page{Records: out, Next: next, More: next < int64(len(l.records))}
 }
 
 func (l *fakeLog) addRecord(key, value string) {
@@ -66,21 +99,21 @@
 	return out, int64(len(l.records)), nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) ([]keyed.Record, int64, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (keyed.Page, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		l.mu.Lock()
 		switch {
 		case l.unreachable:
 			l.failedReads++
 			l.mu.Unlock()
-			return nil, 0, errors.New("away")
+			return keyed.Page{}, errors.New("away")
 		case from < l.first:
 			l.mu.Unlock()
-			return nil, 0, keyed.ErrTruncated
+			return keyed.Page{}, keyed.ErrTruncated
 		case from < int64(len(l.records)) || time.Now().After(end):
-			out := l.records[from:]
+			page := l.page(from)
 			l.mu.Unlock()
-			return out, from + int64(len(out)), nil
+			return page, nil
 		}
 		l.mu.Unlock()
 	}
@@ -92,7 +125,9 @@
 		mu        sync.Mutex
 		state     map[string]string
 		lastBatch keyed.Batch
-		maxDelay  time.Duration
+		// batches holds all batches that were applied.
+		batches              []keyed.Batch
+		maxDelay, batchDelay time.Duration
 	)
 	value := func(key string) func() string {
 		return func() string {
@@ -102,7 +137,7 @@
 		}
 	}
 	BeforeEach(func() {
-		log, maxDelay = &fakeLog{}, keyed.MaxRetryDelay
+		log, maxDelay, batchDelay, batches = &fakeLog{}, keyed.MaxRetryDelay, 0, nil
 		state = map[string]string{}
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
@@ -110,6 +145,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			lastBatch = b
+			batches = append(batches, b)
 			if b.Snapshot {
 				state = map[string]string{}
 			}
@@ -120,6 +156,7 @@
 		f := &keyed.Follower{
 			Log: log, Stream: stream, ReadWait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), OnError: func(error) {},
 			MaxRetryDelay: func() time.Duration { mu.Lock(); defer mu.Unlock(); return maxDelay },
+			BatchDelay:    func() time.Duration { mu.Lock(); defer mu.Unlock(); return batchDelay },
 		}
 		log.addRecord("a", "1")
 		go f.Run(ctx)
@@ -171,6 +208,46 @@
 		Consistently(countFailures, "1s").Should(BeNumerically("<=", before+1))
 	})
 
+	// Guards against a removed key that is accepted: a read that was cut off at the log's
+	// limit counted as proof that the newest configuration is known.
+	It("takes only a read up to the stream's end as proof that its copy is complete", func() {
+		log.setUnreachable(true)
+		log.setPageSize(2)
+		addedAt := bootclock.Now()
+		log.addRecords("a", 6)
+		log.setUnreachable(false)
+		proved := func() bool { mu.Lock(); defer mu.Unlock(); return lastBatch.SentAt > addedAt }
+		Eventually(proved, "2s").Should(BeTrue())
+		Expect(value("a")()).To(Equal("5"))
+		mu.Lock()
+		defer mu.Unlock()
+		for _, b := range batches {
+			if b.Next < lastBatch.Next {
+				Expect(b.SentAt).To(BeNumerically("<=", addedAt), "the copy up to offset %d counts as complete", b.Next)
+			}
+		}
+	})
+
+	It("reads on at once until the stream's end", func() {
+		mu.Lock()
+		batchDelay = time.Minute
+		mu.Unlock()
+		log.setPageSize(1)
+		log.addRecords("a", 20)
+		Eventually(value("a"), "2s").Should(Equal("19"))
+	})
+
+	// Guards against reads without a pause: the log says that there are records, and returns
+	// none.
+	It("treats a response without the records that should be there as a failed read", func() {
+		log.setPageSize(-1)
+		log.addRecords("a", 1)
+		Consistently(func() int { log.mu.Lock(); defer log.mu.Unlock(); return log.emptyReads }, "500ms").Should(BeNumerically("<=", 8))
+		Expect(value("a")()).To(Equal("1"))
+		log.setPageSize(0)
+		Eventually(value("a"), "2s").Should(Equal("0"))
+	})
+
 	It("passes on the time of a read that returned no records", func() {
 		sent := func() time.Duration { mu.Lock(); defer mu.Unlock(); return lastBatch.SentAt }
 		before := sent()
--- a/keyed/keyed.go
+++ b/keyed/keyed.go
@@ -3,7 +3,8 @@
 //
 // Guarantees: each record is applied once, in order and without gaps. If the log
 // no longer keeps the records after the local copy, the copy is replaced by the
-// newest record of each key.
+// newest record of each key. A copy counts as complete as of the time at which a read was
+// sent only if that read reached the end of the stream.
 package keyed
 
 import (
@@ -29,10 +30,20 @@
 	// from which to read on. It covers all records before that offset and
 	// perhaps some after it.
 	Newest(ctx context.Context, stream string) ([]Record, int64, error)
-	// Read returns the records from an offset and the offset after the last of
-	// them. While there are none, the log holds its response for at most wait.
-	// Read returns ErrTruncated if the log no longer keeps the offset.
-	Read(ctx context.Context, stream string, from int64, wait time.Duration) ([]Record, int64, error)
+	// Read returns the records from an offset, perhaps only the first of them.
+	// While there are none, the log holds its response for at most wait. Read
+	// returns ErrTruncated if the log no longer keeps the offset.
+	Read(ctx context.Context, stream string, from int64, wait time.Duration) (Page, error)
+}
+
+// Page is what one read of a stream returns.
+type Page struct {
+	Records []Record
+	// Next is the offset after the last record.
+	Next int64
+	// More says that the stream did not end at Next when the log answered, because a
+	// response holds only so many records.
+	More bool
 }
 
 // Batch is the result of one read of a stream.
@@ -44,7 +55,10 @@
 	// From is the offset of the first record and Next the one after the last
 	// record. From is not used if Snapshot is set.
 	From, Next int64
-	// SentAt is the time of the boot clock at which the read was sent. The
-	// records show the stream as it was then or later.
+	// SentAt is the time of the boot clock at which the read was sent. Unless More
+	// is set, the records show the stream as it was then or later.
 	SentAt time.Duration
+	// More says that the stream did not end at Next, so the batch does not prove
+	// that the copy is complete.
+	More bool
 }
--- a/keyed/stream.go
+++ b/keyed/stream.go
@@ -63,7 +63,9 @@
 		s.appendTail(b.Records)
 	}
 	s.initialized = true
-	s.freshAt = max(s.freshAt, b.SentAt)
+	if !b.More {
+		s.freshAt = max(s.freshAt, b.SentAt)
+	}
 	b.From, b.SentAt = s.next, s.freshAt
 	s.next = max(s.next, b.Next)
 	b.Next = s.next
--- a/keyed/stream_test.go
+++ b/keyed/stream_test.go
@@ -69,6 +69,15 @@
 		Expect(freshTimes).To(Equal([]time.Duration{10, 20, 20}))
 	})
 
+	It("applies a batch that does not reach the end of the stream, which proves nothing", func() {
+		b := batch(20, 5, "a")
+		b.More = true
+		Expect(stream.Apply(b)).To(BeTrue())
+		Expect(stream.Apply(batch(21, 6, "b"))).To(BeTrue())
+		Expect(keys()).To(Equal([]string{"a", "b"}))
+		Expect(freshTimes).To(Equal([]time.Duration{10, 10, 21}))
+	})
+
 	It("returns its newest records, and false for records that it does not keep", func() {
 		changed := stream.Changed()
 		for i := range int64(300) {
