--- a/entry/node.go
+++ b/entry/node.go
@@ -191,10 +191,12 @@
 func (n *Node) bind(ctx context.Context) {
 	client := porthttp.NewHTTPClient()
 	p := n.settings.Platform
+	inventory := porthttp.NewInventory(p.VMs, p.Weights, client)
+	inventory.Logger = n.logger
 	n.kernel.Bind(&logDriver{ctx: ctx, log: porthttp.NewLog(p.Log, client), post: n.kernel.Post})
 	n.kernel.Bind(&healthDriver{
 		ctx:       ctx,
-		inventory: porthttp.NewInventory(p.VMs, p.Weights, client),
+		inventory: inventory,
 		upstream:  n.upstream,
 		listener:  n.listener,
 		post:      n.kernel.Post,
