--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -108,10 +108,13 @@
 }
 
 // contextError returns the failure of a request whose context has ended: its deadline
-// passed or its caller disconnected.
+// passed, its caller disconnected or the node stops.
 func (f *forwarder) contextError(ctx context.Context, e *verdict.Error) *verdict.Error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.New(e.Verdict, verdict.ReasonDeadline, "no answer within the time: %s", e.Detail)
+	case errors.Is(context.Cause(ctx), errNodeStopping):
+		return verdict.New(e.Verdict, verdict.ReasonStopping, "no answer before the node stops: %s", e.Detail)
 	}
 	return verdict.New(e.Verdict, verdict.ReasonCanceled, "the caller disconnected")
 }
--- a/gateway/drain_test.go
+++ b/gateway/drain_test.go
@@ -19,21 +19,23 @@
 	}
 
 	// Guards against cutting answers off: a stream that was accepted 6.7 s after
-	// SIGTERM was cut off when the process ended.
+	// SIGTERM was cut off when the process ended, and so was a request whose upstream
+	// took longer than most.
 	DescribeTable("accepts only requests that it can finish, once the load balancer has had time to notice",
-		func(after, answerTime time.Duration, cannotFinish bool) {
-			Expect(stoppedFor(after).cannotFinish(answerTime)).To(Equal(cannotFinish))
+		func(after, timeLeft time.Duration, cannotFinish bool) {
+			Expect(stoppedFor(after).cannotFinish(time.Now().Add(timeLeft))).To(Equal(cannotFinish))
 		},
-		Entry("a stream right after the signal", time.Duration(0), streamAnswerTime, false),
-		Entry("a stream before the load balancer has noticed", 2*time.Second, streamAnswerTime, false),
-		Entry("a stream after the load balancer has noticed", 3*time.Second, streamAnswerTime, true),
-		Entry("a plain request after the load balancer has noticed", 3*time.Second, plainAnswerTime, false),
-		Entry("a plain request at the end of the grace period", 7*time.Second, plainAnswerTime, true),
+		Entry("a stream right after the signal", time.Duration(0), 5*time.Second, false),
+		Entry("a stream before the load balancer has noticed", 2*time.Second, 5*time.Second, false),
+		Entry("a stream after the load balancer has noticed", 3*time.Second, 5*time.Second, true),
+		Entry("a plain request after the load balancer has noticed", 3*time.Second, time.Second, false),
+		Entry("a plain request that may take long", 3*time.Second, 6*time.Second, true),
+		Entry("a plain request at the end of the grace period", 7*time.Second, time.Second, true),
 	)
 
 	It("accepts every request if it was not told to stop", func() {
 		n := New(Settings{Node: "n", Bounds: Bounds{ShutdownGrace: grace}}, Dependencies{}, slog.New(slog.DiscardHandler))
-		Expect(n.cannotFinish(time.Hour)).To(BeFalse())
+		Expect(n.cannotFinish(time.Now().Add(time.Hour))).To(BeFalse())
 	})
 })
 
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -113,6 +113,10 @@
 	// drainStart is when the process was told to stop; nil before that.
 	drainStart atomic.Pointer[time.Time]
 	inFlight   atomic.Int64
+	// requestsEnd ends when the node ends the requests that are still in flight, by
+	// endRequests.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 
 	durationsMu sync.Mutex
 	durations   map[string]*hdrhistogram.Histogram
@@ -141,6 +145,7 @@
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 	}
+	n.requestsEnd, n.endRequests = context.WithCancel(context.Background())
 	n.parts = newPartTable(n.id)
 	n.settings.Store(&s)
 	n.OnChange(func() {})
@@ -335,9 +340,11 @@
 	// node is not ready: it probes once a second and needs two failed probes;
 	// the rest allows for one more probe.
 	drainNoticeTime = 2500 * time.Millisecond
-	// drainGraceShare is the part of the grace period after which the process
-	// ends even with requests still in flight.
+	// drainGraceShare is the part of the grace period after which the requests still
+	// in flight are ended, and finalGraceShare that after which the process ends even
+	// if their answers have not been written.
 	drainGraceShare = 0.95
+	finalGraceShare = 0.97
 	// drainPollInterval is how often a draining node checks whether the last
 	// request has ended.
 	drainPollInterval = 50 * time.Millisecond
@@ -346,36 +353,37 @@
 	firstRequestWait = 500 * time.Millisecond
 )
 
-// drainLimit returns the longest time from SIGTERM to the end of the process.
-func (n *Node) drainLimit() time.Duration {
-	return time.Duration(drainGraceShare * float64(n.Settings().Bounds.ShutdownGrace))
+// drainLimit returns the longest time from SIGTERM until requests in flight are ended.
+func (n *Node) drainLimit() time.Duration { return n.graceShare(drainGraceShare) }
+
+func (n *Node) graceShare(share float64) time.Duration {
+	return time.Duration(share * float64(n.Settings().Bounds.ShutdownGrace))
 }
 
-// cannotFinish reports whether the node is draining and the process may end before
-// an answer that takes answerTime is complete. It returns false until the load
-// balancer has had time to notice that the node is not ready.
-func (n *Node) cannotFinish(answerTime time.Duration) bool {
+// cannotFinish reports whether the node is draining and ends its requests before the time
+// at which a request ends at the latest. It returns false until the load balancer has had
+// time to notice that the node is not ready.
+func (n *Node) cannotFinish(latestEnd time.Time) bool {
 	started := n.drainStart.Load()
-	if started == nil {
-		return false
-	}
-	sinceSignal := time.Since(*started)
-	return sinceSignal > drainNoticeTime && sinceSignal+answerTime > n.drainLimit()
+	return started != nil && time.Since(*started) > drainNoticeTime && latestEnd.After(started.Add(n.drainLimit()))
 }
 
 // drain marks the node as not ready and waits until the load balancer has noticed and
 // no request is in flight, or until too little time is left for further requests. Then
-// it closes the listener and the idle connections and waits, no longer than until
-// drainLimit, for the requests of the connections that were accepted before that.
+// it closes the listener and the idle connections and waits for the requests of the
+// connections that were accepted before that. Those that are in flight at drainLimit are
+// ended; the ones whose answer has not begun get an answer that says so.
 func (n *Node) drain(server *drain.Server) {
 	n.draining.Store(true)
 	started := time.Now()
 	n.logger.Info(decisions.NodeDraining, "in_flight", n.inFlight.Load())
 	n.drainStart.Store(&started)
-	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || n.inFlight.Load() > 0 && !n.cannotFinish(streamAnswerTime) {
+	endRequests := time.AfterFunc(n.drainLimit(), n.endRequests)
+	defer endRequests.Stop()
+	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || n.inFlight.Load() > 0 && !n.cannotFinish(time.Now().Add(streamAnswerTime)) {
 		time.Sleep(drainPollInterval)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.drainLimit()))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.graceShare(finalGraceShare)))
 	defer cancel()
 	if err := server.Shutdown(ctx, firstRequestWait); err != nil {
 		n.logger.Warn(decisions.NodeCutRequests, "in_flight", n.inFlight.Load(), "error", err)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -90,12 +90,28 @@
 		return
 	}
 	f.setWriteDeadline()
-	ctx, cancel := context.WithDeadline(r.Context(), f.deadline)
+	ctx, cancel := f.withDeadline(r.Context())
 	defer cancel()
 	e := f.relayFailure(r.Context(), f.run(ctx))
 	f.finish(r.Context(), e)
 }
 
+// errNodeStopping is the cause for requests that are still in flight when the node stops.
+var errNodeStopping = errors.New("the node is shutting down")
+
+// withDeadline returns a context for the request, which ends with the caller's, at the
+// request's deadline or when the node ends its requests.
+func (f *forwarder) withDeadline(caller context.Context) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancelCause(caller)
+	stopAfter := context.AfterFunc(f.node.requestsEnd, func() { end(errNodeStopping) })
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	return ctx, func() {
+		stopAfter()
+		cancel()
+		end(nil)
+	}
+}
+
 // prepare decodes the request, finds its route, team and service, and sets the
 // deadline.
 func (f *forwarder) prepare(r *http.Request) *verdict.Error {
@@ -113,9 +129,6 @@
 	if e := f.resolve(); e != nil {
 		return e
 	}
-	if f.node.cannotFinish(f.answerTime()) {
-		return verdict.Refuse(verdict.ReasonStopping, "the node is shutting down").WithRetryAfter(retryAfterStopping)
-	}
 	f.deadline = f.arrivedAt.Add(defaultTimeout)
 	if t := f.route.Timeout; t > 0 {
 		f.deadline = f.arrivedAt.Add(t)
@@ -123,6 +136,9 @@
 	if p := f.req.Timeout; p > 0 && f.arrivedAt.Add(p).Before(f.deadline) {
 		f.deadline = f.arrivedAt.Add(p)
 	}
+	if f.node.cannotFinish(f.deadline) {
+		return verdict.Refuse(verdict.ReasonStopping, "%v", errNodeStopping).WithRetryAfter(retryAfterStopping)
+	}
 	return nil
 }
 
@@ -140,19 +156,8 @@
 	retryAfterStopping = 10 * time.Millisecond
 	// streamAnswerTime is the time that a stream is expected to take at most.
 	streamAnswerTime = 5 * time.Second
-	// plainAnswerTime is the time that an answer of a plain service is expected
-	// to take at most.
-	plainAnswerTime = time.Second
 )
 
-// answerTime returns how long the answer may take.
-func (f *forwarder) answerTime() time.Duration {
-	if f.route.Kind == fleet.KindStream {
-		return streamAnswerTime
-	}
-	return plainAnswerTime
-}
-
 // readBody reads the request's body. It refuses one above the configured limit, and one
 // that does not arrive while the caller waits for the answer.
 func (f *forwarder) readBody(r *http.Request) *verdict.Error {
