--- a/formation/probes.go
+++ b/formation/probes.go
@@ -13,9 +13,9 @@
 	unanswered int
 	pending    bool
 	sentAt     time.Duration
+	// report is the VM's last answer that could be decoded, which came at answeredAt.
 	answeredAt time.Duration
-	// report is the VM's last answer.
-	report VMReport
+	report     VMReport
 	// slowdown is the slowdown in the VM's last answer. slowAnswers counts the
 	// answers at slowThreshold or above since the last one at
 	// recoveredThreshold or below.
@@ -69,8 +69,11 @@
 		if s.deadAt > 0 {
 			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
-		*s = probeState{answeredAt: now, sentAt: s.sentAt, report: res.Report, slowAnswers: s.slowAnswers, evicted: s.evicted}
-		s.recordSlowdown(res.Report.Slowdown)
+		s.deadAt, s.unanswered = 0, 0
+		if res.Problem == "" {
+			s.answeredAt, s.report = now, res.Report
+			s.recordSlowdown(res.Report.Slowdown)
+		}
 		p.replan = p.replan || p.awaitingProbes
 		return nil
 	}
