gateway: Judge a request by the configuration and its proof as of when its body is there (CONFIG)

Cause: the view was taken as the header came, the age of the proof after the body. A read of the log in between brought a newer configuration and a new proof; the key was looked up in the old view and the age of the new proof was checked.

Evidence: request.sent with the old config version and a config_age_ms of some 100 ms, after config.in_force of the newer version; the new spec on the old code: 200 for the late body while the same key gets 401 on another connection.

Ruled out: a partial read as proof (one small version, and only late bodies), and a check before the end of the cut (config_age_ms would be near 5000). The planner and the lease read their ages first or keep their own.

Change: the view and the time of its proof are taken together, once the body is there, the time first, so that the view is at least as new as what was proved. Refusals of unknown routes and keys and config_age_ms in the log use the same pair.

Test that failed before: "A request whose body comes late is judged by the configuration that is in force once the body is there" (200 instead of 401).

--- a/gateway/node.go
+++ b/gateway/node.go
@@ -301,13 +301,13 @@
 // ready reports whether the load balancer should send new connections to this
 // node.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.state.View().Config != nil && !n.configStale()
+	return !n.draining.Load() && n.state.View().Config != nil && !n.tooOldForKeys(n.state.configAge())
 }
 
-// configStale reports whether the node must not accept API keys because the proof
-// that its configuration is current is too old.
-func (n *Node) configStale() bool {
-	return n.Settings().Bounds.RevocationTime > 0 && n.state.configAge() > n.Settings().Bounds.RevocationTime-revokeMargin
+// tooOldForKeys reports whether API keys must not be accepted because the proof that the
+// configuration is current has the given age.
+func (n *Node) tooOldForKeys(age time.Duration) bool {
+	return n.Settings().Bounds.RevocationTime > 0 && age > n.Settings().Bounds.RevocationTime-revokeMargin
 }
 
 // revokeMargin is the time that may pass between the check of a request's API key
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/retry"
@@ -28,10 +29,14 @@
 // forwarder forwards one request of a caller to upstreams and relays the answer. It
 // is used by one goroutine.
 type forwarder struct {
-	node      *Node
-	w         http.ResponseWriter
-	req       *Request
-	view      *fleet.View
+	node *Node
+	w    http.ResponseWriter
+	req  *Request
+	// view is what the request is judged by. Its configuration was current at
+	// configProvedAt, by the boot clock, or later.
+	view           *fleet.View
+	configProvedAt time.Duration
+
 	route     fleet.Route
 	service   fleet.Service
 	team      fleet.Team
@@ -84,7 +89,8 @@
 	if n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	f := &forwarder{node: n, w: w, view: n.state.View(), arrivedAt: time.Now()}
+	f := &forwarder{node: n, w: w, arrivedAt: time.Now()}
+	f.takeView()
 	if e := f.prepare(r); e != nil {
 		f.refuse(e)
 		return
@@ -96,6 +102,16 @@
 	f.finish(r.Context(), e)
 }
 
+// takeView takes the newest view. The time of the proof is read first, so that the view's
+// configuration is at least as new as the one that was proved to be current.
+func (f *forwarder) takeView() {
+	f.configProvedAt = f.node.state.configProvedAt()
+	f.view = f.node.state.View()
+}
+
+// configAge returns the age of the proof that the configuration of the view is current.
+func (f *forwarder) configAge() time.Duration { return bootclock.Now() - f.configProvedAt }
+
 // errNodeStopping is the cause for requests that are still in flight when the node stops.
 var errNodeStopping = errors.New("the node is shutting down")
 
@@ -126,6 +142,8 @@
 	if e := f.readBody(r); e != nil {
 		return e
 	}
+	// The configuration may have changed while the body came.
+	f.takeView()
 	if e := f.resolve(); e != nil {
 		return e
 	}
@@ -218,9 +236,8 @@
 	}
 	f.route = route
 	if c.RequireKey && !route.Public {
-		if f.node.configStale() {
-			return verdict.Refuse(verdict.ReasonConfigStale, "the configuration was last proved current %v ago",
-				f.node.state.configAge()).WithRetryAfter(retryAfterFailure)
+		if age := f.configAge(); f.node.tooOldForKeys(age) {
+			return verdict.Refuse(verdict.ReasonConfigStale, "the configuration was last proved current %v ago", age).WithRetryAfter(retryAfterFailure)
 		}
 		team, ok := c.Teams[f.req.Key]
 		if !ok {
@@ -242,7 +259,7 @@
 // configuration. If the node may have missed a newer configuration, the refusal
 // gives ReasonConfigStale instead of reason, and the caller may retry.
 func (f *forwarder) refuseUnknown(reason verdict.Reason, detail string) *verdict.Error {
-	if f.node.state.configAge() > unknownMaxProofAge {
+	if f.configAge() > unknownMaxProofAge {
 		return verdict.Refuse(verdict.ReasonConfigStale, "%s, but the configuration may be outdated", detail).
 			WithRetryAfter(retryAfterFailure)
 	}
@@ -331,7 +348,7 @@
 // more.
 func (f *forwarder) logFields(more ...any) []any {
 	out := []any{"id", "", "route", f.route.Name, "team", f.team.Name, "config", int64(0),
-		"config_age_ms", f.node.state.configAge().Milliseconds()}
+		"config_age_ms", f.configAge().Milliseconds()}
 	if f.req != nil {
 		out[1] = f.req.ID
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -103,9 +103,11 @@
 func (s *state) View() *fleet.View { return s.view.Load() }
 
 // configAge returns the age of the proof that the configuration is current.
-func (s *state) configAge() time.Duration {
-	return bootclock.Now() - time.Duration(s.configVerifiedAt.Load())
-}
+func (s *state) configAge() time.Duration { return bootclock.Now() - s.configProvedAt() }
+
+// configProvedAt returns when the last read was sent that proved the configuration to be
+// current, by the boot clock. It holds for views that are taken later.
+func (s *state) configProvedAt() time.Duration { return time.Duration(s.configVerifiedAt.Load()) }
 
 // applyConfig applies a batch of records of the configuration's stream.
 func (s *state) applyConfig(b keyed.Batch) {
