--- a/bounded/budget.go
+++ b/bounded/budget.go
@@ -61,6 +61,34 @@
 	}
 }
 
+// ReadSized is ReadAll for an input that states its size. Its memory is taken out of the
+// budget before the first byte is read: of inputs that are read at the same time and do
+// not fit together, some fit.
+func (b *Budget) ReadSized(r io.Reader, size int64, what string, limit int64) (*Input, error) {
+	in := &Input{budget: b}
+	if size > limit {
+		return in, TooLong(what, limit)
+	}
+	// The input has no further byte, but only one more read shows that it ends.
+	memory := size + 1
+	if memory > maxBlockBytes && !in.take(memory) {
+		return in, TooLong(b.what, b.max)
+	}
+	for in.size < memory {
+		block := make([]byte, min(maxBlockBytes, memory-in.size))
+		n, err := fill(r, block)
+		in.blocks = append(in.blocks, block[:n])
+		in.size += int64(n)
+		switch {
+		case errors.Is(err, io.EOF):
+			return in, nil
+		case err != nil:
+			return in, err
+		}
+	}
+	return in, errors.Newf("input has more than the %d bytes that it stated", size)
+}
+
 // fill reads until the block is full or the read fails, and returns the error of that
 // read. Unlike io.ReadFull it keeps io.EOF, which a reader of a body that is cut off
 // tells apart from io.ErrUnexpectedEOF.
--- a/exchange/attribution_test.go
+++ b/exchange/attribution_test.go
@@ -25,7 +25,7 @@
 // lenientRequest returns a request whose response may lack the id if it is an error.
 func lenientRequest(id string, body []byte) *Request {
 	return &Request{
-		Method: http.MethodPost, Target: "/a", Host: "host.example", Header: http.Header{idHeader: {id}}, Body: body, ID: id,
+		Method: http.MethodPost, Target: "/a", Host: "host.example", Header: http.Header{idHeader: {id}}, Body: Bytes(body), ID: id,
 		Matches: func(status int, h http.Header) bool {
 			got := h.Get(idHeader)
 			return got == id || got == "" && status >= http.StatusBadRequest
--- a/exchange/cutoff_test.go
+++ b/exchange/cutoff_test.go
@@ -146,7 +146,7 @@
 		}()
 		pool := NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
 		r := request("1")
-		r.Body = make([]byte, body)
+		r.Body = make(Bytes, body)
 		resp, err := pool.Do(context.Background(), l.Addr().String(), r)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.Status).To(Equal(http.StatusRequestEntityTooLarge))
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -66,6 +66,29 @@
 	limitBody        = "response_body"
 )
 
+// Body is the body of a request. WriteTo is called each time the request is sent.
+type Body interface {
+	io.WriterTo
+	// Len returns the size in bytes.
+	Len() int64
+}
+
+// Bytes is a Body in one piece.
+type Bytes []byte
+
+// Len implements Body.
+func (b Bytes) Len() int64 { return int64(len(b)) }
+
+// WriteTo implements Body.
+func (b Bytes) WriteTo(w io.Writer) (int64, error) {
+	n, err := w.Write(b)
+	return int64(n), err
+}
+
+// maxJoinedBodyBytes is the size up to which a body is written together with the head of
+// its request. A larger one is not copied, because all copies are in memory at once.
+const maxJoinedBodyBytes = 64 << 10
+
 // Request is a request to an upstream.
 type Request struct {
 	Method string
@@ -73,7 +96,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is nil for none.
+	Body Body
 	// ID identifies the request. If it is not empty, the request is not sent on a
 	// connection that has carried a request with the same id.
 	ID string
@@ -97,20 +121,41 @@
 	return r.Admit()
 }
 
-// encode returns the request in wire format.
-func (r *Request) encode() ([]byte, error) {
+// encode returns the head of the request in wire format, followed by the body if that is
+// small, and the body to write after it; nil for none.
+func (r *Request) encode() ([]byte, Body, error) {
+	body := r.Body
+	if body == nil {
+		body = Bytes(nil)
+	}
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	joined := min(body.Len(), maxJoinedBodyBytes)
+	b.Grow(512 + int(joined))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if body.Len() > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.FormatInt(body.Len(), 10) + "\r\n")
 	}
 	if err := r.Header.Write(&b); err != nil {
-		return nil, errors.Wrap(err, "encoding the header")
+		return nil, nil, errors.Wrap(err, "encoding the header")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes(), nil
+	if body.Len() > maxJoinedBodyBytes {
+		return b.Bytes(), body, nil
+	}
+	if _, err := body.WriteTo(&b); err != nil {
+		return nil, nil, errors.Wrap(err, "encoding the body")
+	}
+	return b.Bytes(), nil, nil
+}
+
+// send writes a head and, unless it is nil, a body. It returns the number of bytes written.
+func (c *conn) send(head []byte, body Body) (int64, error) {
+	n, err := c.net.Write(head)
+	if err != nil || body == nil {
+		return int64(n), err
+	}
+	m, err := body.WriteTo(c.net)
+	return int64(n) + m, err
 }
 
 // Response is an upstream's response whose body has not been read yet. It must be
@@ -140,7 +185,7 @@
 // ends, the connection is closed, which upstreams take as a cancellation. An error
 // that is marked as ErrNotSent guarantees that no byte of the request was written.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	data, err := r.encode()
+	head, body, err := r.encode()
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
@@ -154,7 +199,7 @@
 	}
 	stopAbort := context.AfterFunc(ctx, c.abort)
 	c.noteCarried(r.ID)
-	n, sendErr := c.net.Write(data)
+	n, sendErr := c.send(head, body)
 	if sendErr != nil && n == 0 {
 		stopAbort()
 		p.put(c, false)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -70,7 +70,7 @@
 
 func request(id string) *Request {
 	return &Request{
-		Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "host.example", Header: http.Header{idHeader: {id}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/a/b?c=%2F", Host: "host.example", Header: http.Header{idHeader: {id}}, Body: Bytes("body"),
 		Matches: func(status int, h http.Header) bool { return h.Get(idHeader) == id },
 	}
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -35,7 +35,9 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(f.req.Body)
+	if f.req.Body != nil {
+		_, _ = f.req.Body.WriteTo(h)
+	}
 	return hex.EncodeToString(h.Sum(nil))
 }
 
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -92,7 +92,9 @@
 	balancer *dispatch.Balancer
 	pool     *exchange.Pool
 	// answersMemory bounds the memory of the answers that are being received.
-	answersMemory   *bounded.Budget
+	answersMemory *bounded.Budget
+	// bodiesMemory bounds the memory of the bodies of the requests in progress.
+	bodiesMemory    *bounded.Budget
 	runningAttempts *attemptRegistry
 	silence         *silenceRecord
 	parts           *partTable
@@ -144,6 +146,7 @@
 		retryBudgets:    map[string]*retry.Window{},
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
+		bodiesMemory:    newBodiesMemory(s),
 	}
 	n.requestsEnd, n.endRequests = context.WithCancel(context.Background())
 	n.parts = newPartTable(n.id)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -19,7 +19,8 @@
 	Method, Target, Host, Path string
 	// Header holds the end-to-end header fields to send to the upstream.
 	Header http.Header
-	Body   []byte
+	// Body is nil for none.
+	Body exchange.Body
 	// Timeout is how long the caller waits for the answer; 0 if it doesn't say.
 	Timeout time.Duration
 	// Key is the API key.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"hash/fnv"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/retry"
@@ -32,6 +31,8 @@
 	node *Node
 	w    http.ResponseWriter
 	req  *Request
+	// body is the request's body; nil if it has none or it was not kept.
+	body *bounded.Input
 	// view is what the request is judged by. Its configuration was current at
 	// configProvedAt, by the boot clock, or later.
 	view           *fleet.View
@@ -91,6 +92,7 @@
 	}
 	f := &forwarder{node: n, w: w, arrivedAt: time.Now()}
 	f.takeView()
+	defer f.releaseBody()
 	if e := f.prepare(r); e != nil {
 		f.refuse(e)
 		return
@@ -139,14 +141,18 @@
 	if f.view.Config == nil {
 		return verdict.Refuse(verdict.ReasonNoConfig, "the node has no configuration yet").WithRetryAfter(retryAfterFailure)
 	}
-	if e := f.readBody(r); e != nil {
+	// A request that is refused anyway holds no memory while a large body comes.
+	keepBody := !hasLargeBody(r) || f.resolve() == nil
+	if e := f.readBody(r, keepBody); e != nil {
 		return e
 	}
-	// The configuration may have changed while the body came.
 	f.takeView()
 	if e := f.resolve(); e != nil {
 		return e
 	}
+	if !keepBody {
+		return verdict.Refuse(verdict.ReasonConfigStale, "the configuration has changed while the body came").WithRetryAfter(retryAfterFailure)
+	}
 	f.deadline = f.arrivedAt.Add(defaultTimeout)
 	if t := f.route.Timeout; t > 0 {
 		f.deadline = f.arrivedAt.Add(t)
@@ -176,56 +182,6 @@
 	streamAnswerTime = 5 * time.Second
 )
 
-// readBody reads the request's body. It refuses one above the configured limit, and one
-// that does not arrive while the caller waits for the answer.
-func (f *forwarder) readBody(r *http.Request) *verdict.Error {
-	limit := int64(f.view.Config.Limits.MaxBodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.ContentLength > limit {
-		return verdict.Refuse(verdict.ReasonTooLarge, "the body of %d bytes is too large", r.ContentLength)
-	}
-	body, err := f.readAllInTime(http.MaxBytesReader(f.w, r.Body, limit), r.ContentLength != 0)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return verdict.Refuse(verdict.ReasonDeadline, "the body did not arrive in time")
-	case errors.As(err, &tooLarge):
-		return verdict.Refuse(verdict.ReasonTooLarge, "the body exceeds %d bytes", limit)
-	case err != nil:
-		return verdict.Refuse(verdict.ReasonBadRequest, "reading the body: %v", err)
-	}
-	f.req.Body = body
-	return nil
-}
-
-// readAllInTime reads a body to its end, no longer than the caller waits for the
-// answer. If the body can't be read, the connection is closed after the answer: the
-// server would otherwise wait for the rest of the body before it answers.
-func (f *forwarder) readAllInTime(body io.Reader, hasBody bool) ([]byte, error) {
-	if !hasBody {
-		return io.ReadAll(body)
-	}
-	wait := defaultTimeout
-	if f.req.Timeout > 0 {
-		wait = min(wait, f.req.Timeout)
-	}
-	c := http.NewResponseController(f.w)
-	// An error means that the connection is gone already, which the read shows.
-	_ = c.SetReadDeadline(f.arrivedAt.Add(wait))
-	data, err := io.ReadAll(body)
-	if err != nil {
-		f.w.Header().Set("Connection", "close")
-		return nil, err
-	}
-	_ = c.SetReadDeadline(time.Time{})
-	return data, nil
-}
-
-// defaultBodyBytes bounds a request's body if the configuration doesn't.
-const defaultBodyBytes = 4 << 20
-
 // resolve finds the route of the request, the team that holds its API key and the
 // service that answers it.
 func (f *forwarder) resolve() *verdict.Error {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -34,6 +34,9 @@
 	ReasonBadRequest Reason = "bad_request"
 	// ReasonTooLarge marks a request that exceeds a size limit.
 	ReasonTooLarge Reason = "too_large"
+	// ReasonBodiesMemory marks a request whose body does not fit into the memory for the
+	// bodies of all requests in progress.
+	ReasonBodiesMemory Reason = "bodies_memory_full"
 	// ReasonUnknownClass marks a class that the configuration does not declare.
 	ReasonUnknownClass Reason = "unknown_class"
 	// ReasonNoRoute marks a host and path that no route serves.
