gateway: Ask elsewhere if a stream begins with another event than streams of its service do (ORDER)

A stream whose first event has a wrong number and that breaks off before the second was resumed after that number, and one that lacks its first events passed as whole: both ended as complete.

Cause: nothing was known of the first event of a stream, as the users' page does not say with which id a stream begins.

Change: a node learns that id for each service, from streams whose second event follows the first. A stream that begins elsewhere is refused before an event of it is relayed, if the request can be sent once more, and accepted if a second stream begins alike.

Ruled out: assuming the id 1 (a service that numbers from 0 would get no stream through), and not resuming a stream after its first event (each crash would cost more streams).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -389,6 +389,8 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream has no signature")
 	}
 	f.events.discardPending()
+	f.events.expectedFirst = f.node.firstEvents.of(f.service.Name)
+	f.events.mayRefuseFirst = f.route.Repeatable() && f.attempts < f.route.MaxAttempts && !f.lastSend()
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Read(buf)
@@ -414,6 +416,10 @@
 func (f *forwarder) relayEvents(resp *exchange.Response, data []byte, assignment *dispatch.Assignment) *verdict.Error {
 	numbered := f.events.count
 	events, sequenceErr := f.events.add(data)
+	if first := f.events.confirmedFirst; first != "" {
+		f.events.confirmedFirst = ""
+		f.node.firstEvents.learn(f.service.Name, first)
+	}
 	if f.events.count > numbered {
 		f.node.balancer.RecordFirstEvent(time.Now(), assignment)
 	}
--- a/gateway/eventbuffer.go
+++ b/gateway/eventbuffer.go
@@ -23,6 +23,7 @@
 	errEventMissing   = errors.New("events are missing before an event")
 	errEventRepeated  = errors.New("an event is repeated or out of order")
 	errEventNumbering = errors.New("an event with a number and one without in the same stream")
+	errFirstEvent     = errors.New("the stream begins with another event than streams of its service do")
 	errUnproved       = errors.New("an event without a number does not show that it continues the stream")
 )
 
@@ -50,6 +51,14 @@
 	// of which is current.
 	begun   bool
 	current int64
+	// expectedFirst is the id with which streams of the service begin; empty if it is not
+	// known. A stream that begins with another one is refused while mayRefuseFirst is set,
+	// unless one before it, which was refused for that, began with refusedFirst too.
+	expectedFirst, refusedFirst string
+	mayRefuseFirst              bool
+	// confirmedFirst is the id with which the answer began, if it is not expectedFirst and
+	// a second event has shown that the first one had the right number.
+	confirmedFirst string
 	// unconfirmed says that lastID is the number of the first event of the answer, which
 	// no second event has followed yet.
 	unconfirmed bool
@@ -116,8 +125,10 @@
 		}
 	case b.resumed:
 		return false, errUnproved
+	case b.refusesFirst(id):
+		return false, errors.Wrapf(errFirstEvent, "event %.40q", id)
 	default:
-		b.unconfirmed = numbered
+		b.unconfirmed = numbered && id != b.expectedFirst
 	}
 	b.begun, b.current = numbered, n
 	b.relayed, b.fresh = true, true
@@ -128,6 +139,16 @@
 	return true, nil
 }
 
+// refusesFirst reports whether a stream must not begin with the event that has the given
+// id. The same id in a second stream shows that the service has changed.
+func (b *eventBuffer) refusesFirst(id string) bool {
+	if !b.mayRefuseFirst || b.relayed || b.expectedFirst == "" || id == b.expectedFirst || id == b.refusedFirst && id != "" {
+		return false
+	}
+	b.refusedFirst = id
+	return true
+}
+
 // checkNumber reports whether the number n of an event shows that the event is the next
 // one to relay after the one with the number last. A stream may begin with events that
 // were relayed before. It fails if the event follows neither on the stream's previous one
@@ -149,7 +170,9 @@
 		b.fresh = b.fresh || b.overlaps && n == last
 		return false, nil
 	}
-	b.unconfirmed = false
+	if b.unconfirmed {
+		b.unconfirmed, b.confirmedFirst = false, b.lastID
+	}
 	return true, nil
 }
 
--- a/gateway/eventbuffer_test.go
+++ b/gateway/eventbuffer_test.go
@@ -128,6 +128,38 @@
 		Expect(b.unresumable).To(BeFalse())
 	})
 
+	// Guards against a stream that begins after its first event and ends as complete.
+	It("does not begin with another event than streams of the service do, while it may be asked for elsewhere", func() {
+		b := &eventBuffer{expectedFirst: "1", mayRefuseFirst: true}
+		got, inOrder := feed(b, events(3, 4))
+		Expect(inOrder).To(BeFalse())
+		Expect(got).To(BeEmpty())
+		b.discardPending()
+		got, inOrder = feed(b, events(1, 2))
+		Expect(inOrder).To(BeTrue())
+		Expect(got).To(Equal(events(1, 2)))
+	})
+
+	It("begins with another event than before if a second stream does, and is confirmed by the next one", func() {
+		b := &eventBuffer{expectedFirst: "1", mayRefuseFirst: true}
+		_, inOrder := feed(b, events(0))
+		Expect(inOrder).To(BeFalse())
+		b.discardPending()
+		got, inOrder := feed(b, events(0))
+		Expect(inOrder).To(BeTrue())
+		Expect(b.confirmedFirst).To(BeEmpty())
+		more, inOrder := feed(b, events(1))
+		Expect(inOrder).To(BeTrue())
+		Expect(got + more).To(Equal(events(0, 1)))
+		Expect(b.confirmedFirst).To(Equal("0"))
+	})
+
+	It("may begin with any event if it can't be asked for elsewhere", func() {
+		got, inOrder := feed(&eventBuffer{expectedFirst: "1"}, events(3, 4))
+		Expect(inOrder).To(BeTrue())
+		Expect(got).To(Equal(events(3, 4)))
+	})
+
 	// Guards against an answer that ends as complete without its last event, which had too
 	// low an id: the caller had asked for the events after an earlier one.
 	DescribeTable("is not complete if a caller's resumption brought only repeated events", func(ids ...int) {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -96,6 +96,7 @@
 	// bodiesMemory bounds the memory of the bodies of the requests in progress.
 	bodiesMemory    *bounded.Budget
 	runningAttempts *attemptRegistry
+	firstEvents     *firstEvents
 	silence         *silenceRecord
 	parts           *partTable
 	pauseLines      *pauseLines
@@ -137,6 +138,7 @@
 		state:           newState(deps.Decoder, deps.Streams.ConfigKey, logger),
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
+		firstEvents:     newFirstEvents(logger),
 		silence:         newSilenceRecord(),
 		pauseLines:      newPauseLines(),
 		onSilent:        func(string) {},
