formation: Log once a second what the planning rounds did

The logs say which replicas were formed and which VMs were probed, but not how many rounds there were, how long they took and what kept further replicas from being formed, so three hypotheses look alike: rounds that are too dear, one replica a round, and loads that aren't allowed yet. planning.report tells them apart: rounds, time spent in them, replicas formed, replicas that wait for answers to probes or for their loads.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -43,6 +43,7 @@
 	ReplicaReleased       = "replica.released"
 	ReplicaDissolved      = "replica.dissolved"
 	PlanningBegun         = "planning.begun"
+	PlanningReport        = "planning.report"
 	OrderNotAccepted      = "order.not_accepted"
 	ReplicaTraded         = "replica.traded"
 	ModelStaged           = "model.staged"
@@ -128,6 +129,7 @@
 		{ReplicaTraded, "A replica is closed so that its VMs can form a replica of a model that is further below its share: ranks of both models, free VMs."},
 		{ModelStaged, "A VM was ordered to load another model onto its host in advance, so that it can join a replica of that model without delay."},
 		{PlanningBegun, "A new holder of the control lease has reports that show what earlier holders ordered, and begins to form and repair replicas: how long it waited, age of the reports."},
+		{PlanningReport, "What the planning rounds of the holder of the control lease did since the last such line: number of rounds, time spent in them, longest one, replicas and standbys formed, open replicas, VMs, replicas that wait for answers to probes or for their loads to be allowed."},
 		{OrderNotAccepted, "A VM did not accept an order or did not answer it; the VM may still carry the order out later."},
 		{LeaseChanged, "The control lease has a new holder or a new term."},
 		{LeaseHeld, "This node acquired or lost the control lease."},
--- a/formation/driver.go
+++ b/formation/driver.go
@@ -133,6 +133,7 @@
 	defer t.Stop()
 	term := int64(0)
 	plannedAt := time.Time{}
+	var stats roundStats
 	plan := func() []Order {
 		current, held := d.Lease.Held()
 		if !held {
@@ -142,7 +143,9 @@
 		if current != term {
 			term = current
 			d.Planner.Reset(term, d.Lease.ClaimedAt())
+			stats = roundStats{}
 		}
+		defer stats.record(d.Planner, plannedAt)
 		// The view is at least as recent as the time that is read before it.
 		verifiedAt := d.ReportsVerifiedAt()
 		return d.Planner.Plan(bootclock.Now(), verifiedAt, d.View())
--- a/formation/form.go
+++ b/formation/form.go
@@ -143,7 +143,12 @@
 		if !ok {
 			return false
 		}
-		if c.loads > 0 && !r.mayLoad(s.Engine, c.loads) || !r.confirmReachable(c) {
+		if c.loads > 0 && !r.mayLoad(s.Engine, c.loads) {
+			r.waiting.loads++
+			return true
+		}
+		if !r.confirmReachable(c) {
+			r.waiting.probes++
 			return true
 		}
 		r.formReplica(s, c)
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -161,6 +161,8 @@
 	// replan says that a result calls for a plan at once; awaitingProbes says
 	// that a replica is formed once its VMs have answered probes.
 	replan, awaitingProbes bool
+	// waiting describes the last round.
+	waiting waiting
 	// vmCount is the highest number of VMs seen in a plan; vmCountGrownAt is
 	// when it last grew.
 	vmCount        int
@@ -195,7 +197,7 @@
 // send now. The reports were current at verifiedAt or later. The times are those of
 // the boot clock.
 func (p *Planner) Plan(now, verifiedAt time.Duration, v *fleet.View) []Order {
-	p.replan, p.awaitingProbes = false, false
+	p.replan, p.awaitingProbes, p.waiting = false, false, waiting{}
 	if v.Config == nil || !p.seesFormerOrders(now, verifiedAt) {
 		return nil
 	}
