formation: Form all replicas that are needed in one round, from one pass over the VMs

Cause: two costs that multiply. A planning round ended at the first replica that had to wait for answers to probes or for its loads, so it formed one replica at most, and standbys and staging waited behind it too. And each round searched all VMs several times, once more for each try to form a replica, so few rounds fit into a second on the holder of the lease. How much of the fleet served depended on how many rounds fit into a second.

Why this works: a replica that waits keeps its VMs and counts as formed, and the loads that it needs are left to it, but the round goes on with the other domains. The VMs are sorted by service and domain once a round; what a model should have is counted once; after a formation only the candidates of its domain are made anew. Suspects' members come from the planner's records instead of a search of all VMs.

Ruled out: a longer gap between rounds, which makes it worse; cheaper rounds alone, which only move the cliff.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"iter"
 	"maps"
 	"time"
 )
@@ -69,6 +70,19 @@
 // Len returns the number of VMs.
 func (v *View) Len() int { return v.count }
 
+// All iterates over all VMs in no order.
+func (v *View) All() iter.Seq[VM] {
+	return func(yield func(VM) bool) {
+		for _, shard := range v.vms {
+			for _, vm := range shard {
+				if !yield(vm) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // VMs returns all VMs by ID. The map must not be changed. The first call for a view
 // takes a time that grows with the number of VMs.
 func (v *View) VMs() map[string]VM { return v.all() }
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 )
@@ -112,9 +113,9 @@
 
 // Replicas groups VMs into replicas by the memberships that they report, sorted
 // by name and generation.
-func Replicas(vms map[string]VM) []Replica {
+func Replicas(vms iter.Seq[VM]) []Replica {
 	groups := map[replicaKey][]VM{}
-	for _, vm := range vms {
+	for vm := range vms {
 		if vm.Member.Replica != "" {
 			key := keyOfMember(vm)
 			groups[key] = append(groups[key], vm)
--- a/formation/evict.go
+++ b/formation/evict.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
@@ -44,6 +45,16 @@
 	return ok && s.slowAnswers >= minSlowAnswers
 }
 
+// anySlow reports whether enough probes found any VM slow.
+func (p *Planner) anySlow() bool {
+	for _, s := range p.probes {
+		if s.slowAnswers >= minSlowAnswers {
+			return true
+		}
+	}
+	return false
+}
+
 // unavailable reports whether a VM is dead or was evicted because it is slow.
 func (p *Planner) unavailable(vm fleet.VM) bool {
 	s, ok := p.probes[vm.ID]
@@ -52,9 +63,15 @@
 
 // probeSlow probes the VMs whose last probes found them slow.
 func (r *round) probeSlow() {
-	for _, id := range sortedNames(r.probes) {
-		vm, known := r.view.VM(id)
-		if s := r.probes[id]; known && s.slowAnswers > 0 && s.deadAt == 0 && r.now-s.sentAt > slowProbeInterval {
+	var due []string
+	for id, s := range r.probes {
+		if s.slowAnswers > 0 && s.deadAt == 0 && r.now-s.sentAt > slowProbeInterval {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		if vm, known := r.view.VM(id); known {
 			r.probe(vm)
 		}
 	}
@@ -63,8 +80,10 @@
 // evictSlow evicts slow members of one replica, if a replica of its model can
 // be formed without them and without loading weights from the weight store.
 // Otherwise the replica stays, as a slow replica is better than none.
-func (r *round) evictSlow(s fleet.Service) {
-	var free map[string][]fleet.VM
+func (r *round) evictSlow(s fleet.Service, free map[string][]fleet.VM) {
+	if !r.anySlow() {
+		return
+	}
 	for _, name := range sortedNames(r.replicas) {
 		a := r.replicas[name]
 		if a.service != s.Name || !r.canBeClosed(a) {
@@ -82,9 +101,6 @@
 		if !known || len(slow) == 0 {
 			continue
 		}
-		if free == nil {
-			free = r.freeByDomain(s.Name)
-		}
 		domain := slow[0].Domain
 		c, ok := newCandidate(m, append(withoutSlow(r, free[domain]), healthy...))
 		if !ok || c.loads > 0 {
--- a/formation/form.go
+++ b/formation/form.go
@@ -42,17 +42,24 @@
 // started again has forgotten its membership, and a late order can make it a member again
 // while the head is open.
 func (r *round) adoptedLacksMember(vm fleet.VM) bool {
-	for _, a := range r.replicas {
-		if !a.adopted || a.released || a.standby || len(a.members) == 0 || len(a.members) >= r.replicaSize(a) {
-			continue
-		}
-		if m, ok := r.view.VM(a.members[0]); ok && m.Domain == vm.Domain {
-			return true
+	if r.lackingDomains == nil {
+		r.lackingDomains = map[string]bool{}
+		for _, a := range r.replicas {
+			if !a.adopted || a.released || a.standby || len(a.members) == 0 || len(a.members) >= r.replicaSize(a) {
+				continue
+			}
+			if m, ok := r.view.VM(a.members[0]); ok {
+				r.lackingDomains[m.Domain] = true
+			}
 		}
 	}
-	return false
+	return r.lackingDomains[vm.Domain]
 }
 
+// assignmentsChanged is called when VMs were ordered to join a replica or were released
+// from one.
+func (r *round) assignmentsChanged() { r.assignments, r.lackingDomains = nil, nil }
+
 // assignedReplica returns the replica or standby that a VM was ordered to join.
 func (r *round) assignedReplica(vm string) (*replica, bool) {
 	if r.assignments == nil {
@@ -95,19 +102,6 @@
 	}
 }
 
-// freeByDomain returns the free VMs of a service by fabric domain, sorted by
-// ID.
-func (r *round) freeByDomain(service string) map[string][]fleet.VM {
-	out := map[string][]fleet.VM{}
-	for _, id := range sortedNames(r.view.VMs()) {
-		vm, _ := r.view.VM(id)
-		if vm.Service == service && r.free(vm) {
-			out[vm.Domain] = append(out[vm.Domain], vm)
-		}
-	}
-	return out
-}
-
 // joinTime returns how long a VM takes to join a replica of a model, and
 // whether it must load the model from the weight store.
 func joinTime(vm fleet.VM, m fleet.Model) (time.Duration, bool) {
@@ -120,38 +114,31 @@
 	return m.LoadTime, true
 }
 
-// candidate is a set of VMs that could form a replica of a model.
-type candidate struct {
-	model fleet.Model
-	vms   []fleet.VM
-	loads int
-	// lastSpares lists the models of which only one free VM in the domain holds
-	// a copy, if this replica uses that VM for another model.
-	lastSpares []string
-	joinTime   time.Duration
-	coverage   float64
-}
-
-// form forms replicas while VMs are free, models need replicas and loads are
-// allowed. It reports whether a replica still waits for its VMs to answer
-// probes or for its loads to be allowed.
-func (r *round) form(s fleet.Service) bool {
+// form forms all replicas that models need and that free VMs can form, and removes their VMs
+// from free. A replica that has to wait, until its VMs have answered probes or its loads are
+// allowed, holds up no other one: it keeps its VMs, and loads that start in the meantime
+// leave room for its own.
+func (r *round) form(s fleet.Service, free map[string][]fleet.VM) {
+	d := r.newDemand(s)
+	c := newCandidates(r, s, free)
 	for {
-		free := r.freeByDomain(s.Name)
-		r.reallocate(s, free)
-		c, ok := r.bestCandidate(s, free)
+		r.reallocate(s, d, free)
+		best, ok := c.best(d)
 		if !ok {
-			return false
+			return
 		}
-		if c.loads > 0 && !r.mayLoad(s.Engine, c.loads) {
+		switch {
+		case best.loads > 0 && !r.mayLoad(s.Engine, best.loads):
 			r.waiting.loads++
-			return true
-		}
-		if !r.confirmReachable(c) {
+			r.plannedLoads += best.loads
+		case !r.confirmReachable(best):
 			r.waiting.probes++
-			return true
+			r.plannedLoads += best.loads
+		default:
+			r.formReplica(s, best)
 		}
-		r.formReplica(s, c)
+		d.counts[best.model.Name]++
+		c.take(best)
 	}
 }
 
@@ -164,147 +151,6 @@
 	return ok
 }
 
-// bestCandidate returns the replica to form next: one of the model with the
-// lowest coverage, in the domain where it is ready first.
-func (r *round) bestCandidate(s fleet.Service, free map[string][]fleet.VM) (candidate, bool) {
-	coverage := r.coverage(s)
-	stable := map[string]bool{}
-	for domain, vms := range free {
-		stable[domain] = r.freeCountStable(domain, len(vms))
-	}
-	var best candidate
-	found := false
-	for _, m := range s.Engine.Models {
-		if coverage[m.Name] >= 1 {
-			continue
-		}
-		for _, domain := range slices.Sorted(maps.Keys(free)) {
-			c, ok := newCandidate(m, free[domain])
-			if !ok || !r.domainOpenTo(domain, m.Name) || !r.worthLoading(c, coverage) || c.loads > 0 && !stable[domain] {
-				continue
-			}
-			c.coverage = coverage[m.Name]
-			if !found || preferred(c, best) {
-				best, found = c, true
-			}
-		}
-	}
-	return best, found
-}
-
-// coverage returns, for each model, the number of its replicas, those being
-// formed included, divided by the number that it should have. A model that
-// should have none has coverage 1.
-func (r *round) coverage(s fleet.Service) map[string]float64 {
-	counts, desired := r.replicaCounts(s.Name), r.desiredReplicas(s)
-	out := map[string]float64{}
-	for _, m := range s.Engine.Models {
-		out[m.Name] = 1
-		if desired[m.Name] > 0 {
-			out[m.Name] = float64(counts[m.Name]) / desired[m.Name]
-		}
-	}
-	return out
-}
-
-// desiredReplicas returns the number of replicas that each model should have
-// according to its share of the work.
-func (r *round) desiredReplicas(s fleet.Service) map[string]float64 {
-	total := float64(r.usableVMs(s.Name))
-	out := map[string]float64{}
-	for _, m := range s.Engine.Models {
-		out[m.Name] = m.Share * total / float64(m.Size)
-	}
-	return out
-}
-
-// worthLoading reports whether a candidate may be formed if it has to load
-// weights. Unless its model is scarce, only a few of its VMs may load, and none
-// of them may be the last spare of a model whose coverage is as low or lower.
-func (r *round) worthLoading(c candidate, coverage map[string]float64) bool {
-	own := coverage[c.model.Name]
-	if c.loads == 0 || own < scarceCoverage || r.s.NoRequestYet() {
-		return true
-	}
-	if c.loads > maxRepairLoads {
-		return false
-	}
-	for _, model := range c.lastSpares {
-		if coverage[model] <= own {
-			return false
-		}
-	}
-	return true
-}
-
-// preferred reports whether candidate a is to be formed before candidate b:
-// lower coverage first, then the shorter join time, then fewer loads.
-func preferred(a, b candidate) bool {
-	return cmp.Or(cmp.Compare(a.coverage, b.coverage), cmp.Compare(a.joinTime, b.joinTime), cmp.Compare(a.loads, b.loads)) < 0
-}
-
-// newCandidate returns a candidate that consists of those free VMs of a domain
-// that can join soonest; false if there are too few free VMs.
-func newCandidate(m fleet.Model, free []fleet.VM) (candidate, bool) {
-	if len(free) < m.Size {
-		return candidate{}, false
-	}
-	vms := slices.Clone(free)
-	slices.SortStableFunc(vms, func(a, b fleet.VM) int {
-		ta, _ := joinTime(a, m)
-		tb, _ := joinTime(b, m)
-		return cmp.Or(cmp.Compare(ta, tb), cmp.Compare(len(a.Staged), len(b.Staged)))
-	})
-	c := candidate{model: m, vms: vms[:m.Size]}
-	for _, vm := range c.vms {
-		t, load := joinTime(vm, m)
-		c.joinTime = max(c.joinTime, t)
-		if load {
-			c.loads++
-			if countSpares(free, vm.LocalModel()) == 1 {
-				c.lastSpares = append(c.lastSpares, vm.LocalModel())
-			}
-		}
-	}
-	return c, true
-}
-
-// countSpares counts the spares of a model, the free VMs whose LocalModel it
-// is. It returns 0 for an empty model name.
-func countSpares(free []fleet.VM, model string) int {
-	n := 0
-	for _, vm := range free {
-		if model != "" && vm.LocalModel() == model {
-			n++
-		}
-	}
-	return n
-}
-
-// replicaCounts returns the number of replicas of a service by model, those
-// being formed included and those being dismantled excluded.
-func (r *round) replicaCounts(service string) map[string]int {
-	out := map[string]int{}
-	for _, a := range r.replicas {
-		if a.service == service && !a.released && !a.standby && a.dismantlingSince == 0 {
-			out[a.model]++
-		}
-	}
-	return out
-}
-
-// usableVMs returns the number of VMs of a service that are listed and not
-// leaving.
-func (r *round) usableVMs(service string) int {
-	n := 0
-	for _, vm := range r.view.VMs() {
-		if vm.Service == service && !vm.Leaving && !vm.Unlisted {
-			n++
-		}
-	}
-	return n
-}
-
 // mayLoad reports whether n loads from the weight store may start now. Two
 // limits apply: loads beyond Engine.ConcurrentLoads slow each other, and the
 // weight store limits the number of loads that start in each LoadWindow.
@@ -318,7 +164,7 @@
 	if n <= maxRepairLoads {
 		atOnce *= repairLoadFactor
 	}
-	return r.loadsUnderWay() < atOnce && len(r.loadStarts)+n <= max(allowed, n)
+	return r.loadsUnderWay()+r.plannedLoads < atOnce && len(r.loadStarts)+r.plannedLoads+n <= max(allowed, n)
 }
 
 const (
@@ -330,9 +176,17 @@
 )
 
 // loadsUnderWay counts the loads that were ordered and are not yet reported as
-// done.
+// done. It searches the replicas once a round, after they have been advanced.
 func (r *round) loadsUnderWay() int {
-	n := 0
+	if r.underWay == nil {
+		n := r.countLoads()
+		r.underWay = &n
+	}
+	return *r.underWay
+}
+
+func (r *round) countLoads() int {
+	n := len(r.staging)
 	for _, a := range r.replicas {
 		if a.released || a.openSent {
 			continue
@@ -346,11 +200,12 @@
 			}
 		}
 	}
-	return n + len(r.staging)
+	return n
 }
 
 // recordLoads records that n loads start now.
 func (r *round) recordLoads(n int) {
+	*r.underWay = r.loadsUnderWay() + n
 	for range n {
 		r.loadStarts = append(r.loadStarts, r.now)
 	}
@@ -385,7 +240,7 @@
 	}
 	a.expectedJoinTime = longest * loadSlowdown
 	r.replicas[name] = a
-	r.assignments = nil
+	r.assignmentsChanged()
 	if res, ok := r.reservations[c.vms[0].Domain]; ok && res.model == c.model.Name && !a.standby {
 		delete(r.reservations, c.vms[0].Domain)
 	}
@@ -402,7 +257,8 @@
 func (r *round) releaseStandby(vm string) {
 	for _, a := range r.replicas {
 		if a.standby && slices.Contains(a.members, vm) {
-			a.released, r.assignments = true, nil
+			a.released = true
+			r.assignmentsChanged()
 		}
 	}
 }
@@ -413,12 +269,18 @@
 
 // formStandbys orders free VMs that have no model loaded to load one as
 // standbys, so that each can replace a lost member of its domain at once.
-func (r *round) formStandbys(s fleet.Service) {
-	free := r.freeByDomain(s.Name)
+func (r *round) formStandbys(s fleet.Service, free map[string][]fleet.VM) {
+	if len(free) == 0 {
+		return
+	}
+	d, counts := r.newDemand(s), r.standbyCounts(s.Name)
 	for _, domain := range slices.Sorted(maps.Keys(free)) {
-		standbys := r.standbyCounts(s.Name, domain)
+		standbys := counts[domain]
+		if standbys == nil {
+			standbys = map[string]int{}
+		}
 		for _, vm := range free[domain] {
-			m, ok := r.standbyModel(s, vm, free[domain], standbys)
+			m, ok := r.standbyModel(s, vm, free[domain], d, standbys)
 			if !ok || !r.confirmed(vm) {
 				continue
 			}
@@ -430,7 +292,7 @@
 
 // standbyModel returns the model that a free VM should load as a standby; false
 // if the VM has a model loaded already or its load is not allowed yet.
-func (r *round) standbyModel(s fleet.Service, vm fleet.VM, free []fleet.VM, standbys map[string]int) (fleet.Model, bool) {
+func (r *round) standbyModel(s fleet.Service, vm fleet.VM, free []fleet.VM, d *demand, standbys map[string]int) (fleet.Model, bool) {
 	if vm.LastModel != "" {
 		return fleet.Model{}, false
 	}
@@ -440,7 +302,7 @@
 	if !r.mayLoad(s.Engine, 1) {
 		return fleet.Model{}, false
 	}
-	if m, ok := r.modelOneVMShort(s, free); ok {
+	if m, ok := modelOneVMShort(s, free, d); ok {
 		return m, true
 	}
 	return nextStandbyModel(s.Engine.Models, standbys), true
@@ -449,32 +311,36 @@
 // modelOneVMShort returns the model for which the free VMs of a domain that
 // hold it lack one VM to form another replica, as after the loss of a member;
 // of several such models, the one with the lowest coverage.
-func (r *round) modelOneVMShort(s fleet.Service, free []fleet.VM) (fleet.Model, bool) {
-	coverage := r.coverage(s)
+func modelOneVMShort(s fleet.Service, free []fleet.VM, d *demand) (fleet.Model, bool) {
 	var best fleet.Model
 	found := false
 	for _, m := range s.Engine.Models {
-		if coverage[m.Name] >= 1 || countSpares(free, m.Name)%m.Size != m.Size-1 {
+		if d.coverage(m.Name) >= 1 || countSpares(free, m.Name)%m.Size != m.Size-1 {
 			continue
 		}
-		if !found || coverage[m.Name] < coverage[best.Name] {
+		if !found || d.coverage(m.Name) < d.coverage(best.Name) {
 			best, found = m, true
 		}
 	}
 	return best, found
 }
 
-// standbyCounts counts the standbys of a domain by model, those still loading
+// standbyCounts counts the standbys of a service by domain and model, those still loading
 // included.
-func (r *round) standbyCounts(service, domain string) map[string]int {
-	out := map[string]int{}
+func (r *round) standbyCounts(service string) map[string]map[string]int {
+	out := map[string]map[string]int{}
 	for _, a := range r.replicas {
 		if !a.standby || a.released || a.service != service || len(a.members) == 0 {
 			continue
 		}
-		if vm, ok := r.view.VM(a.members[0]); ok && vm.Domain == domain {
-			out[a.model]++
+		vm, ok := r.view.VM(a.members[0])
+		if !ok {
+			continue
+		}
+		if out[vm.Domain] == nil {
+			out[vm.Domain] = map[string]int{}
 		}
+		out[vm.Domain][a.model]++
 	}
 	return out
 }
--- a/formation/leaving.go
+++ b/formation/leaving.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return false
 	}
-	c, ok := newCandidate(m, append(healthy, r.freeByDomain(a.service)[domain]...))
+	c, ok := newCandidate(m, append(healthy, r.freeOf(r.inventory.service(a.service).domains[domain])...))
 	return !ok || c.loads > 0
 }
 
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -397,7 +397,8 @@
 
 // release makes the members available to other replicas.
 func (r *round) release(a *replica, why string) {
-	a.released, a.releasedAt, r.assignments = true, r.now, nil
+	a.released, a.releasedAt = true, r.now
+	r.assignmentsChanged()
 	r.s.Logger.Info(decisions.ReplicaReleased, "replica", a.name, "generation", a.generation, "why", why,
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
@@ -416,7 +417,8 @@
 	case !present:
 		a.headGone = true
 	case a.headGone && (a.openSent || a.adopted) && head.Member.State != fleet.MemberBroken:
-		a.released, a.headGone, a.headLeft, a.dismantlingSince, r.assignments = false, false, false, 0, nil
+		a.released, a.headGone, a.headLeft, a.dismantlingSince = false, false, false, 0
+		r.assignmentsChanged()
 		r.dismantle(a, rep, false)
 	}
 }
--- a/formation/plan_bench_test.go
+++ b/formation/plan_bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,17 +29,27 @@
 	return w
 }
 
-// BenchmarkPlan measures a round of a fleet whose replicas all serve.
+// BenchmarkPlan measures a round of a fleet whose replicas all serve, each after reports of
+// a hundredth of the VMs.
 func BenchmarkPlan(b *testing.B) {
 	for _, domains := range []int{2, 25, 286} {
 		b.Run(fmt.Sprintf("%d", domains*35), func(b *testing.B) {
 			w := newLargeWorld(1, domains)
 			w.run(60*time.Second, nil)
 			w.gotRequests = true
-			vms := w.seen().vms
+			build, vms := fleet.NewBuilder(), slices.Collect(maps.Values(w.seen().vms))
+			build.SetConfig(w.config)
+			for _, vm := range vms {
+				build.Put(vm)
+			}
 			b.ReportAllocs()
+			next := 0
 			for b.Loop() {
-				w.planner.Plan(w.now, w.now, fleet.NewView(w.config, w.now, vms))
+				for range max(1, len(vms)/100) {
+					build.Touch(vms[next%len(vms)])
+					next++
+				}
+				w.planner.Plan(w.now, w.now, build.View(w.now))
 			}
 		})
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -201,14 +201,16 @@
 	if v.Config == nil || !p.seesFormerOrders(now, verifiedAt) {
 		return nil
 	}
-	round := &round{Planner: p, now: now, view: v, reported: map[string]fleet.Replica{}}
-	for _, r := range fleet.Replicas(v.VMs()) {
+	round := &round{Planner: p, now: now, view: v, inventory: newInventory(v), reported: map[string]fleet.Replica{}}
+	for _, r := range fleet.Replicas(v.All()) {
 		round.reported[r.Name] = r
 		round.adopt(r)
 	}
 	for _, name := range sortedNames(p.replicas) {
 		round.advance(p.replicas[name])
 	}
+	round.assignmentsChanged()
+	round.dropEndedStaging()
 	round.probeDeadAndUnlisted()
 	round.probeSlow()
 	if !round.vmListSettled() {
@@ -216,11 +218,11 @@
 	}
 	for _, name := range sortedNames(v.Config.Services) {
 		if s := v.Config.Services[name]; s.Engine != nil {
-			round.evictSlow(s)
-			if !round.form(s) {
-				round.formStandbys(s)
-				round.stageModels(s)
-			}
+			free := round.freeByDomain(name)
+			round.evictSlow(s, free)
+			round.form(s, free)
+			round.formStandbys(s, free)
+			round.stageModels(s)
 		}
 	}
 	return round.orders
@@ -321,6 +323,15 @@
 	view     *fleet.View
 	reported map[string]fleet.Replica
 	orders   []Order
+	// inventory holds the view's VMs; nil in ProbeMembers.
+	inventory *inventory
+	// underWay is the number of loads under way; nil until it is first asked for.
+	underWay *int
+	// plannedLoads is the number of loads of the replicas that wait to be formed.
+	plannedLoads int
+	// lackingDomains holds the domains for adoptedLacksMember; nil if it must be computed
+	// again.
+	lackingDomains map[string]bool
 	// assignments holds the replica or standby that each VM was ordered to
 	// join; nil if it must be computed again.
 	assignments map[string]*replica
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -34,21 +34,22 @@
 const suspectProbeInterval = 150 * time.Millisecond
 
 // ProbeMembers returns probes to the members of the replica with the given
-// head, which is reported to make no progress.
+// head, which is reported to make no progress. It probes only the head of a replica that the
+// planner does not know yet.
 func (p *Planner) ProbeMembers(now time.Duration, v *fleet.View, head string) []Order {
 	vm, ok := v.VM(head)
 	if !ok || v.Config == nil {
 		return nil
 	}
 	round := &round{Planner: p, now: now, view: v}
-	for _, r := range fleet.Replicas(v.VMs()) {
-		if r.Name != vm.Member.Replica {
-			continue
-		}
-		for _, m := range r.Members {
-			if s, ok := p.probes[m.ID]; !ok || now-s.sentAt >= suspectProbeInterval {
-				round.probe(m)
-			}
+	members := []string{head}
+	if a, known := p.replicas[vm.Member.Replica]; known {
+		members = a.members
+	}
+	for _, id := range members {
+		m, listed := v.VM(id)
+		if s, ok := p.probes[id]; listed && m.Member.Replica == vm.Member.Replica && (!ok || now-s.sentAt >= suspectProbeInterval) {
+			round.probe(m)
 		}
 	}
 	return round.orders
@@ -118,21 +119,25 @@
 // probeDeadAndUnlisted probes dead VMs and VMs whose reports are no longer
 // listed. It also deletes the probe results of VMs that are gone.
 func (r *round) probeDeadAndUnlisted() {
-	for _, id := range sortedNames(r.probes) {
+	var due []fleet.VM
+	for id, s := range r.probes {
 		vm, known := r.view.VM(id)
-		switch s := r.probes[id]; {
+		switch {
 		case !known:
 			delete(r.probes, id)
 		case s.deadAt > 0 && !s.pending && r.now-s.sentAt > deadProbeInterval:
-			r.probe(vm)
+			due = append(due, vm)
 		}
 	}
-	for _, id := range sortedNames(r.view.VMs()) {
-		vm, _ := r.view.VM(id)
-		if s, ok := r.probes[id]; vm.Unlisted && (!ok || r.now-s.sentAt > unlistedProbeInterval) {
-			r.probe(vm)
+	for _, vm := range r.inventory.unlisted {
+		if s, ok := r.probes[vm.ID]; !ok || r.now-s.sentAt > unlistedProbeInterval {
+			due = append(due, vm)
 		}
 	}
+	sortByID(due)
+	for _, vm := range due {
+		r.probe(vm)
+	}
 }
 
 // memberState returns the state of a VM's membership. For a VM whose report is
--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
@@ -38,12 +37,11 @@
 // that one. It does so only where the new replica needs no load; otherwise
 // neither the closed nor the new replica would serve during the load, which
 // would cost more than the new replica gains.
-func (r *round) reallocate(s fleet.Service, free map[string][]fleet.VM) {
+func (r *round) reallocate(s fleet.Service, d *demand, free map[string][]fleet.VM) {
 	if r.s.NoRequestYet() {
 		return
 	}
-	coverage := r.coverage(s)
-	underserved, ok := r.leastCovered(s, coverage)
+	underserved, ok := r.leastCovered(s, d)
 	if !ok || r.formableWithoutLoad(underserved, free) {
 		return
 	}
@@ -53,7 +51,7 @@
 	for _, name := range sortedNames(r.replicas) {
 		a := r.replicas[name]
 		m, known := s.Engine.Model(a.model)
-		if !known || a.service != s.Name || !r.canBeClosed(a) || !closingImproves(coverage, underserved, m, r.desiredReplicas(s)) {
+		if !known || a.service != s.Name || !r.canBeClosed(a) || !closingImproves(d, underserved, m) {
 			continue
 		}
 		vms := r.usableMembers(a)
@@ -61,9 +59,8 @@
 			continue
 		}
 		domain := vms[0].Domain
-		c, fits := newCandidate(underserved, slices.Concat(free[domain], vms))
 		left := len(free[domain]) + len(vms) - underserved.Size
-		if fits && c.loads == 0 && (best == nil || left < fewestLeft) {
+		if (best == nil || left < fewestLeft) && formsWithoutLoad(underserved, free[domain], vms) {
 			best, bestDomain, fewestLeft = a, domain, left
 		}
 	}
@@ -73,16 +70,16 @@
 	best.reallocated = true
 	r.reservations[bestDomain] = reservation{model: underserved.Name, replica: best.name, expiresAt: r.now + reservationTimeout}
 	r.s.Logger.Info(decisions.ReplicaTraded, "replica", best.name, "model", best.model, "for", underserved.Name, "domain", bestDomain,
-		"rank", coverage[best.model], "for_rank", coverage[underserved.Name], "free", len(free[bestDomain]))
+		"rank", d.coverage(best.model), "for_rank", d.coverage(underserved.Name), "free", len(free[bestDomain]))
 }
 
 // leastCovered returns the model with the lowest coverage below 1; false if
 // there is none or a domain is already reserved for it.
-func (r *round) leastCovered(s fleet.Service, coverage map[string]float64) (fleet.Model, bool) {
+func (r *round) leastCovered(s fleet.Service, d *demand) (fleet.Model, bool) {
 	var underserved fleet.Model
 	found := false
 	for _, m := range s.Engine.Models {
-		if coverage[m.Name] < 1 && (!found || coverage[m.Name] < coverage[underserved.Name]) {
+		if c := d.coverage(m.Name); c < 1 && (!found || c < d.coverage(underserved.Name)) {
 			underserved, found = m, true
 		}
 	}
@@ -100,13 +97,27 @@
 // without a load.
 func (r *round) formableWithoutLoad(m fleet.Model, free map[string][]fleet.VM) bool {
 	for _, vms := range free {
-		if c, ok := newCandidate(m, vms); ok && c.loads == 0 {
+		if formsWithoutLoad(m, vms) {
 			return true
 		}
 	}
 	return false
 }
 
+// formsWithoutLoad reports whether lists of VMs of one domain together can form a replica of
+// a model without a load.
+func formsWithoutLoad(m fleet.Model, lists ...[]fleet.VM) bool {
+	n := 0
+	for _, vms := range lists {
+		for _, vm := range vms {
+			if _, load := joinTime(vm, m); !load {
+				n++
+			}
+		}
+	}
+	return n >= m.Size
+}
+
 // canBeClosed reports whether a replica was ordered to open and is neither a
 // standby nor released, being closed in favour of one of another model or being
 // dismantled.
@@ -129,9 +140,9 @@
 // closingImproves reports whether another model would, with one replica fewer,
 // still have a higher coverage than the underserved model has now. Otherwise
 // replicas could be closed for each other in turn.
-func closingImproves(coverage map[string]float64, underserved, other fleet.Model, desired map[string]float64) bool {
-	if other.Name == underserved.Name || desired[other.Name] == 0 {
+func closingImproves(d *demand, underserved, other fleet.Model) bool {
+	if other.Name == underserved.Name || d.desired[other.Name] <= 0 {
 		return false
 	}
-	return coverage[other.Name]-1/desired[other.Name] > coverage[underserved.Name]
+	return d.coverage(other.Name)-1/d.desired[other.Name] > d.coverage(underserved.Name)
 }
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -25,12 +25,11 @@
 // keep staged models when their VMs restart, so in each domain enough hosts
 // keep each model for its replicas to be formed again if all VMs restart.
 func (r *round) stageModels(s fleet.Service) {
-	r.dropEndedStaging()
-	vms := r.stageableVMs(s.Name)
+	vms := r.stageableVMs(s)
 	if len(vms) == 0 {
 		return
 	}
-	capacity := r.hostCapacity(s)
+	capacity := r.inventory.service(s.Name).hostCapacity
 	withModel, models := r.countsWithModel(s), r.modelsByDomain(s, capacity)
 	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(r.stageOrder(a), r.stageOrder(b)) })
 	for _, vm := range vms {
@@ -67,21 +66,28 @@
 	return nil
 }
 
-// stageableVMs returns the VMs that have a model loaded and are not loading
+// stageableVMs returns the VMs that have a model loaded, lack another one and are not loading
 // one, sorted by ID.
-func (r *round) stageableVMs(service string) []fleet.VM {
+func (r *round) stageableVMs(s fleet.Service) []fleet.VM {
 	var out []fleet.VM
-	for _, id := range sortedNames(r.view.VMs()) {
-		vm, _ := r.view.VM(id)
-		_, underWay := r.staging[id]
-		joined := vm.Member.State == fleet.MemberReady || vm.Member.State == fleet.MemberOpen
-		if vm.Service == service && joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Unlisted && !r.unavailable(vm) {
-			out = append(out, vm)
+	for _, vms := range r.inventory.service(s.Name).domains {
+		for _, vm := range vms {
+			_, underWay := r.staging[vm.ID]
+			joined := vm.Member.State == fleet.MemberReady || vm.Member.State == fleet.MemberOpen
+			if joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Unlisted && !r.unavailable(vm) && r.lacksModel(s, vm) {
+				out = append(out, vm)
+			}
 		}
 	}
+	sortByID(out)
 	return out
 }
 
+// lacksModel reports whether a VM lacks a model that has a share of the work.
+func (r *round) lacksModel(s fleet.Service, vm fleet.VM) bool {
+	return slices.ContainsFunc(s.Engine.Models, func(m fleet.Model) bool { return m.Share > 0 && !r.hasModel(vm, m.Name) })
+}
+
 // modelToStage returns the model that a VM lacks and that the fewest VMs of its
 // domain have (see hasModel) in proportion to the replica's size; false if the VM
 // lacks none.
@@ -102,16 +108,14 @@
 // countsWithModel counts the VMs that have each model (see hasModel), by domain.
 func (r *round) countsWithModel(s fleet.Service) map[string]map[string]int {
 	out := map[string]map[string]int{}
-	for _, vm := range r.view.VMs() {
-		if vm.Service != s.Name {
-			continue
-		}
-		if out[vm.Domain] == nil {
-			out[vm.Domain] = map[string]int{}
-		}
-		for _, m := range s.Engine.Models {
-			if r.hasModel(vm, m.Name) {
-				out[vm.Domain][m.Name]++
+	for domain, vms := range r.inventory.service(s.Name).domains {
+		counts := map[string]int{}
+		out[domain] = counts
+		for _, vm := range vms {
+			for _, m := range s.Engine.Models {
+				if r.hasModel(vm, m.Name) {
+					counts[m.Name]++
+				}
 			}
 		}
 	}
@@ -169,42 +173,32 @@
 // have once the staging under way is done.
 func (r *round) modelsByDomain(s fleet.Service, capacity int) map[string]*domainModels {
 	out := map[string]*domainModels{}
-	for _, vm := range r.view.VMs() {
-		if vm.Service != s.Name || vm.Leaving || vm.Unlisted {
-			continue
-		}
-		h, ok := out[vm.Domain]
-		if !ok {
-			h = &domainModels{staged: map[string]int{}, serving: map[string]int{}}
-			out[vm.Domain] = h
-		}
-		for _, model := range vm.Staged {
-			h.staged[model]++
-		}
-		if st, underWay := r.staging[vm.ID]; underWay {
-			h.staged[st.model]++
-			if displaced, full := displacedModel(vm, capacity); full {
-				h.staged[displaced]--
+	for domain, vms := range r.inventory.service(s.Name).domains {
+		h := &domainModels{staged: map[string]int{}, serving: map[string]int{}}
+		out[domain] = h
+		for _, vm := range vms {
+			if !vm.Leaving && !vm.Unlisted {
+				r.countModels(h, vm, capacity)
 			}
 		}
-		if len(r.membersOf(vm.Member.Replica)) > 1 {
-			h.serving[vm.LastModel]++
-		}
 	}
 	return out
 }
 
-// hostCapacity returns the number of models that a host can keep. It is
-// estimated as the largest number that any host of the service reports, and at
-// least 1.
-func (r *round) hostCapacity(s fleet.Service) int {
-	capacity := 1
-	for _, vm := range r.view.VMs() {
-		if vm.Service == s.Name {
-			capacity = max(capacity, len(vm.Staged))
+// countModels adds a VM and its host to the counts of their domain.
+func (r *round) countModels(h *domainModels, vm fleet.VM, capacity int) {
+	for _, model := range vm.Staged {
+		h.staged[model]++
+	}
+	if st, underWay := r.staging[vm.ID]; underWay {
+		h.staged[st.model]++
+		if displaced, full := displacedModel(vm, capacity); full {
+			h.staged[displaced]--
 		}
 	}
-	return capacity
+	if len(r.membersOf(vm.Member.Replica)) > 1 {
+		h.serving[vm.LastModel]++
+	}
 }
 
 // displacedModel returns the model that a host drops when it stages one more;
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -82,6 +82,10 @@
 	// lateOpens says that orders to open may be carried out after the members have left;
 	// see checkComplete.
 	lateOpens bool
+	// planGap is the least time between planning rounds; plannedAt is when the last began.
+	planGap, plannedAt time.Duration
+	// quickLoads says that loads take a tenth of their time until a request has come.
+	quickLoads bool
 	// requestTime is how long the requests of a closing replica take.
 	requestTime time.Duration
 	// delayedShare is the part of the orders that get no answer and are carried
@@ -145,6 +149,15 @@
 	w.engines[id] = &engine{vm: fleet.VM{ID: id, Boot: int64(w.now), Address: id, Service: service, Slots: 26, Domain: domain, LastSeen: w.now}}
 }
 
+// addStaged adds running engines to a domain whose hosts hold a model.
+func (w *world) addStaged(prefix, domain, model string, n int) {
+	for i := range n {
+		id := fmt.Sprintf("%s-%02d", prefix, i)
+		w.add(id, domain)
+		w.engines[id].vm.Staged = []string{model}
+	}
+}
+
 // run advances the time until the condition holds or the duration has passed,
 // and reports whether the condition holds.
 func (w *world) run(d time.Duration, done func() bool) bool {
@@ -172,7 +185,8 @@
 		w.execute(d.order, d.fence)
 	}
 	w.publishReports()
-	if len(w.snapshots) > 0 {
+	if len(w.snapshots) > 0 && w.now-w.plannedAt >= w.planGap {
+		w.plannedAt = w.now
 		w.send(w.planner.Plan(w.now, w.seen().at, w.view()))
 	}
 }
@@ -319,6 +333,9 @@
 	model, _ := w.config.Services[service].Engine.Model(o.Model)
 	wait, load := joinTime(e.vm, model)
 	if load {
+		if w.quickLoads && !w.gotRequests {
+			wait /= 10
+		}
 		w.loadStarts = append(w.loadStarts, w.now)
 		w.coldJoins++
 	}
@@ -456,6 +473,17 @@
 	return nil
 }
 
+// stalledHeads returns the heads of the open replicas that lack a member.
+func (w *world) stalledHeads() []string {
+	var out []string
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		if e := w.engines[id]; e.vm.Member.State == fleet.MemberOpen && !w.complete(e) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // lastMemberIn returns the member with the highest rank of a serving replica of
 // a model in a domain; nil if there is none.
 func (w *world) lastMemberIn(model, domain string) *engine {
