formation: Keep the answer to a probe in force while the VM repeats its report

Cause: a VM may join a replica once the number of orders that it has accepted is known since its last report. Any report that came after the answer to a probe made the answer invalid, also one that says the same as the last. A replica is formed only if one round finds all its VMs confirmed, so the larger the replica and the rarer the rounds, the less likely that is: each round probes some VMs anew, and the others' reports come before the next one.

Why this works: the number grows by orders and by staging, both of which change the report. So an answer holds for as long as answers hold (a second) while the VM reports what it reported when the probe was sent. If the number is wrong all the same, the VM refuses the order, as before.

Ruled out: orders without a condition, as they may undo what a former holder's late order did.

--- a/formation/accepted.go
+++ b/formation/accepted.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
@@ -58,14 +59,38 @@
 }
 
 // acceptedSinceReport reports whether the number of orders that a VM has accepted is known
-// from an answer that came after its report. The number grows without an order when staging
-// is done, which changes the report.
+// from an answer that came after its report, or from a recent one since which the VM has
+// repeated its report. The number grows without an order when staging is done, which changes
+// the report.
 func (r *round) acceptedSinceReport(vm fleet.VM) bool {
-	answeredAt := r.accepted[vm.ID].answeredAt
-	if s, ok := r.probes[vm.ID]; ok {
-		answeredAt = max(answeredAt, s.answeredAt)
+	if r.acceptedBy(vm) == nil {
+		return false
 	}
-	return answeredAt >= vm.LastSeen && r.acceptedBy(vm) != nil
+	if r.accepted[vm.ID].answeredAt >= vm.LastSeen {
+		return true
+	}
+	s, ok := r.probes[vm.ID]
+	if !ok || s.answeredAt >= vm.LastSeen {
+		return ok
+	}
+	return s.answeredAt >= s.sentAt && r.now-s.answeredAt < freshnessLimit && s.reported.equal(reportOf(vm))
+}
+
+// reportedState is what a VM's reports say of the orders that it has accepted.
+type reportedState struct {
+	boot             int64
+	member           fleet.Membership
+	model, lastModel string
+	staged           []string
+}
+
+func reportOf(vm fleet.VM) reportedState {
+	return reportedState{boot: vm.Boot, member: vm.Member, model: vm.Model, lastModel: vm.LastModel, staged: vm.Staged}
+}
+
+func (s reportedState) equal(other reportedState) bool {
+	return s.boot == other.boot && s.member == other.member && s.model == other.model && s.lastModel == other.lastModel &&
+		slices.Equal(s.staged, other.staged)
 }
 
 // confirmed reports whether a VM can be ordered to join now: it has reported or answered
@@ -144,6 +169,6 @@
 	if s.pending {
 		return nil
 	}
-	s.pending, s.sentAt = true, now
+	s.pending, s.sentAt, s.reported = true, now, reportedState{}
 	return []Order{{Kind: Probe, VM: o.VM, Address: o.Address, Replica: o.Replica}}
 }
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -13,6 +13,8 @@
 	unanswered int
 	pending    bool
 	sentAt     time.Duration
+	// reported is what the VM reported when the last probe was sent; empty if that is unknown.
+	reported reportedState
 	// report is the VM's last answer that could be decoded, which came at answeredAt.
 	answeredAt time.Duration
 	report     VMReport
@@ -159,6 +161,6 @@
 	if s.pending {
 		return
 	}
-	s.pending, s.sentAt = true, r.now
+	s.pending, s.sentAt, s.reported = true, r.now, reportOf(vm)
 	r.order(Order{Kind: Probe, VM: vm.ID, Address: vm.Address, Replica: vm.Member.Replica})
 }
--- a/formation/scale_test.go
+++ b/formation/scale_test.go
@@ -53,7 +53,17 @@
 	DescribeTable("repairs the replicas of all domains in the time that one repair takes", func(planGap time.Duration) {
 		Expect(repaired(domains, planGap)).To(BeNumerically("<=", repaired(1, planGap)+2*planGap))
 	},
-		Entry("with a round every 50 ms", stepTime),
+		Entry("with a round every 50 ms", stepTime), Entry("with a round every 150 ms", 3*stepTime),
+	)
+
+	// Guards against replicas that are never formed (SHORT): a report that repeated the last
+	// one made the answer to a probe invalid, so that with rare rounds no round found all VMs
+	// of a large replica confirmed.
+	DescribeTable("repairs a replica within two seconds and some rounds, also if rounds are rare", func(planGap time.Duration) {
+		const roundsOfRepair = 4
+		Expect(repaired(1, planGap)).To(BeNumerically("<=", 2*time.Second+roundsOfRepair*planGap))
+	},
+		Entry("with a round every 50 ms", stepTime), Entry("with a round every 150 ms", 3*stepTime), Entry("with a round every 300 ms", 6*stepTime),
 	)
 })
 
