formation: Leave a share of the time free between planning rounds

Cause: two ways in which rounds were not bounded. Each answer that called for a plan caused a round of its own at once, so the probes of a replica of 16 cost up to 16 rounds, and only changes of the view waited for minPlanGap. And the gap counted from the start of the last round, so rounds that take longer than it followed each other without a pause, the more the smaller the VM and the larger the fleet.

Why this works: rounds are requested and begin once the pause after the last one is over, whatever asked for them. The pause is minPlanGap, or four times the last round if that is longer, so rounds take a fifth of the time at most. A round forms all that is needed, so fewer rounds form no less.

Results are also handled while a round waits for its time; before, the loop slept. The lists of dead VMs and closing replicas are published after each round, and a VM that is back calls for a round.

--- a/formation/driver.go
+++ b/formation/driver.go
@@ -22,10 +22,13 @@
 	// still return before it shows that this process was delayed, for lack of
 	// processor time for example.
 	delayMargin = 30 * time.Millisecond
-	// minPlanGap is the shortest time between a planning round and the next one
-	// that a change of the view triggers. Changes within that time are planned
-	// together.
+	// minPlanGap is the shortest time between the end of a planning round and the next
+	// round. What happens in between is planned together.
 	minPlanGap = 15 * time.Millisecond
+	// idlePerRound is how many times as long as the last round the pause before the next
+	// one is at least. The node serves requests too, and a round of a large fleet takes
+	// long on a small VM.
+	idlePerRound = 4
 )
 
 // Sender sends orders to VMs. The fence is the fencing number of the order, the
@@ -129,56 +132,82 @@
 
 // Run plans and sends orders until the context ends.
 func (d *Driver) Run(ctx context.Context) {
-	t := time.NewTicker(planInterval)
-	defer t.Stop()
-	term := int64(0)
-	plannedAt := time.Time{}
-	var stats roundStats
-	plan := func() []Order {
-		current, held := d.Lease.Held()
-		if !held {
-			return nil
-		}
-		plannedAt = time.Now()
-		if current != term {
-			term = current
-			d.Planner.Reset(term, d.Lease.ClaimedAt())
-			stats = roundStats{}
-		}
-		defer stats.record(d.Planner, plannedAt)
-		// The view is at least as recent as the time that is read before it.
-		verifiedAt := d.ReportsVerifiedAt()
-		return d.Planner.Plan(bootclock.Now(), verifiedAt, d.View())
-	}
+	ticker := time.NewTicker(planInterval)
+	defer ticker.Stop()
+	loop := planningLoop{Driver: d, next: time.NewTimer(0)}
+	defer loop.next.Stop()
 	for {
 		var orders []Order
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.changed:
-			time.Sleep(minPlanGap - time.Since(plannedAt))
-			orders = plan()
+			loop.requestRound()
+		case <-ticker.C:
+			loop.requestRound()
 		case o := <-d.results:
 			orders = d.Planner.HandleResult(bootclock.Now(), o.order, o.result)
 			if d.Planner.NeedsReplan() {
-				orders = append(orders, plan()...)
+				loop.requestRound()
 			}
 		case head := <-d.suspects:
-			if current, held := d.Lease.Held(); held && current == term {
+			if current, held := d.Lease.Held(); held && current == loop.term {
 				orders = d.Planner.ProbeMembers(bootclock.Now(), d.View(), head)
 			}
-		case <-t.C:
-			orders = plan()
+		case <-loop.next.C:
+			orders = loop.round()
 		}
-		dead, closing := d.Planner.Dead(), d.Planner.Closing()
-		d.dead.Store(&dead)
-		d.closing.Store(&closing)
 		for _, o := range orders {
-			go d.send(ctx, o, term)
+			go d.send(ctx, o, loop.term)
 		}
 	}
 }
 
+// planningLoop is the state of Driver.Run.
+type planningLoop struct {
+	*Driver
+	term int64
+	// next fires when the requested round is due; requested says that one is.
+	next      *time.Timer
+	requested bool
+	// earliest is when the next round may begin.
+	earliest time.Time
+	stats    roundStats
+}
+
+// requestRound makes a planning round begin as soon as the pause after the last one is over.
+func (l *planningLoop) requestRound() {
+	if !l.requested {
+		l.requested = true
+		l.next.Reset(time.Until(l.earliest))
+	}
+}
+
+// round plans if this node holds the control lease.
+func (l *planningLoop) round() []Order {
+	l.requested = false
+	current, held := l.Lease.Held()
+	if !held {
+		return nil
+	}
+	began := time.Now()
+	if current != l.term {
+		l.term = current
+		l.Planner.Reset(current, l.Lease.ClaimedAt())
+		l.stats = roundStats{}
+	}
+	// The view is at least as recent as the time that is read before it.
+	verifiedAt := l.ReportsVerifiedAt()
+	orders := l.Planner.Plan(bootclock.Now(), verifiedAt, l.View())
+	dead, closing := l.Planner.Dead(), l.Planner.Closing()
+	l.dead.Store(&dead)
+	l.closing.Store(&closing)
+	ended := time.Now()
+	l.earliest = ended.Add(max(minPlanGap, idlePerRound*ended.Sub(began)))
+	l.stats.record(l.Planner, began, ended)
+	return orders
+}
+
 // send sends an order and queues its result. It drops the order if this node no
 // longer holds the control lease with the given term.
 func (d *Driver) send(ctx context.Context, o Order, term int64) {
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -158,7 +158,7 @@
 	freeCounts map[string]freeCount
 	// loadStarts holds the times at which loads within the window started.
 	loadStarts []time.Duration
-	// replan says that a result calls for a plan at once; awaitingProbes says
+	// replan says that a result calls for a plan soon; awaitingProbes says
 	// that a replica is formed once its VMs have answered probes.
 	replan, awaitingProbes bool
 	// waiting describes the last round.
@@ -189,8 +189,7 @@
 	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{claimedAt: claimedAt}
 }
 
-// NeedsReplan reports whether a result since the last plan calls for a new plan
-// at once.
+// NeedsReplan reports whether a result since the last plan calls for a new plan soon.
 func (p *Planner) NeedsReplan() bool { return p.replan }
 
 // Plan updates the replicas from the VMs' reports and returns the orders to
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -70,6 +70,7 @@
 	}
 	if res.Answered {
 		if s.deadAt > 0 {
+			p.replan = true
 			p.s.Logger.Info(decisions.UpstreamBack, "upstream", o.VM, "dead_ms", (now - s.deadAt).Milliseconds())
 		}
 		s.deadAt, s.unanswered = 0, 0
--- a/formation/report.go
+++ b/formation/report.go
@@ -21,21 +21,20 @@
 	generation    int64
 }
 
-// record adds a round that began at the given time and has ended, and logs a line once
-// reportInterval has passed since the last one.
-func (s *roundStats) record(p *Planner, began time.Time) {
-	took := time.Since(began)
+// record adds a round, and logs a line once reportInterval has passed since the last one.
+func (s *roundStats) record(p *Planner, began, ended time.Time) {
+	took := ended.Sub(began)
 	s.rounds++
 	s.busy += took
 	s.longest = max(s.longest, took)
-	switch elapsed := time.Since(s.since); {
+	switch elapsed := ended.Sub(s.since); {
 	case s.since.IsZero():
 		s.since = began
 	case elapsed >= reportInterval:
 		p.s.Logger.Info(decisions.PlanningReport, "term", p.term, "interval_ms", elapsed.Milliseconds(), "rounds", s.rounds,
 			"busy_ms", s.busy.Milliseconds(), "longest_ms", s.longest.Milliseconds(), "formed", p.generation-s.generation,
 			"replicas", p.openReplicas(), "vms", p.vmCount, "await_probes", p.waiting.probes, "await_loads", p.waiting.loads)
-		*s = roundStats{since: time.Now(), generation: p.generation}
+		*s = roundStats{since: ended, generation: p.generation}
 	}
 }
 
