daemon: Specs for engines that send bytes without end in streams, and in chunks

Not played were bodies in chunks and with a length that is never reached, and streams, from most engines at once.

--- a/standin/fault/endless.go
+++ b/standin/fault/endless.go
@@ -1,6 +1,7 @@
 package fault
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -16,11 +17,24 @@
 	EndlessHead   EndlessPart = "head"
 	EndlessBody   EndlessPart = "body"
 	EndlessEvent  EndlessPart = "event"
+	// EndlessChunks and EndlessChunkedEvent are a body and an event of a stream in chunks.
+	EndlessChunks       EndlessPart = "chunks"
+	EndlessChunkedEvent EndlessPart = "chunked_event"
+	// EndlessLength is a body that states a length which it never reaches in time.
+	EndlessLength EndlessPart = "length"
 )
 
+// EndlessParts holds all parts.
+var EndlessParts = []EndlessPart{
+	EndlessHeader, EndlessHead, EndlessBody, EndlessEvent, EndlessChunks, EndlessChunkedEvent, EndlessLength,
+}
+
 // endlessBlock is what an endless answer repeats.
 var endlessBlock = strings.Repeat("x", 16<<10)
 
+// endlessChunk is endlessBlock as a chunk.
+var endlessChunk = fmt.Sprintf("%x\r\n%s\r\n", len(endlessBlock), endlessBlock)
+
 // ServeEndless answers a request with bytes that do not end until the caller closes
 // the connection. fields are the header fields of the answer before its endless part,
 // each with its line end.
@@ -38,6 +52,14 @@
 		repeat = "A: b\r\n"
 	case EndlessEvent:
 		start += "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: "
+	case EndlessChunks:
+		start += "Transfer-Encoding: chunked\r\n\r\n"
+		repeat = endlessChunk
+	case EndlessChunkedEvent:
+		start += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nid: 1\ndata: \r\n"
+		repeat = endlessChunk
+	case EndlessLength:
+		start += "Content-Length: 99999999999\r\n\r\n"
 	default:
 		start += "\r\n"
 	}
