--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -135,10 +135,22 @@
 	return l
 }
 
+// Shortage says why a request could not be assigned to a target.
+type Shortage int
+
+// Shortages. With AllPaused, nothing but pauses, or the steps after them, keeps the request
+// from all targets that are not excluded; with NoRoom, all targets are excluded or at least
+// one has no capacity.
+const (
+	NoShortage Shortage = iota
+	NoRoom
+	AllPaused
+)
+
 // Pick selects the target with the best score and counts the request there. Targets
-// that failed lately are considered only if no other one can be selected. It reports
-// false if every target is excluded or has no capacity.
-func (b *Balancer) Pick(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) (Assignment, bool) {
+// that failed lately are considered only if no other one can be selected. If it selects
+// none, the shortage is the one at the moment of the search.
+func (b *Balancer) Pick(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) (Assignment, Shortage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	best, found := fleet.Target{}, false
@@ -155,7 +167,10 @@
 		}
 	}
 	if !found {
-		return Assignment{}, false
+		if _, all := b.nextPlace(now, targets, r.Exclude); all {
+			return Assignment{}, AllPaused
+		}
+		return Assignment{}, NoRoom
 	}
 	l := b.loadOf(best)
 	if l.inFlight == 0 {
@@ -166,7 +181,7 @@
 	sum := b.total(now, best)
 	return Assignment{
 		Target: best, Load: sum.InFlight, PendingPromptTokens: sum.PendingPromptTokens, Predicted: bestScore, PeerLoadAge: b.oldestPeerLoadAge(now), promptTokens: r.PromptTokens,
-	}, true
+	}, NoShortage
 }
 
 // isSuspect reports whether a target failed less than suspectDuration ago.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -32,8 +32,8 @@
 		targets = []fleet.Target{target("a"), target("b"), target("c")}
 	})
 	pick := func(r dispatch.Request) *dispatch.Assignment {
-		t, ok := b.Pick(now, engine, targets, r)
-		if !ok {
+		t, short := b.Pick(now, engine, targets, r)
+		if short != dispatch.NoShortage {
 			return nil
 		}
 		return &t
--- a/dispatch/pauses.go
+++ b/dispatch/pauses.go
@@ -42,6 +42,11 @@
 func (b *Balancer) NextPlace(now time.Time, targets []fleet.Target, exclude []string) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.nextPlace(now, targets, exclude)
+}
+
+// nextPlace is NextPlace. The caller holds the mutex.
+func (b *Balancer) nextPlace(now time.Time, targets []fleet.Target, exclude []string) (time.Duration, bool) {
 	next := time.Duration(math.MaxInt64)
 	for _, t := range targets {
 		if slices.Contains(exclude, t.InstanceKey()) {
--- a/dispatch/pauses_test.go
+++ b/dispatch/pauses_test.go
@@ -24,7 +24,8 @@
 	other := fleet.Target{ID: "o", Boot: 1, Slots: 50}
 	both := []fleet.Target{paused, other}
 	pick := func(now time.Time, targets ...fleet.Target) (Assignment, bool) {
-		return b.Pick(now, nil, targets, Request{})
+		a, short := b.Pick(now, nil, targets, Request{})
+		return a, short == NoShortage
 	}
 
 	BeforeEach(func() {
@@ -59,10 +60,10 @@
 	})
 
 	It("is left to the requests that wait for it until the steps are over", func() {
-		_, ok := b.Pick(at(2900), nil, []fleet.Target{paused}, Request{NeverPaused: true})
-		Expect(ok).To(BeFalse())
-		_, ok = b.Pick(at(3000), nil, []fleet.Target{paused}, Request{NeverPaused: true})
-		Expect(ok).To(BeTrue())
+		_, short := b.Pick(at(2900), nil, []fleet.Target{paused}, Request{NeverPaused: true})
+		Expect(short).NotTo(Equal(NoShortage))
+		_, short = b.Pick(at(3000), nil, []fleet.Target{paused}, Request{NeverPaused: true})
+		Expect(short).To(Equal(NoShortage))
 	})
 
 	It("gets none of the requests that were assigned to it before", func() {
@@ -96,6 +97,38 @@
 		Expect(all).To(BeFalse())
 	})
 
+	// Guards against callers refused for lack of room while a place becomes free: the search
+	// for a place and the question whether pauses stand in the way were two steps.
+	It("is named as what keeps a request from all upstreams, also while requests end there", func() {
+		var workers sync.WaitGroup
+		for range 8 {
+			workers.Go(func() {
+				defer GinkgoRecover()
+				for range 2000 {
+					a, short := b.Pick(at(2050), nil, []fleet.Target{paused}, Request{})
+					if short == NoShortage {
+						runtime.Gosched()
+						b.Done(at(2050), &a)
+						continue
+					}
+					Expect(short).To(Equal(AllPaused))
+				}
+			})
+		}
+		workers.Wait()
+	})
+
+	It("is not named if another upstream has no room", func() {
+		for range other.Slots * (1 + queuedPerSlot) {
+			_, ok := pick(at(500), other)
+			Expect(ok).To(BeTrue())
+		}
+		_, short := b.Pick(at(500), nil, both, Request{})
+		Expect(short).To(Equal(NoRoom))
+		_, short = b.Pick(at(500), nil, both, Request{Exclude: []string{other.InstanceKey()}})
+		Expect(short).To(Equal(AllPaused))
+	})
+
 	It("tells in the steps when a request has ended there", func() {
 		places := 0
 		b.OnPlace(func() { places++ })
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -162,11 +162,12 @@
 func (f *forwarder) pick(ctx context.Context, exclude []string, failover, neverPaused bool) (*try, *verdict.Error) {
 	targets := f.usable()
 	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
-	assignment, ok := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
-	if !ok {
-		if _, all := f.node.balancer.NextPlace(time.Now(), targets, exclude); all {
-			return nil, f.refusePaused()
-		}
+	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
+	switch shortage {
+	case dispatch.NoShortage:
+	case dispatch.AllPaused:
+		return nil, f.refusePaused()
+	case dispatch.NoRoom:
 		return nil, verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(exclude)).
 			WithRetryAfter(noRoomRetryAfter())
 	}
