gateway: Let a request wait for a pause although others run at the upstream when it begins

Cause, shown by the log of one of them ("the first for 1096 ms"): the wait was refused by the time after which a place is free if all requests that run at the upstream now still run then: the pause and two steps. They run for 10 ms there.

Change: a request is refused at once only if the pauses themselves last too long. Others wait in the line, which gives the places after a pause in turn, and are refused at the end of their part of the deadline as before.

--- a/dispatch/pauses.go
+++ b/dispatch/pauses.go
@@ -61,6 +61,20 @@
 	return next, next < math.MaxInt64
 }
 
+// FirstPlace returns how long it takes at least until one of the targets that are not
+// excluded may run one more request of this node, if all that run there now end before.
+func (b *Balancer) FirstPlace(now time.Time, targets []fleet.Target, exclude []string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := time.Duration(math.MaxInt64)
+	for _, t := range targets {
+		if !slices.Contains(exclude, t.InstanceKey()) {
+			first = min(first, b.pauses.Remaining(now, t.Incarnation()))
+		}
+	}
+	return first
+}
+
 // RetainPauses drops the pauses of incarnations for which keep returns false, and those
 // that are over.
 func (b *Balancer) RetainPauses(now time.Time, keep func(fleet.Incarnation) bool) {
--- a/dispatch/pauses_test.go
+++ b/dispatch/pauses_test.go
@@ -118,6 +118,21 @@
 		workers.Wait()
 	})
 
+	It("takes a request after its pause if those that run there have ended", func() {
+		for range 3 {
+			_, ok := pick(start, other)
+			Expect(ok).To(BeTrue())
+		}
+		b.Pause(start, other.Incarnation(), time.Second)
+		next, all := b.NextPlace(start, both, nil)
+		Expect(all).To(BeTrue())
+		Expect(next).To(Equal(1400 * time.Millisecond))
+		Expect(b.FirstPlace(start, both, nil)).To(Equal(time.Second))
+		Expect(b.FirstPlace(at(1000), both, nil)).To(BeZero())
+		Expect(b.FirstPlace(start, both, []string{other.InstanceKey()})).To(Equal(2 * time.Second))
+		Expect(b.FirstPlace(start, nil, nil)).To(BeNumerically(">", time.Hour))
+	})
+
 	It("is not named if another upstream has no room", func() {
 		for range other.Slots * (1 + queuedPerSlot) {
 			_, ok := pick(at(500), other)
--- a/gateway/pauselines.go
+++ b/gateway/pauselines.go
@@ -163,10 +163,9 @@
 	return f.node.balancer.NextPlace(time.Now(), f.usable(), f.exclude)
 }
 
-// placeAfter returns a refusal if the first upstream takes the request after limit only.
+// placeAfter returns a refusal if all upstreams pause beyond limit.
 func (f *forwarder) placeAfter(limit time.Time) *verdict.Error {
-	next, _ := f.nextPlace()
-	if time.Until(limit) > next {
+	if time.Until(limit) > f.node.balancer.FirstPlace(time.Now(), f.usable(), f.exclude) {
 		return nil
 	}
 	return f.refusePaused()
