relay: Send large values compressed, so that a configuration does not fill a node's link

Cause: the node that passes the log on in a zone sent a configuration of 0.35 MB to 38 nodes, as base64 0.47 MB each. That takes most of a second of its link of 200 Mbit/s; polls end after 0.4 s, so what had been sent was thrown away and asked for again, reports of VMs and loads behind it, and then all nodes read the log themselves.

Change: values from 16 KB on are sent as gzip, compressed once for all peers, to peers that say that they take them; others get them as before, so versions mix. What a response may hold after decompression is bounded like the response.

Ruled out: a longer limit for polls: the link would still be full, and a silent peer be noticed later.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 )
 
@@ -105,6 +107,8 @@
 type pollRequest struct {
 	// After holds, by stream, the offset of the first record to return.
 	After map[string]int64 `json:"after"`
+	// Gzip says that the response may hold compressed values.
+	Gzip bool `json:"gzip,omitempty"`
 }
 
 // pollResponse holds the new records, by stream.
@@ -127,30 +131,46 @@
 type record struct {
 	Key   string `json:"k"`
 	Value []byte `json:"v,omitempty"`
+	// Compressed is the value compressed with gzip, in place of Value.
+	Compressed []byte `json:"z,omitempty"`
 }
 
 // encodeStreamResponse returns the response that carries a batch sent at now, a
-// time of the boot clock. AgeMillis is rounded up.
-func encodeStreamResponse(b keyed.Batch, now time.Duration) streamResponse {
+// time of the boot clock. AgeMillis is rounded up. compress returns the compressed form
+// of a value, nil to send it as it is.
+func encodeStreamResponse(b keyed.Batch, now time.Duration, compress func([]byte) []byte) streamResponse {
 	p := streamResponse{Next: b.Next, AgeMillis: (now - b.SentAt).Milliseconds() + 1}
 	for _, r := range b.Records {
-		p.Records = append(p.Records, record{r.Key, r.Value})
+		out := record{Key: r.Key, Compressed: compress(r.Value)}
+		if out.Compressed == nil {
+			out.Value = r.Value
+		}
+		p.Records = append(p.Records, out)
 	}
 	return p
 }
 
 // decodeStreamResponse returns the batch in the response to a poll that asked for
-// the offset from and was sent at sentAt. It returns false if the response is
-// inconsistent.
-func decodeStreamResponse(p streamResponse, from int64, sentAt time.Duration) (keyed.Batch, bool) {
+// the offset from and was sent at sentAt. It fails if the response is inconsistent or
+// its values can't be decompressed.
+func decodeStreamResponse(p streamResponse, from int64, sentAt time.Duration) (keyed.Batch, error) {
 	if p.AgeMillis < 0 || p.Next != from+int64(len(p.Records)) {
-		return keyed.Batch{}, false
+		return keyed.Batch{}, errors.Newf("inconsistent response: %d records, next offset %d", len(p.Records), p.Next)
 	}
+	left := int64(maxValueBytes)
 	b := keyed.Batch{From: from, Next: p.Next, SentAt: sentAt - time.Duration(p.AgeMillis)*time.Millisecond}
 	for i, r := range p.Records {
+		if len(r.Compressed) > 0 {
+			value, err := decompress(r.Compressed, left)
+			if err != nil {
+				return keyed.Batch{}, err
+			}
+			r.Value = value
+			left -= int64(len(value))
+		}
 		b.Records = append(b.Records, keyed.Record{Key: r.Key, Value: r.Value, Offset: from + int64(i)})
 	}
-	return b, true
+	return b, nil
 }
 
 // sortByName returns the streams sorted by name.
--- a/relay/server.go
+++ b/relay/server.go
@@ -29,7 +29,10 @@
 }
 
 // server holds the streams that are served, by name.
-type server struct{ streams map[string]*keyed.Stream }
+type server struct {
+	streams map[string]*keyed.Stream
+	values  compressor
+}
 
 // poll answers a peer's poll as soon as a polled stream has records, or after
 // pollWait.
@@ -58,13 +61,17 @@
 // longer held.
 func (h *server) collect(q pollRequest) (pollResponse, bool) {
 	a, hasRecords := pollResponse{Streams: map[string]streamResponse{}}, false
+	compress := h.values.compress
+	if !q.Gzip {
+		compress = func([]byte) []byte { return nil }
+	}
 	for name, from := range q.After {
 		s, ok := h.streams[name]
 		if !ok {
 			continue
 		}
 		if b, ok := s.Tail(from); ok {
-			a.Streams[name] = encodeStreamResponse(b, bootclock.Now())
+			a.Streams[name] = encodeStreamResponse(b, bootclock.Now(), compress)
 			hasRecords = hasRecords || len(b.Records) > 0
 		}
 	}
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -154,7 +154,7 @@
 // poll sends one poll and applies the response. It reports whether the response
 // held records.
 func (s *Subscriber) poll(ctx context.Context, peer Peer) (bool, error) {
-	q := pollRequest{After: map[string]int64{}}
+	q := pollRequest{After: map[string]int64{}, Gzip: true}
 	for _, st := range s.streams {
 		if next, based := st.Next(); based {
 			q.After[st.Name] = next
@@ -174,9 +174,9 @@
 		if !ok {
 			continue
 		}
-		b, ok := decodeStreamResponse(p, q.After[st.Name], sentAt)
-		if !ok {
-			return hasRecords, errors.Newf("stream %s: inconsistent response: %d records, next offset %d", st.Name, len(p.Records), p.Next)
+		b, err := decodeStreamResponse(p, q.After[st.Name], sentAt)
+		if err != nil {
+			return hasRecords, errors.Wrapf(err, "stream %s", st.Name)
 		}
 		if st.Apply(b) {
 			s.recordFreshness(st.Name, b.SentAt)
