--- a/formation/candidate.go
+++ b/formation/candidate.go
@@ -23,9 +23,9 @@
 // candidates holds the candidates of a service, one for each model and domain whose free VMs
 // suffice.
 type candidates struct {
-	round *round
-	s     fleet.Service
-	free  map[string][]fleet.VM
+	round   *round
+	service fleet.Service
+	free    map[string][]fleet.VM
 	// domains holds the names of the domains in ascending order. stable says for which of
 	// them loads may start (see round.freeCountStable).
 	domains []string
@@ -35,7 +35,9 @@
 
 // newCandidates returns the candidates that free VMs, by domain, can form.
 func newCandidates(r *round, s fleet.Service, free map[string][]fleet.VM) *candidates {
-	c := &candidates{round: r, s: s, free: free, domains: sortedNames(free), stable: map[string]bool{}, byModel: map[string]map[string]candidate{}}
+	c := &candidates{
+		round: r, service: s, free: free, domains: sortedNames(free), stable: map[string]bool{}, byModel: map[string]map[string]candidate{},
+	}
 	for _, m := range s.Engine.Models {
 		c.byModel[m.Name] = map[string]candidate{}
 	}
@@ -48,10 +50,10 @@
 
 // update makes the candidates of a domain anew.
 func (c *candidates) update(domain string) {
-	for _, m := range c.s.Engine.Models {
+	for _, m := range c.service.Engine.Models {
 		delete(c.byModel[m.Name], domain)
-		if n, ok := newCandidate(m, c.free[domain]); ok {
-			c.byModel[m.Name][domain] = n
+		if made, ok := newCandidate(m, c.free[domain]); ok {
+			c.byModel[m.Name][domain] = made
 		}
 	}
 }
@@ -77,19 +79,19 @@
 func (c *candidates) best(d *demand) (candidate, bool) {
 	var best candidate
 	found := false
-	for _, m := range c.s.Engine.Models {
+	for _, m := range c.service.Engine.Models {
 		coverage := d.coverage(m.Name)
 		if coverage >= 1 {
 			continue
 		}
 		for _, domain := range c.domains {
-			n, ok := c.byModel[m.Name][domain]
-			if !ok || !c.round.domainOpenTo(domain, m.Name) || !c.round.worthLoading(n, d) || n.loads > 0 && !c.stable[domain] {
+			next, ok := c.byModel[m.Name][domain]
+			if !ok || !c.round.domainOpenTo(domain, m.Name) || !c.round.worthLoading(next, d) || next.loads > 0 && !c.stable[domain] {
 				continue
 			}
-			n.coverage = coverage
-			if !found || preferred(n, best) {
-				best, found = n, true
+			next.coverage = coverage
+			if !found || preferred(next, best) {
+				best, found = next, true
 			}
 		}
 	}
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -1,8 +1,6 @@
 package formation
 
-import (
-	"github.com/tamarackcleat/tamarackcleat/fleet"
-)
+import "github.com/tamarackcleat/tamarackcleat/fleet"
 
 // demand compares the replicas of a service's models with those that they should have.
 type demand struct {
--- a/formation/form.go
+++ b/formation/form.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// scarceCoverage is the coverage of a model (see round.coverage) below
+	// scarceCoverage is the coverage of a model (see demand.coverage) below
 	// which any number of a new replica's VMs may have to load the model from
 	// the weight store because they hold another one. At or above it, VMs of a
 	// lost replica wait for a spare, a free VM that holds their model, with
@@ -120,10 +120,10 @@
 // leave room for its own.
 func (r *round) form(s fleet.Service, free map[string][]fleet.VM) {
 	d := r.newDemand(s)
-	c := newCandidates(r, s, free)
+	candidates := newCandidates(r, s, free)
 	for {
 		r.reallocate(s, d, free)
-		best, ok := c.best(d)
+		best, ok := candidates.best(d)
 		if !ok {
 			return
 		}
@@ -138,7 +138,7 @@
 			r.formReplica(s, best)
 		}
 		d.counts[best.model.Name]++
-		c.take(best)
+		candidates.take(best)
 	}
 }
 
--- a/formation/plan_bench_test.go
+++ b/formation/plan_bench_test.go
@@ -10,25 +10,6 @@
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
-// largeModels are the models of a fleet with domains of 35 VMs.
-func largeModels() []fleet.Model {
-	return []fleet.Model{
-		{Name: "large", Size: 16, Share: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
-		{Name: "small", Size: 4, Share: 0.5, TimeFactor: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
-	}
-}
-
-// newLargeWorld returns a world with the given number of domains of 35 VMs.
-func newLargeWorld(seed uint64, domains int) *world {
-	sizes := make([]int, domains)
-	for i := range sizes {
-		sizes[i] = 35
-	}
-	w := newWorld(seed, sizes...)
-	w.config.Services[service].Engine.Models = largeModels()
-	return w
-}
-
 // BenchmarkPlan measures a round of a fleet whose replicas all serve, each after reports of
 // a hundredth of the VMs.
 func BenchmarkPlan(b *testing.B) {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -136,6 +136,25 @@
 	return w
 }
 
+// largeModels are the models of a fleet with domains of 35 VMs.
+func largeModels() []fleet.Model {
+	return []fleet.Model{
+		{Name: "large", Size: 16, Share: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, WarmTime: 1600 * time.Millisecond},
+		{Name: "small", Size: 4, Share: 0.5, TimeFactor: 0.6, LoadTime: 12 * time.Second, WarmTime: 1100 * time.Millisecond},
+	}
+}
+
+// newLargeWorld returns a world with the given number of domains of 35 VMs.
+func newLargeWorld(seed uint64, domains int) *world {
+	sizes := make([]int, domains)
+	for i := range sizes {
+		sizes[i] = 35
+	}
+	w := newWorld(seed, sizes...)
+	w.config.Services[service].Engine.Models = largeModels()
+	return w
+}
+
 // startPlanner starts a planner that knows nothing and holds the lease with the given term.
 func (w *world) startPlanner(term int64) {
 	w.planner = NewPlanner(Settings{
