standin/callers, config: Tell a document or an answer that is too long from a malformed one

Whoever ran the stand-in's callers against an answer beyond the limit read "decoding effects: unexpected end of JSON" or a status with a cut-off text, and the operator of a settings file of 1 MB read that it has 262,145 bytes, because three readers stop at a limit by themselves.

Cause: io.LimitReader ends a reader without saying that it did.

Specs: "say of an answer that is too long that it is" failed before; "says of a file that is too long which limit it exceeds" asks for the message without the wrong size.

--- a/config/static/static.go
+++ b/config/static/static.go
@@ -6,7 +6,6 @@
 package static
 
 import (
-	"io"
 	"log/slog"
 	"os"
 
@@ -79,7 +78,7 @@
 		return Settings{}, errors.Wrap(err, "reading settings")
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, strictyaml.MaxBytes+1))
+	data, err := strictyaml.ReadDocument(f)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "reading settings")
 	}
--- a/config/static/static_test.go
+++ b/config/static/static_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"os"
 	"path/filepath"
 	"strings"
 
@@ -41,6 +42,15 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	// Guards against a size in the error that is not that of the file, which is read up to
+	// the limit only.
+	It("says of a file that is too long which limit it exceeds", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "large.yaml")
+		Expect(os.WriteFile(file, []byte(valid+strings.Repeat("# comment\n", 100_000)), 0o600)).To(Succeed())
+		_, err := static.Load(file)
+		Expect(err).To(MatchError(ContainSubstring("the document has more than 262144 bytes")))
+	})
+
 	It("returns an error if the file is missing", func() {
 		_, err := static.Load(filepath.Join(GinkgoT().TempDir(), "none.yaml"))
 		Expect(err).To(MatchError(ContainSubstring("reading settings")))
--- a/config/strictyaml/source.go
+++ b/config/strictyaml/source.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"unicode/utf8"
@@ -107,11 +108,15 @@
 	return token.Position{Line: 1, Column: 1}
 }
 
+// ReadDocument reads a document to its end, or to one byte beyond MaxBytes, so that Parse
+// rejects a larger one as too long.
+func ReadDocument(r io.Reader) ([]byte, error) { return io.ReadAll(io.LimitReader(r, MaxBytes+1)) }
+
 // checkBytes checks the encoding of the document, its size and the length of its
 // lines. It records the first problem and reports whether there was none.
 func (s *Source) checkBytes(data []byte) bool {
 	if len(data) > MaxBytes {
-		s.AddProblem("", fmt.Sprintf("the document has %d bytes, more than %d", len(data), MaxBytes), "write a smaller document")
+		s.AddProblem("", fmt.Sprintf("the document has more than %d bytes", MaxBytes), "write a smaller document")
 		return false
 	}
 	if !utf8.Valid(data) || bytes.IndexByte(data, 0) >= 0 {
--- a/operator/commands.go
+++ b/operator/commands.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"regexp"
 	"strconv"
@@ -73,8 +72,7 @@
 	return base, text[len(m[0]):]
 }
 
-// readFile reads a file, or standard input for stdinName. It stops one byte
-// beyond strictyaml.MaxBytes, so that the parser can reject a larger document.
+// readFile reads a document from a file, or from standard input for stdinName.
 func (p *Program) readFile(name string) ([]byte, error) {
 	in := p.Stdin
 	if name != stdinName {
@@ -85,7 +83,7 @@
 		defer f.Close()
 		in = f
 	}
-	return io.ReadAll(io.LimitReader(in, strictyaml.MaxBytes+1))
+	return strictyaml.ReadDocument(in)
 }
 
 // ValidateResult is the result of the validate command.
--- a/standin/callers/callers_test.go
+++ b/standin/callers/callers_test.go
@@ -138,6 +138,22 @@
 		}
 	})
 
+	// Guards against a report of a malformed answer for one that was cut off at the limit.
+	It("say of an answer that is too long that it is", func() {
+		endless := func(status int) http.HandlerFunc {
+			return func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, strings.Repeat(" ", 16<<20+1))
+			}
+		}
+		refused := run(endless(http.StatusTooManyRequests), generate)
+		Expect(refused.Problems).To(ContainElement(ContainSubstring("caller_answer")))
+		server := httptest.NewServer(endless(http.StatusOK))
+		DeferCleanup(server.Close)
+		_, err := callers.CheckEffects(context.Background(), nil, []callers.EffectsSource{{Class: "confirm", URL: server.URL}})
+		Expect(err).To(MatchError(ContainSubstring("caller_answer")))
+	})
+
 	DescribeTable("report answered calls without an effect and calls with more than one", func(effects string, problems int) {
 		service := plainservice.New(plainservice.Settings{Clock: time.Now})
 		server := httptest.NewServer(service)
--- a/standin/callers/effects.go
+++ b/standin/callers/effects.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
 )
 
@@ -83,8 +83,12 @@
 		return errors.Wrap(err, "reading effects")
 	}
 	defer resp.Body.Close()
+	data, err := bounded.ReadAll(resp.Body, limitAnswer, maxAnswerBytes)
+	if err != nil {
+		return errors.Wrap(err, "reading effects")
+	}
 	var effects plainservice.Effects
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&effects); err != nil {
+	if err := json.Unmarshal(data, &effects); err != nil {
 		return errors.Wrap(err, "decoding effects")
 	}
 	for key, n := range effects.ByKey {
--- a/standin/callers/send.go
+++ b/standin/callers/send.go
@@ -13,6 +13,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/tamarackcleat/tamarackcleat/api"
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 )
 
@@ -21,8 +22,9 @@
 	requestTimeout = 2 * time.Minute
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// maxAnswerBytes bounds an answer that isn't a stream.
+	// maxAnswerBytes bounds an answer that isn't a stream; limitAnswer names the limit.
 	maxAnswerBytes = 16 << 20
+	limitAnswer    = "caller_answer"
 	// samplingSeed is the sampling seed of all requests.
 	samplingSeed = 7
 	// doneMarker is the last event of a complete stream.
@@ -141,15 +143,21 @@
 	if resp.StatusCode != http.StatusOK {
 		return readRefusal(resp)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	complete := err == nil && strings.Contains(string(data), name)
+	data, err := bounded.ReadAll(resp.Body, limitAnswer, maxAnswerBytes)
+	if err != nil {
+		return outcome{problem: fmt.Sprintf("answer to %q: %v", name, err)}
+	}
+	complete := strings.Contains(string(data), name)
 	return outcome{complete: complete, problem: fmt.Sprintf("answer to %q: %.200s", name, data)}
 }
 
 // readRefusal returns the reason of a refusal from its body, or a problem if the
 // body gives none.
 func readRefusal(resp *http.Response) outcome {
-	data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	data, err := bounded.ReadAll(resp.Body, limitAnswer, maxAnswerBytes)
+	if err != nil {
+		return outcome{problem: fmt.Sprintf("status %d: %v", resp.StatusCode, err)}
+	}
 	var body api.ErrorBody
 	if json.Unmarshal(data, &body) != nil || body.Error.Reason == "" {
 		return outcome{problem: fmt.Sprintf("status %d: %.200s", resp.StatusCode, data)}
