formation: Close no replica on the strength of one that is not formed yet

Callers of a model lost a serving replica: its model counted a replica that still waited for answers to probes, so it seemed to have more than the other model, and one of it was closed for the other. If the waiting replica was not formed, a replica of the other model was closed in turn.

Why this works: what may be closed is judged by formed replicas only, what is underserved by both.

--- a/formation/demand.go
+++ b/formation/demand.go
@@ -4,19 +4,20 @@
 
 // demand compares the replicas of a service's models with those that they should have.
 type demand struct {
-	// counts holds the number of replicas by model, those that are being formed and those
-	// that wait to be formed included, and those being dismantled excluded.
-	counts map[string]int
+	// formed holds the number of replicas by model, those that are being formed included
+	// and those being dismantled excluded; waiting holds that of the replicas which this
+	// round would form if they had not to wait.
+	formed, waiting map[string]int
 	// desired holds the number of replicas that each model should have according to its
 	// share of the work.
 	desired map[string]float64
 }
 
 func (r *round) newDemand(s fleet.Service) *demand {
-	d := &demand{counts: map[string]int{}, desired: map[string]float64{}}
+	d := &demand{formed: map[string]int{}, waiting: map[string]int{}, desired: map[string]float64{}}
 	for _, a := range r.replicas {
 		if a.service == s.Name && !a.released && !a.standby && a.dismantlingSince == 0 {
-			d.counts[a.model]++
+			d.formed[a.model]++
 		}
 	}
 	total := float64(r.inventory.service(s.Name).usable)
@@ -26,11 +27,18 @@
 	return d
 }
 
-// coverage returns the number of a model's replicas divided by the number that it should
-// have. A model that should have none has coverage 1.
+// coverage returns the number of a model's replicas, those that wait included, divided by the
+// number that it should have. A model that should have none has coverage 1.
 func (d *demand) coverage(model string) float64 {
+	return d.share(model, d.formed[model]+d.waiting[model])
+}
+
+// formedCoverage is coverage without the replicas that wait, which may never be formed.
+func (d *demand) formedCoverage(model string) float64 { return d.share(model, d.formed[model]) }
+
+func (d *demand) share(model string, replicas int) float64 {
 	if d.desired[model] <= 0 {
 		return 1
 	}
-	return float64(d.counts[model]) / d.desired[model]
+	return float64(replicas) / d.desired[model]
 }
--- a/formation/form.go
+++ b/formation/form.go
@@ -131,13 +131,15 @@
 		case best.loads > 0 && !r.mayLoad(s.Engine, best.loads):
 			r.waiting.loads++
 			r.plannedLoads += best.loads
+			d.waiting[best.model.Name]++
 		case !r.confirmReachable(best):
 			r.waiting.probes++
 			r.plannedLoads += best.loads
+			d.waiting[best.model.Name]++
 		default:
 			r.formReplica(s, best)
+			d.formed[best.model.Name]++
 		}
-		d.counts[best.model.Name]++
 		candidates.take(best)
 	}
 }
--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -70,7 +70,7 @@
 	best.reallocated = true
 	r.reservations[bestDomain] = reservation{model: underserved.Name, replica: best.name, expiresAt: r.now + reservationTimeout}
 	r.s.Logger.Info(decisions.ReplicaTraded, "replica", best.name, "model", best.model, "for", underserved.Name, "domain", bestDomain,
-		"rank", d.coverage(best.model), "for_rank", d.coverage(underserved.Name), "free", len(free[bestDomain]))
+		"rank", d.formedCoverage(best.model), "for_rank", d.coverage(underserved.Name), "free", len(free[bestDomain]))
 }
 
 // leastCovered returns the model with the lowest coverage below 1; false if
@@ -138,11 +138,11 @@
 }
 
 // closingImproves reports whether another model would, with one replica fewer,
-// still have a higher coverage than the underserved model has now. Otherwise
-// replicas could be closed for each other in turn.
+// still have a higher coverage than the underserved model has now, without the replicas
+// that wait to be formed. Otherwise replicas could be closed for each other in turn.
 func closingImproves(d *demand, underserved, other fleet.Model) bool {
 	if other.Name == underserved.Name || d.desired[other.Name] <= 0 {
 		return false
 	}
-	return d.coverage(other.Name)-1/d.desired[other.Name] > d.coverage(underserved.Name)
+	return d.formedCoverage(other.Name)-1/d.desired[other.Name] > d.coverage(underserved.Name)
 }
