formation: Close no replica for another model if that would be undone

Callers lost the replicas of a domain twice within a second: one of the larger model was closed for the smaller one and 0.35 s later one of the smaller model for the larger.

Cause: the check that a trade improves something looked at one replica for one. The VMs of a replica of 6 form two of 3, after which the trade back is an improvement too. And a trade was begun while several replicas of a model that were lost together were about to be formed again from spares, 0.1 s later.

Why this works: a trade is checked together with what its VMs will form and must not make the opposite one an improvement; and none is made for a model while a replica of it has been dismantled for less than a second.

--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -1,6 +1,8 @@
 package formation
 
 import (
+	"maps"
+	"math"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
@@ -12,6 +14,10 @@
 // seconds to end.
 const reservationTimeout = 10 * time.Second
 
+// repairTime is how long a replica that is being dismantled may be expected to be formed
+// again from its other members and spares.
+const repairTime = time.Second
+
 // reservation reserves the VMs of a domain for a model.
 type reservation struct {
 	model string
@@ -42,7 +48,7 @@
 		return
 	}
 	underserved, ok := r.leastCovered(s, d)
-	if !ok || r.formableWithoutLoad(underserved, free) {
+	if !ok || r.formableWithoutLoad(underserved, free) || r.beingRepaired(underserved) {
 		return
 	}
 	var best *replica
@@ -59,7 +65,11 @@
 			continue
 		}
 		domain := vms[0].Domain
-		left := len(free[domain]) + len(vms) - underserved.Size
+		available := len(free[domain]) + len(vms)
+		left := available - underserved.Size
+		if canBeUndone(d, underserved, m, available/underserved.Size) {
+			continue
+		}
 		if (best == nil || left < fewestLeft) && formsWithoutLoad(underserved, free[domain], vms) {
 			best, bestDomain, fewestLeft = a, domain, left
 		}
@@ -93,6 +103,17 @@
 	return underserved, found
 }
 
+// beingRepaired reports whether a replica of a model has begun to be dismantled within
+// repairTime.
+func (r *round) beingRepaired(m fleet.Model) bool {
+	for _, a := range r.replicas {
+		if a.model == m.Name && !a.standby && !a.released && a.dismantlingSince > 0 && r.now-a.dismantlingSince < repairTime {
+			return true
+		}
+	}
+	return false
+}
+
 // formableWithoutLoad reports whether free VMs can form a replica of a model
 // without a load.
 func (r *round) formableWithoutLoad(m fleet.Model, free map[string][]fleet.VM) bool {
@@ -139,10 +160,22 @@
 
 // closingImproves reports whether another model would, with one replica fewer,
 // still have a higher coverage than the underserved model has now, without the replicas
-// that wait to be formed. Otherwise replicas could be closed for each other in turn.
+// that wait to be formed.
 func closingImproves(d *demand, underserved, other fleet.Model) bool {
 	if other.Name == underserved.Name || d.desired[other.Name] <= 0 {
 		return false
 	}
 	return d.formedCoverage(other.Name)-1/d.desired[other.Name] > d.coverage(underserved.Name)
 }
+
+// canBeUndone reports whether closing a replica of another model would make it an improvement
+// to close one of the underserved model instead, given that the VMs that are then free in the
+// domain can form up to fitting replicas of the underserved model. Replicas would be closed
+// for each other in turn.
+func canBeUndone(d *demand, underserved, other fleet.Model, fitting int) bool {
+	missing := int(math.Ceil(d.desired[underserved.Name])) - d.formed[underserved.Name] - d.waiting[underserved.Name]
+	after := &demand{formed: maps.Clone(d.formed), waiting: d.waiting, desired: d.desired}
+	after.formed[underserved.Name] += min(fitting, missing)
+	after.formed[other.Name]--
+	return closingImproves(after, other, underserved)
+}
