formation: Correct the models' shares by the measured demand

The replicas of one model were full (54 requests of 48 slots) while those of the other held 8 to 24: replicas were divided by the configured shares alone. The planner now measures the use of each model's replicas from the nodes' load messages and corrects the shares slowly and within a half, only while replicas are in use. Trades of replicas stay as they were.

Ruled out: requests in flight alone as the measure (a model with long prompts loses replicas that it needs), and a period of 2 s (follows bursts).

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -46,6 +46,7 @@
 	PlanningReport        = "planning.report"
 	OrderNotAccepted      = "order.not_accepted"
 	ReplicaTraded         = "replica.traded"
+	ShareCorrected        = "share.corrected"
 	ModelStaged           = "model.staged"
 	LeaseChanged          = "lease.changed"
 	LeaseHeld             = "lease.held"
@@ -126,6 +127,7 @@
 		{ReplicaDismantled, "A replica is ended because it lost a member or will lose one: whether planned, members that still report."},
 		{ReplicaReleased, "The members of a replica may join other replicas: reason."},
 		{ReplicaDissolved, "The holder of the control lease of tamarackcleatd ends a replica: cause, and of each member the latest report, how long ago the VM gave it and the node that probed it."},
+		{ShareCorrected, "A model's share of the work was corrected by the measured demand: the configured and the corrected share, and the VMs that the requests in flight fill."},
 		{ReplicaTraded, "A replica is closed so that its VMs can form a replica of a model that is further below its share: ranks of both models, free VMs."},
 		{ModelStaged, "A VM was ordered to load another model onto its host in advance, so that it can join a replica of that model without delay."},
 		{PlanningBegun, "A new holder of the control lease has reports that show what earlier holders ordered, and begins to form and repair replicas: how long it waited, age of the reports."},
--- a/formation/demand.go
+++ b/formation/demand.go
@@ -9,7 +9,7 @@
 	// round would form if they had not to wait.
 	formed, waiting map[string]int
 	// desired holds the number of replicas that each model should have according to its
-	// share of the work.
+	// share of the work, corrected by the measured demand.
 	desired map[string]float64
 }
 
@@ -22,7 +22,7 @@
 	}
 	total := float64(r.inventory.service(s.Name).usable)
 	for _, m := range s.Engine.Models {
-		d.desired[m.Name] = m.Share * total / float64(m.Size)
+		d.desired[m.Name] = r.shareOf(s, m) * total / float64(m.Size)
 	}
 	return d
 }
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -106,7 +106,10 @@
 	// it began. Until the first request, loads are quick and don't count
 	// against the weight store's rate.
 	NoRequestYet func() bool
-	Logger       *slog.Logger
+	// ReplicaLoad returns the load of all nodes together on a replica; nil if it is not
+	// known, and the models' shares of the work are then those of the configuration.
+	ReplicaLoad func(fleet.Target) ReplicaLoad
+	Logger      *slog.Logger
 }
 
 const (
@@ -156,6 +159,8 @@
 	reservations map[string]reservation
 	// freeCounts holds the number of free VMs by domain.
 	freeCounts map[string]freeCount
+	// measured holds the measured demand by service.
+	measured map[string]*measuredDemand
 	// loadStarts holds the times at which loads within the window started.
 	loadStarts []time.Duration
 	// replan says that a result calls for a plan soon; awaitingProbes says
@@ -186,6 +191,7 @@
 	p.probes = map[string]*probeState{}
 	p.accepted = map[string]acceptedOrders{}
 	p.staging, p.reservations, p.freeCounts = map[string]stagingLoad{}, map[string]reservation{}, map[string]freeCount{}
+	p.measured = map[string]*measuredDemand{}
 	p.loadStarts, p.vmCount, p.takeover = nil, 0, takeover{claimedAt: claimedAt}
 }
 
@@ -217,6 +223,7 @@
 	}
 	for _, name := range sortedNames(v.Config.Services) {
 		if s := v.Config.Services[name]; s.Engine != nil {
+			round.measureDemand(s)
 			free := round.freeByDomain(name)
 			round.evictSlow(s, free)
 			round.form(s, free)
