--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -11,23 +11,20 @@
 	// time with which a less urgent request is admitted. The rest is room for the more
 	// urgent requests that arrive meanwhile.
 	lessUrgentShare = 0.8
-	// openShare is the part of a replica's slots up to which it takes any request. A fuller
-	// one takes only requests whose answers it can begin in time, so that those which are
-	// late anyway leave it a few slots.
-	openShare = 0.9
 )
 
-// admissible returns those of the candidates at which a request may run: where its first
-// event is predicted to be in time, and leaves more urgent requests in time. A request that
-// is late anyway gets only capacity that others don't need.
+// admissible returns those of the candidates at which a request may run. A replica with a
+// free slot takes it: one more request hardly delays the others. One without makes all that
+// follow wait, so it takes the request only if its first event is predicted to be in time,
+// and leaves more urgent requests in time.
 func (p *poolStats) admissible(now time.Time, engine *fleet.Engine, found []candidate, r Request) []candidate {
 	if r.Target <= 0 {
 		return found
 	}
-	limit, open := p.limit(now, r)-r.Waited, int(openShare*float64(engine.Slots))
+	limit := p.limit(now, r) - r.Waited
 	out := make([]candidate, 0, len(found))
 	for _, c := range found {
-		if c.score <= limit || c.load.InFlight < max(1, open) {
+		if c.load.InFlight < engine.Slots || c.score <= limit {
 			out = append(out, c)
 		}
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -8,9 +8,19 @@
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
-// reportDelay is how long a change of a load takes to be sent on at least, at each of the
-// nodes that it passes; it is added to the age of the reports.
-const reportDelay = 20 * time.Millisecond
+const (
+	// defaultReportDelay is how long a change of a peer's load takes to become known here
+	// if nothing else is set.
+	defaultReportDelay = 20 * time.Millisecond
+	// reportInterval is the time within which a peer reports even if nothing has changed,
+	// with a margin for delays. Only a report that is older may lack a change that was to
+	// be reported.
+	reportInterval = 80 * time.Millisecond
+)
+
+// SetReportDelay sets a function that returns how long a change of a peer's load takes to
+// become known here. It must be set before requests run.
+func (b *Balancer) SetReportDelay(f func() time.Duration) { b.reportDelay = f }
 
 // assumedDuration is the mean time of a request that a node assumes before it has measured
 // one. Of many nodes, each sends a pool few requests.
@@ -32,7 +42,8 @@
 	for _, t := range targets {
 		inFlight += b.total(now, t).InFlight
 	}
-	return float64(inFlight) / max(1, duration) * float64(b.meanPeerLoadAge(now)+reportDelay)
+	unknownSince := b.reportDelay() + max(0, b.meanPeerLoadAge(now)-reportInterval)
+	return float64(inFlight) / max(1, duration) * float64(unknownSince)
 }
 
 // meanPeerLoadAge returns the mean age of the reports of peers' loads that still count.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,6 +113,8 @@
 	pools map[pool]*poolStats
 	// pauses holds the pauses that upstreams asked this node for.
 	pauses *notice.Pauses[fleet.Incarnation]
+	// reportDelay returns how long a change of a peer's load takes to become known here.
+	reportDelay func() time.Duration
 	// onPlace is called when a request has ended at an upstream that may run only few.
 	onPlace func()
 }
@@ -135,7 +137,10 @@
 // New returns a Balancer without loads. It draws random numbers from rng, which must
 // not be used concurrently by others.
 func New(rng *rand.Rand) *Balancer {
-	return &Balancer{rng: rng, loads: map[targetKey]*load{}, peers: map[string]peerLoad{}, pools: map[pool]*poolStats{}, pauses: notice.NewPauses[fleet.Incarnation](), onPlace: func() {}}
+	return &Balancer{
+		rng: rng, loads: map[targetKey]*load{}, peers: map[string]peerLoad{}, pools: map[pool]*poolStats{}, pauses: notice.NewPauses[fleet.Incarnation](),
+		reportDelay: func() time.Duration { return defaultReportDelay }, onPlace: func() {},
+	}
 }
 
 func keyOf(t fleet.Target) targetKey { return targetKey{t.ID, t.Boot, t.Replica} }
@@ -292,7 +297,7 @@
 	stats := b.poolOf(t)
 	c.uncorrected = Predict(engine, t.Model, c.load, r, stats.observed())
 	c.step = max(minStep, Predict(engine, t.Model, c.load.plus(stats.typical()), r, stats.observed())-c.uncorrected)
-	c.score = max(0, c.uncorrected+stats.meanError())
+	c.score = max(0, c.uncorrected+stats.error)
 	if t.MemberLeavingSince > 0 {
 		c.score += endingPenalty
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -13,20 +13,24 @@
 const (
 	// sampleWeight is the weight of a new sample in the moving averages of a pool.
 	sampleWeight = 0.05
-	// maxError bounds the correction of a prediction, and each sample of it: a first event
-	// that a stall held up says little of the next ones.
-	maxError = 400 * time.Millisecond
+	// errorStep is by how much a sample moves the typical error of the predictions. All
+	// samples weigh the same, so the error is a median: first events that a stall or a crash
+	// held up say little of the next ones.
+	errorStep = 5 * time.Millisecond
+	// maxDurationFactor times the mean duration is the longest sample of it, for the same
+	// reason.
+	maxDurationFactor = 3
 	// urgencyRetention is how long a priority counts as in use after its last request.
 	urgencyRetention = 5 * time.Second
 )
 
 // poolStats is what this node has observed of the requests of a pool.
 type poolStats struct {
-	// duration and promptTokens are moving averages over ended requests; error is that of
-	// how much later than predicted their first events came.
+	// duration and promptTokens are moving averages over ended requests.
 	duration, promptTokens float64
-	error                  float64
-	ended, started         bool
+	ended                  bool
+	// error is the median of how much later than predicted first events came.
+	error time.Duration
 	// urgencies holds the priorities in use, with the least target of each.
 	urgencies map[int]urgency
 }
@@ -72,14 +76,20 @@
 	if a.uncorrected <= 0 {
 		return
 	}
-	late := min(max(now.Sub(a.assignedAt)-a.uncorrected, -maxError), maxError)
-	p.error = average(p.error, float64(late), p.started)
-	p.started = true
+	if now.Sub(a.assignedAt) > a.uncorrected+p.error {
+		p.error += errorStep
+	} else {
+		p.error -= errorStep
+	}
 }
 
 // recordEnd records the end of a request.
 func (p *poolStats) recordEnd(now time.Time, a *Assignment) {
-	p.duration = average(p.duration, float64(now.Sub(a.assignedAt)), p.ended)
+	duration := float64(now.Sub(a.assignedAt))
+	if p.ended {
+		duration = min(duration, maxDurationFactor*p.duration)
+	}
+	p.duration = average(p.duration, duration, p.ended)
 	p.promptTokens = average(p.promptTokens, float64(a.promptTokens), p.ended)
 	p.ended = true
 }
@@ -88,9 +98,6 @@
 	return Observed{Duration: time.Duration(p.duration), PromptTokens: p.promptTokens}
 }
 
-// meanError returns how much later than predicted first events came on average.
-func (p *poolStats) meanError() time.Duration { return time.Duration(p.error) }
-
 // typical returns the load that a request adds on average.
 func (p *poolStats) typical() Load {
 	return Load{InFlight: 1, PendingPromptTokens: int(p.promptTokens)}
--- a/dispatch/predict.go
+++ b/dispatch/predict.go
@@ -10,8 +10,6 @@
 	// passesToFirstEvent is how many passes of the engine a request takes until its first
 	// event: on average half of the one that runs when it arrives, and one of its own.
 	passesToFirstEvent = 1.5
-	// maxPromptShare bounds the part of its time that an engine is assumed to read prompts.
-	maxPromptShare = 0.7
 )
 
 // Observed is what was measured of the requests of a pool.
@@ -28,9 +26,9 @@
 }
 
 // Predict returns the predicted time to the first event of a request at a replica
-// that has load l without the request. An engine works in passes: each makes an event of
-// every running stream and reads the prompts of new requests, so a pass takes longer the
-// more prompts arrive.
+// that has load l without the request: the passes of the engine until then, each of which
+// makes an event of every running stream, the reading of the prompts that are pending, and
+// the wait for a slot.
 func Predict(engine *fleet.Engine, model string, l Load, r Request, o Observed) time.Duration {
 	m, ok := engine.Model(model)
 	if !ok {
@@ -38,17 +36,13 @@
 	}
 	running := min(l.InFlight, engine.Slots)
 	step := engine.StepTime + time.Duration(running)*engine.StepTimePerRequest
-	pass := float64(time.Duration(engine.StepsPerEvent)*step) * m.TimeFactor
+	pass := passesToFirstEvent * float64(time.Duration(engine.StepsPerEvent)*step) * m.TimeFactor
 	read := func(tokens float64) float64 {
 		if engine.PromptTokensPerSecond <= 0 {
 			return 0
 		}
 		return tokens / engine.PromptTokensPerSecond * float64(time.Second) * m.TimeFactor
 	}
-	if o.Duration > 0 {
-		share := float64(running) * read(o.PromptTokens) / float64(o.Duration)
-		pass *= passesToFirstEvent / (1 - min(maxPromptShare, share))
-	}
 	queue := 0.0
 	if queued := l.InFlight + 1 - engine.Slots; queued > 0 {
 		queue = float64(queued) * turnover(engine, o, pass)
--- a/formation/candidate.go
+++ b/formation/candidate.go
@@ -103,7 +103,7 @@
 // of them may be the last spare of a model whose coverage is as low or lower.
 func (r *round) worthLoading(c candidate, d *demand) bool {
 	own := d.coverage(c.model.Name)
-	if c.loads == 0 || own < scarceCoverage || r.s.NoRequestYet() {
+	if c.loads == 0 || d.scarce(c.model.Name) || r.s.NoRequestYet() {
 		return true
 	}
 	if c.loads > maxRepairLoads {
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -42,8 +42,12 @@
 	g, err := gossip.New(gossip.Options{
 		Self: n.Self(), LocalState: n.localMessage, OnMessage: n.handleMessage, Logger: n.logger,
 	})
+	if err != nil {
+		return err
+	}
 	n.peers = g
-	return err
+	n.balancer.SetReportDelay(g.ChangeDelay)
+	return nil
 }
 
 // TotalLoad returns the load of all nodes together on an upstream, as far as this node
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -40,6 +40,9 @@
 	// longer.
 	meshChangeInterval = 4 * time.Millisecond
 	treeChangeInterval = 20 * time.Millisecond
+	// treeHops is the number of messages that bring a change from one node to another of
+	// another zone. Each waits for half of treeChangeInterval on average.
+	treeHops = 4
 	// maxMessageBytes is the size of the largest message that is sent or received.
 	// A larger one would be split on the way; it is logged as an error and not
 	// sent.
@@ -123,6 +126,17 @@
 	return g.table.nodeCount(time.Now())
 }
 
+// ChangeDelay returns about how long a change of a node's load takes to reach the others:
+// in a tree, up to a node of the zone and one of all zones, and down again.
+func (g *Gossip) ChangeDelay() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.table.isTree() {
+		return treeHops * treeChangeInterval / 2
+	}
+	return meshChangeInterval / 2
+}
+
 // Peers returns the peers that are probably reachable, in no order.
 func (g *Gossip) Peers() []relay.Peer {
 	g.mu.Lock()
