gateway, fleet, platform: Send no request to an evacuated availability zone

The operator evacuates a zone by a key on the configuration's topic. From a bound after the acknowledgement until the key is removed, no request may reach an engine there, but nodes did not read the key.

State keeps the zones from the same batches as the configuration, so they have the same relay and proof. The check is made when an upstream is chosen and again right before the write, which covers resends, moves and resumed streams; a request that is held back is placed again and is no retry. If all zones are evacuated, the refusal is immediate and says not run.

A node whose proof is older than the bound refuses requests if it also sees fewer than half of the nodes. The age alone would stop all nodes in an outage of the log, in which no evacuation can be acknowledged.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -18,6 +18,8 @@
 	PartCleared           = "part.cleared"
 	ConfigInForce         = "config.in_force"
 	ConfigUnreadable      = "config.unreadable"
+	ZoneEvacuated         = "zone.evacuated"
+	ZoneReturned          = "zone.returned"
 	UpstreamChanged       = "upstream.changed"
 	UpstreamsChanged      = "upstreams.changed"
 	UpstreamUnreadable    = "upstream.unreadable"
@@ -102,6 +104,8 @@
 		{PartCleared, "Requests with a part of a prompt run freely again: an answer began, another part explains the crashes, or they are long past."},
 		{ConfigInForce, "A configuration took effect: version, offset in the log, routes, services, keys."},
 		{ConfigUnreadable, "A configuration record could not be decoded; the previous configuration stays in force."},
+		{ZoneEvacuated, "The operator evacuates an availability zone: its upstreams get no new requests, and no replica is formed there while another zone can be used."},
+		{ZoneReturned, "The evacuation of an availability zone has ended: whether only a snapshot showed it, in which the zone's key is missing."},
 		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models."},
 		{UpstreamsChanged, "Reports of upstreams changed that are not logged one by one, which the holder of the control lease does, and each node for upstreams with requests of its own: number of reports, of new, leaving and open upstreams, last offset."},
 		{UpstreamUnreadable, "An upstream's record in the log or its answer to a probe could not be decoded; such a record is ignored."},
--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -38,8 +38,10 @@
 // Builder is not safe for concurrent use; its views are.
 type Builder struct {
 	config *Config
-	vms    shards
-	count  int
+	// evacuated holds the evacuated zones.
+	evacuated map[string]bool
+	vms       shards
+	count     int
 	// shared says for each shard that a view holds it, so that it must be copied
 	// before it is changed.
 	shared [shardCount]bool
@@ -88,6 +90,10 @@
 // Config returns the configuration; nil until SetConfig is called.
 func (b *Builder) Config() *Config { return b.config }
 
+// SetEvacuated replaces the evacuated zones. Views share the map, so it must not be
+// changed afterwards.
+func (b *Builder) SetEvacuated(zones map[string]bool) { b.evacuated = zones }
+
 // VM returns the VM with the given ID.
 func (b *Builder) VM(id string) (VM, bool) { return b.vms.get(id) }
 
@@ -173,7 +179,7 @@
 	for i := range b.shared {
 		b.shared[i] = true
 	}
-	v := &View{Config: b.config, ConfigVerifiedAt: verifiedAt, vms: b.vms, count: b.count, targets: b.targets}
+	v := &View{Config: b.config, ConfigVerifiedAt: verifiedAt, evacuated: b.evacuated, vms: b.vms, count: b.count, targets: b.targets}
 	v.all = sync.OnceValue(func() map[string]VM { return v.vms.merge(v.count) })
 	return v
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -35,6 +35,8 @@
 	// ConfigVerifiedAt is the time, by the boot clock, at which the node sent
 	// the last read that proved the configuration to be current.
 	ConfigVerifiedAt time.Duration
+	// evacuated holds the availability zones that are evacuated.
+	evacuated map[string]bool
 	// vms holds all known VMs, count of them; all is the same as one map, made when
 	// it is first asked for.
 	vms   shards
@@ -67,6 +69,10 @@
 // VM returns the VM with the given ID; false if there is none.
 func (v *View) VM(id string) (VM, bool) { return v.vms.get(id) }
 
+// Evacuated reports whether an availability zone is evacuated: upstreams in it get no new
+// requests. A replica counts as in the zone of its head.
+func (v *View) Evacuated(zone string) bool { return v.evacuated[zone] }
+
 // Len returns the number of VMs.
 func (v *View) Len() int { return v.count }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,9 +74,14 @@
 	}
 }
 
-// noUpstream reports whether a request failed because no upstream can take it.
+// noUpstream reports whether a request failed because no upstream can take it, or may get
+// it from this node.
 func noUpstream(e *verdict.Error) bool {
-	return e.Reason == verdict.ReasonNoReplica || e.Reason == verdict.ReasonAllPaused
+	switch e.Reason {
+	case verdict.ReasonNoReplica, verdict.ReasonAllPaused, verdict.ReasonConfigStale:
+		return true
+	}
+	return false
 }
 
 // checkBeforeSending refuses a request that must not be sent to an upstream. A request
@@ -160,6 +165,9 @@
 
 // pick is assign; with neverPaused only at an upstream that did not ask for a pause lately.
 func (f *forwarder) pick(ctx context.Context, exclude []string, failover, neverPaused bool) (*try, *verdict.Error) {
+	if f.node.cutOff() {
+		return nil, verdict.Refuse(verdict.ReasonConfigStale, "%v", errCutOff).WithRetryAfter(retryAfterFailure)
+	}
 	targets := f.usable()
 	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
 	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
@@ -168,8 +176,7 @@
 	case dispatch.AllPaused:
 		return nil, f.refusePaused()
 	case dispatch.NoRoom:
-		return nil, verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(exclude)).
-			WithRetryAfter(noRoomRetryAfter())
+		return nil, f.refuseNoRoom(len(targets), len(exclude))
 	}
 	t := &try{assignment: assignment}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -38,6 +38,7 @@
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/quorum"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 )
 
@@ -64,6 +65,9 @@
 	// ConfigKey. VMs names the stream that holds the upstreams' reports, each
 	// under the id of its VM.
 	Config, ConfigKey, VMs string
+	// EvacuationPrefix begins the keys of the configuration's stream that name
+	// evacuated zones; empty if there are none.
+	EvacuationPrefix string
 }
 
 // Dependencies holds the dependencies of a node: the platform's protocol, the
@@ -124,6 +128,9 @@
 	durationsMu sync.Mutex
 	durations   map[string]*hdrhistogram.Histogram
 
+	quorumMu sync.Mutex
+	quorum   quorum.Quorum
+
 	retryBudgetMu sync.Mutex
 	retryBudgets  map[string]*retry.Window
 }
@@ -135,7 +142,7 @@
 		deps:            deps,
 		logger:          logger,
 		registry:        metrics.NewRegistry(),
-		state:           newState(deps.Decoder, deps.Streams.ConfigKey, logger),
+		state:           newState(deps.Decoder, deps.Streams, logger),
 		balancer:        dispatch.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		runningAttempts: newAttemptRegistry(),
 		firstEvents:     newFirstEvents(logger),
@@ -155,6 +162,7 @@
 	n.settings.Store(&s)
 	n.OnChange(func() {})
 	n.balancer.OnPlace(n.pauseLines.wakeFirst)
+	n.state.count = n.count
 	n.state.detailed = n.isHolder
 	n.state.inUse = n.balancer.HasRequests
 	n.Follow(keyed.NewStream(deps.Streams.Config, n.state.applyConfig), n.configPause, nil)
@@ -306,18 +314,18 @@
 // ready reports whether the load balancer should send new connections to this
 // node.
 func (n *Node) ready() bool {
-	return !n.draining.Load() && n.state.View().Config != nil && !n.tooOldForKeys(n.state.configAge())
+	return !n.draining.Load() && n.state.View().Config != nil && !n.tooOldForKeys(n.state.configAge()) && !n.cutOff()
 }
 
 // tooOldForKeys reports whether API keys must not be accepted because the proof that the
 // configuration is current has the given age.
 func (n *Node) tooOldForKeys(age time.Duration) bool {
-	return n.Settings().Bounds.RevocationTime > 0 && age > n.Settings().Bounds.RevocationTime-revokeMargin
+	return n.Settings().Bounds.RevocationTime > 0 && age > n.Settings().Bounds.RevocationTime-arrivalMargin
 }
 
-// revokeMargin is the time that may pass between the check of a request's API key
-// and the arrival of the request at an upstream.
-const revokeMargin = 300 * time.Millisecond
+// arrivalMargin is the time that may pass between the check of a request's API key, or of
+// its upstream's zone, and the arrival of the request at an upstream.
+const arrivalMargin = 300 * time.Millisecond
 
 // watchUpstreams checks for silent upstreams and for idle connections until ctx
 // ends.
@@ -333,6 +341,7 @@
 			n.moveFromSilent(now)
 			if now.Sub(lastSweep) >= poolSweepInterval {
 				lastSweep = now
+				n.observeNodes()
 				n.pool.CloseExpired()
 				n.expireNotices(now)
 			}
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -59,15 +59,19 @@
 
 // mayWrite returns why a request must not be written to its upstream now; nil if it may.
 // Queueing and connecting take time, in which the upstream may have said that it is leaving
-// or wants no requests.
+// or wants no requests, or its zone may have been evacuated.
 func (n *Node) mayWrite(t *try) error {
-	target := t.assignment.Target
-	vm, known := n.View().VM(target.ID)
+	target, v := t.assignment.Target, n.View()
+	vm, known := v.VM(target.ID)
 	switch {
+	case n.cutOff():
+		return errCutOff
 	case !known || vm.Boot != target.Boot || vm.Unlisted:
 		return errUpstreamGone
 	case vm.Leaving:
 		return errors.Wrapf(errUpstreamLeaving, "known for %d ms", (bootclock.Now() - vm.LeavingSince).Milliseconds())
+	case v.Evacuated(vm.Zone):
+		return errors.Wrapf(errZoneEvacuated, "zone %s", vm.Zone)
 	case !n.balancer.MaySend(time.Now(), &t.assignment):
 		return errors.Wrapf(errUpstreamPaused, "pause for %d ms more", n.balancer.PauseRemaining(time.Now(), target.Incarnation()).Milliseconds())
 	}
@@ -84,6 +88,10 @@
 		reason = verdict.ReasonUpstreamLeaving
 	case errors.Is(err, errUpstreamPaused):
 		reason = verdict.ReasonUpstreamPaused
+	case errors.Is(err, errZoneEvacuated):
+		reason = verdict.ReasonZoneEvacuated
+	case errors.Is(err, errCutOff):
+		reason = verdict.ReasonConfigStale
 	}
 	t.withheld = reason != verdict.ReasonConnect
 	return verdict.Refuse(reason, "%v", err).WithRetryAfter(retryAfterFailure)
--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -227,7 +227,7 @@
 		return m.HeapAlloc
 	}
 	for range b.N {
-		s := newState(jsonDecoder{}, "config", slog.New(slog.DiscardHandler))
+		s := newState(jsonDecoder{}, Streams{ConfigKey: "config"}, slog.New(slog.DiscardHandler))
 		before := heap()
 		for _, i := range incarnations {
 			s.markLeaving(i, true)
--- a/gateway/pauselines.go
+++ b/gateway/pauselines.go
@@ -152,9 +152,11 @@
 	}
 }
 
-// usable returns the upstreams that can answer the request, those in a pause included.
+// usable returns the upstreams that can answer the request, those in a pause included and
+// those in evacuated zones excluded.
 func (f *forwarder) usable() []fleet.Target {
-	return usableTargets(f.node.state.View().Targets(f.service.Name, f.model()), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
+	v := f.node.state.View()
+	return usableTargets(withoutEvacuated(v, v.Targets(f.service.Name, f.model())), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
 }
 
 // nextPlace returns how long it takes until the first upstream takes the request; false
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -48,4 +48,7 @@
 	// LoadWindow is the length of the window in which model loads from the
 	// weight store are counted against their limit.
 	LoadWindow time.Duration
+	// EvacuateTime is the time within which no request reaches a zone any more whose
+	// evacuation the log has acknowledged; 0 for no bound.
+	EvacuateTime time.Duration
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -35,9 +35,12 @@
 // state holds the newest configuration and the newest reports of the upstreams.
 // Followers of the log's streams update it; requests read immutable views of it.
 type state struct {
-	decoder   Decoder
-	configKey string
-	logger    *slog.Logger
+	decoder Decoder
+	// configKey and evacuationPrefix are those of Streams.
+	configKey, evacuationPrefix string
+	logger                      *slog.Logger
+	// count adds one to a counter.
+	count func(name string)
 
 	view atomic.Pointer[fleet.View]
 	// configVerifiedAt is when the last read was sent that proved the
@@ -58,6 +61,9 @@
 
 	mu      sync.Mutex
 	builder *fleet.Builder
+	// evacuated holds the evacuated zones. Views share it; it is replaced and never
+	// changed.
+	evacuated map[string]bool
 	// digests holds, by VM id, the hash of the latest report as it was read. A report
 	// that is the same to the byte is not decoded again.
 	digests map[string]uint64
@@ -80,11 +86,12 @@
 	leaving leavingMarks
 }
 
-func newState(d Decoder, configKey string, logger *slog.Logger) *state {
+func newState(d Decoder, streams Streams, logger *slog.Logger) *state {
 	s := &state{
 		decoder:      d,
-		configKey:    configKey,
+		configKey:    streams.ConfigKey,
 		logger:       logger,
+		count:        func(string) {},
 		builder:      fleet.NewBuilder(),
 		digests:      map[string]uint64{},
 		unchanged:    map[string]fleet.VM{},
@@ -95,6 +102,7 @@
 		detailed:     func() bool { return true },
 		inUse:        func(string) bool { return false },
 	}
+	s.evacuationPrefix = streams.EvacuationPrefix
 	s.view.Store(s.builder.View(0))
 	return s
 }
@@ -113,26 +121,38 @@
 func (s *state) applyConfig(b keyed.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// One view has all changes of the batch, so that no request is judged by the
+	// configuration of a snapshot without its evacuated zones.
+	dirty := s.applyEvacuations(b)
 	for _, r := range b.Records {
-		if r.Key != s.configKey || len(r.Value) == 0 {
-			continue
-		}
-		c, err := s.decoder.Config(r.Value)
-		if err != nil {
-			s.logger.Error(decisions.ConfigUnreadable, "offset", r.Offset, "error", err)
-			continue
-		}
-		if current := s.builder.Config(); current != nil && c.Version <= current.Version {
-			continue
-		}
-		s.logger.Info(decisions.ConfigInForce, "version", c.Version, "offset", r.Offset, "routes", c.Routes(),
-			"services", len(c.Services), "keys", len(c.Teams))
-		s.builder.SetConfig(c)
+		dirty = s.applyConfigRecord(r) || dirty
+	}
+	if dirty {
 		s.publish()
 	}
 	s.configVerifiedAt.Store(int64(b.SentAt))
 }
 
+// applyConfigRecord applies a record if it is a configuration that is newer than the one in
+// force. It reports whether it is.
+func (s *state) applyConfigRecord(r keyed.Record) bool {
+	if r.Key != s.configKey || len(r.Value) == 0 {
+		return false
+	}
+	c, err := s.decoder.Config(r.Value)
+	if err != nil {
+		s.logger.Error(decisions.ConfigUnreadable, "offset", r.Offset, "error", err)
+		return false
+	}
+	if current := s.builder.Config(); current != nil && c.Version <= current.Version {
+		return false
+	}
+	s.logger.Info(decisions.ConfigInForce, "version", c.Version, "offset", r.Offset, "routes", c.Routes(),
+		"services", len(c.Services), "keys", len(c.Teams))
+	s.builder.SetConfig(c)
+	return true
+}
+
 // applyVMs applies a batch of records of the upstreams' stream.
 func (s *state) applyVMs(b keyed.Batch) {
 	s.mu.Lock()
--- a/gateway/state_test.go
+++ b/gateway/state_test.go
@@ -40,7 +40,7 @@
 	record := func(id, value string) keyed.Record { return keyed.Record{Key: id, Value: []byte(value)} }
 	BeforeEach(func() {
 		decoder, detailed, published = &textDecoder{}, false, 0
-		s = newState(decoder, "config", slog.New(slog.DiscardHandler))
+		s = newState(decoder, Streams{ConfigKey: "config"}, slog.New(slog.DiscardHandler))
 		s.detailed = func() bool { return detailed }
 		s.changed = func() { published++ }
 		config := fleet.NewConfig(1, nil)
@@ -104,7 +104,7 @@
 // anything, and of one VM that changes.
 func BenchmarkReports(b *testing.B) {
 	for _, count := range []int{66, 875, 10_000} {
-		s := newState(&textDecoder{}, "config", slog.New(slog.DiscardHandler))
+		s := newState(&textDecoder{}, Streams{ConfigKey: "config"}, slog.New(slog.DiscardHandler))
 		s.detailed = func() bool { return false }
 		config := fleet.NewConfig(1, nil)
 		config.Services = map[string]fleet.Service{"desk": {Name: "desk"}}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -96,6 +96,9 @@
 	// ReasonAllPaused marks a request whose time does not suffice for the earliest
 	// end of the pauses that all its upstreams have asked for.
 	ReasonAllPaused Reason = "all_upstreams_paused"
+	// ReasonZoneEvacuated marks a request whose upstreams are all in evacuated zones, or
+	// that was not sent to an upstream because its zone is evacuated.
+	ReasonZoneEvacuated Reason = "zone_evacuated"
 	// ReasonConnect marks a connection that could not be established.
 	ReasonConnect Reason = "connect_failed"
 	// ReasonUpstreamLost marks a connection that was lost after bytes of the
