formation: Form and load nothing in an evacuated zone while another can be used

Replicas in an evacuated zone get no requests, so loads there would take part of the weight store's rate from zones that serve, and a model that only that zone serves would stay unserved because its replicas count as formed.

VMs of an evacuated zone are not free, load nothing and are not staged if the service has usable VMs elsewhere. Their replicas stay, are not closed for others and don't count for the demand, so the zone needs no load when it returns.

--- a/formation/demand.go
+++ b/formation/demand.go
@@ -4,8 +4,8 @@
 
 // demand compares the replicas of a service's models with those that they should have.
 type demand struct {
-	// formed holds the number of replicas by model, those that are being formed included
-	// and those being dismantled excluded; waiting holds that of the replicas which this
+	// formed holds the number of replicas by model, those that are being formed included,
+	// those being dismantled and those in barred zones excluded; waiting holds that of the replicas which this
 	// round would form if they had not to wait.
 	formed, waiting map[string]int
 	// desired holds the number of replicas that each model should have according to its
@@ -16,11 +16,11 @@
 func (r *round) newDemand(s fleet.Service) *demand {
 	d := &demand{formed: map[string]int{}, waiting: map[string]int{}, desired: map[string]float64{}}
 	for _, a := range r.replicas {
-		if a.service == s.Name && !a.released && !a.standby && a.dismantlingSince == 0 {
+		if a.service == s.Name && !a.released && !a.standby && a.dismantlingSince == 0 && !r.replicaBarred(a) {
 			d.formed[a.model]++
 		}
 	}
-	total := float64(r.inventory.service(s.Name).usable)
+	total := float64(r.inventory.service(s.Name).placeable())
 	for _, m := range s.Engine.Models {
 		d.desired[m.Name] = m.Share * total / float64(m.Size)
 	}
--- a/formation/inventory.go
+++ b/formation/inventory.go
@@ -19,8 +19,9 @@
 type serviceVMs struct {
 	// domains holds the VMs by fabric domain, in no order.
 	domains map[string][]fleet.VM
-	// usable is the number of VMs that are listed and not leaving.
-	usable int
+	// usable is the number of VMs that are listed and not leaving, evacuated that of
+	// those of them that are in an evacuated zone.
+	usable, evacuated int
 	// hostCapacity is the number of models that a host can keep. It is estimated as the
 	// largest number that any host reports, and at least 1.
 	hostCapacity int
@@ -38,6 +39,9 @@
 		s.hostCapacity = max(s.hostCapacity, len(vm.Staged))
 		if !vm.Leaving && !vm.Unlisted {
 			s.usable++
+			if v.Evacuated(vm.Zone) {
+				s.evacuated++
+			}
 		}
 		if vm.Unlisted {
 			inv.unlisted = append(inv.unlisted, vm)
@@ -54,7 +58,8 @@
 	return &serviceVMs{hostCapacity: 1}
 }
 
-// freeByDomain returns the free VMs of a service by fabric domain, sorted by ID.
+// freeByDomain returns the free VMs, without barred ones, of a service by fabric
+// domain, sorted by ID.
 func (r *round) freeByDomain(service string) map[string][]fleet.VM {
 	out := map[string][]fleet.VM{}
 	for domain, vms := range r.inventory.service(service).domains {
@@ -65,11 +70,11 @@
 	return out
 }
 
-// freeOf returns those of the VMs that are free, sorted by ID.
+// freeOf returns those of the VMs that are free and not barred, sorted by ID.
 func (r *round) freeOf(vms []fleet.VM) []fleet.VM {
 	var out []fleet.VM
 	for _, vm := range vms {
-		if r.free(vm) {
+		if r.free(vm) && !r.barred(vm) {
 			out = append(out, vm)
 		}
 	}
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -8,7 +8,9 @@
 //   - a VM joins another replica only after the head of its former one was seen
 //     closed, or after the former replica was stalled for longer than the time
 //     after which its head reports it as broken;
-//   - loads from the weight store start within its rate.
+//   - loads from the weight store start within its rate;
+//   - no replica is formed and no model loaded in an evacuated zone while the service
+//     has usable VMs in another one.
 package formation
 
 import (
--- a/formation/reallocate.go
+++ b/formation/reallocate.go
@@ -141,9 +141,9 @@
 
 // canBeClosed reports whether a replica was ordered to open and is neither a
 // standby nor released, being closed in favour of one of another model or being
-// dismantled.
+// dismantled, and that it is not in a barred zone.
 func (r *round) canBeClosed(a *replica) bool {
-	return a.openSent && !a.released && !a.standby && !a.reallocated && a.dismantlingSince == 0
+	return a.openSent && !a.released && !a.standby && !a.reallocated && a.dismantlingSince == 0 && !r.replicaBarred(a)
 }
 
 // usableMembers returns the members of a replica that are listed, available and
--- a/formation/stage.go
+++ b/formation/stage.go
@@ -66,15 +66,15 @@
 	return nil
 }
 
-// stageableVMs returns the VMs that have a model loaded, lack another one and are not loading
-// one, sorted by ID.
+// stageableVMs returns the VMs that have a model loaded, lack another one, are not loading
+// one and are not barred, sorted by ID.
 func (r *round) stageableVMs(s fleet.Service) []fleet.VM {
 	var out []fleet.VM
 	for _, vms := range r.inventory.service(s.Name).domains {
 		for _, vm := range vms {
 			_, underWay := r.staging[vm.ID]
 			joined := vm.Member.State == fleet.MemberReady || vm.Member.State == fleet.MemberOpen
-			if joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Unlisted && !r.unavailable(vm) && r.lacksModel(s, vm) {
+			if joined && !underWay && vm.LastModel != "" && !vm.Leaving && !vm.Unlisted && !r.unavailable(vm) && !r.barred(vm) && r.lacksModel(s, vm) {
 				out = append(out, vm)
 			}
 		}
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -95,7 +95,9 @@
 	snapshots    []snapshot
 	gotRequests  bool
 	config       *fleet.Config
-	loadStarts   []time.Duration
+	// evacuated holds the evacuated zones.
+	evacuated  map[string]bool
+	loadStarts []time.Duration
 	// coldJoins counts the loads from the weight store by VMs that joined a
 	// replica or a standby.
 	coldJoins  int
@@ -211,7 +213,15 @@
 }
 
 // view returns what the planner's node knows: the reports of viewDelay ago.
-func (w *world) view() *fleet.View { return fleet.NewView(w.config, w.now, w.seen().vms) }
+func (w *world) view() *fleet.View {
+	b := fleet.NewBuilder()
+	b.SetConfig(w.config)
+	b.SetEvacuated(w.evacuated)
+	for _, vm := range w.seen().vms {
+		b.Put(vm)
+	}
+	return b.View(w.now)
+}
 
 // seen returns the reports that the planner's node knows.
 func (w *world) seen() snapshot {
