gateway, fleet, platform, formation: Send few requests to cold upstreams, and warm ones first

An engine that has just started, or whose zone was evacuated, handles few requests a second and crashes at more. Nodes sent to it as to any other.

Reports and answers tell for how long an upstream is cold; state keeps until when, by the boot clock, and a view has a new time only if it is later by more than the spread of delays. A zone counts as cold for the service's cold time from when the node saw its evacuation end. Cold upstreams at which slowstart lets this node not send are not usable, others are chosen only if no warm one takes the request, and the permit is taken right before the write, so a request that gets none is placed again. The planner makes a warm VM the head of a new replica.

Services without a cold time behave as before.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -29,6 +29,7 @@
 	UpstreamSuspected     = "upstream.suspected"
 	UpstreamPaused        = "upstream.paused"
 	UpstreamLeaving       = "upstream.leaving"
+	UpstreamCold          = "upstream.cold"
 	UpstreamUnusedWord    = "upstream.unused_word"
 	UpstreamProbed        = "upstream.probed"
 	UpstreamTooLong       = "upstream.too_long"
@@ -106,8 +107,8 @@
 		{ConfigUnreadable, "A configuration record could not be decoded; the previous configuration stays in force."},
 		{ZoneEvacuated, "The operator evacuates an availability zone: its upstreams get no new requests, and no replica is formed there while another zone can be used."},
 		{ZoneReturned, "The evacuation of an availability zone has ended: whether only a snapshot showed it, in which the zone's key is missing."},
-		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models."},
-		{UpstreamsChanged, "Reports of upstreams changed that are not logged one by one, which the holder of the control lease does, and each node for upstreams with requests of its own: number of reports, of new, leaving and open upstreams, last offset."},
+		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models, for how long it is cold."},
+		{UpstreamsChanged, "Reports of upstreams changed that are not logged one by one, which the holder of the control lease does, and each node for upstreams with requests of its own: number of reports, of new, leaving, open and cold upstreams, last offset."},
 		{UpstreamUnreadable, "An upstream's record in the log or its answer to a probe could not be decoded; such a record is ignored."},
 		{UpstreamLapsed, "The record of a replica's member is no longer in the log; the node keeps the member in its view for some seconds."},
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
@@ -115,7 +116,8 @@
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
 		{UpstreamPaused, "An upstream refused a request and wants none from this node for a time: its boot, the time."},
 		{UpstreamLeaving, "The process on a VM said in an answer that it is about to end, so it gets no new requests and is replaced; or that mark ended because another process reports from the VM: the boot of the process that said it."},
-		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer was not used as it is: what is wrong with it."},
+		{UpstreamCold, "An upstream that counted as warm said in an answer that it is cold, so it gets few requests: for how long. Reports that say so are part of upstream.changed and upstreams.changed."},
+		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer, or the time for which the upstream says that it is cold, was not used as it is: what is wrong with it."},
 		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -59,6 +59,8 @@
 	Log  Log
 	// OnFound is called for each record of another node.
 	OnFound func(relay.Peer)
+	// OnRegistered is called when this node's own record is read; it may be nil.
+	OnRegistered func()
 	// OnProcessEnded is called with the id of a process that must have ended,
 	// because another process has registered with the same address.
 	OnProcessEnded func(id string)
@@ -82,12 +84,22 @@
 			d.Logger.Warn(decisions.PeerUnreadableRecord, "key", r.Key, "offset", r.Offset, "error", err)
 			continue
 		}
+		d.report(e)
+		// The older one of two processes at an address may come second in a snapshot, so
+		// it is reported as ended after it was reported as found.
 		d.reportReplacedProcess(e, r.Offset)
-		if e.ID == d.Self.ID {
-			d.registered.Store(true)
-			continue
-		}
+	}
+}
+
+// report reports a record, that of this node or of another one.
+func (d *Directory) report(e nodeRecord) {
+	if e.ID != d.Self.ID {
 		d.OnFound(relay.Peer{ID: e.ID, Zone: e.Zone, Address: e.Address, Cores: e.Cores})
+		return
+	}
+	d.registered.Store(true)
+	if d.OnRegistered != nil {
+		d.OnRegistered()
 	}
 }
 
--- a/fleet/builder.go
+++ b/fleet/builder.go
@@ -40,8 +40,10 @@
 	config *Config
 	// evacuated holds the evacuated zones.
 	evacuated map[string]bool
-	vms       shards
-	count     int
+	// returnedAt holds when evacuations ended.
+	returnedAt map[string]time.Duration
+	vms        shards
+	count      int
 	// shared says for each shard that a view holds it, so that it must be copied
 	// before it is changed.
 	shared [shardCount]bool
@@ -90,9 +92,11 @@
 // Config returns the configuration; nil until SetConfig is called.
 func (b *Builder) Config() *Config { return b.config }
 
-// SetEvacuated replaces the evacuated zones. Views share the map, so it must not be
-// changed afterwards.
-func (b *Builder) SetEvacuated(zones map[string]bool) { b.evacuated = zones }
+// SetEvacuated replaces the evacuated zones, and the times of the boot clock at which the
+// evacuations of others ended. Views share the maps, so they must not be changed afterwards.
+func (b *Builder) SetEvacuated(zones map[string]bool, returnedAt map[string]time.Duration) {
+	b.evacuated, b.returnedAt = zones, returnedAt
+}
 
 // VM returns the VM with the given ID.
 func (b *Builder) VM(id string) (VM, bool) { return b.vms.get(id) }
@@ -179,7 +183,7 @@
 	for i := range b.shared {
 		b.shared[i] = true
 	}
-	v := &View{Config: b.config, ConfigVerifiedAt: verifiedAt, evacuated: b.evacuated, vms: b.vms, count: b.count, targets: b.targets}
+	v := &View{Config: b.config, ConfigVerifiedAt: verifiedAt, evacuated: b.evacuated, returnedAt: b.returnedAt, vms: b.vms, count: b.count, targets: b.targets}
 	v.all = sync.OnceValue(func() map[string]VM { return v.vms.merge(v.count) })
 	return v
 }
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -127,6 +127,10 @@
 	HealthPath string
 	// MaxConns bounds the connections to one upstream from all nodes together.
 	MaxConns int
+	// ColdTime is how long an upstream is cold after its start: it handles no more than
+	// ColdPerSecond requests per second. 0 if upstreams of the service are never cold.
+	ColdTime      time.Duration
+	ColdPerSecond float64
 	// Engine describes the model engines of the service; nil for a plain
 	// service, whose VMs serve requests without replicas.
 	Engine *Engine
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -26,6 +26,8 @@
 	// the replica's members other than the head was known to be leaving; 0 if
 	// none is. The replica serves until that member is gone.
 	MemberLeavingSince time.Duration
+	// ColdUntil is VM.ColdUntil of the VM that receives the requests.
+	ColdUntil time.Duration
 }
 
 // View is what a node knows about the deployment at one moment.
@@ -37,6 +39,8 @@
 	ConfigVerifiedAt time.Duration
 	// evacuated holds the availability zones that are evacuated.
 	evacuated map[string]bool
+	// returnedAt holds when this node saw the evacuations of zones end, by the boot clock.
+	returnedAt map[string]time.Duration
 	// vms holds all known VMs, count of them; all is the same as one map, made when
 	// it is first asked for.
 	vms   shards
@@ -73,6 +77,28 @@
 // requests. A replica counts as in the zone of its head.
 func (v *View) Evacuated(zone string) bool { return v.evacuated[zone] }
 
+// ColdUntil returns until when a VM counts as cold, by the boot clock; 0 if it is not, or
+// if VMs of its service never are. A VM whose zone returned from an evacuation counts as
+// cold, because its process may have started again meanwhile.
+func (v *View) ColdUntil(vm VM) time.Duration {
+	if v.Config == nil {
+		return 0
+	}
+	s := v.Config.Services[vm.Service]
+	if s.ColdTime <= 0 || s.ColdPerSecond <= 0 {
+		return 0
+	}
+	if at, returned := v.returnedAt[vm.Zone]; returned {
+		return max(vm.ColdUntil, at+s.ColdTime)
+	}
+	return vm.ColdUntil
+}
+
+// TargetColdUntil is ColdUntil of the VM that receives the requests of a target.
+func (v *View) TargetColdUntil(t Target) time.Duration {
+	return v.ColdUntil(VM{Service: t.Service, Zone: t.Zone, ColdUntil: t.ColdUntil})
+}
+
 // Len returns the number of VMs.
 func (v *View) Len() int { return v.count }
 
@@ -131,7 +157,7 @@
 
 // newTarget returns t with the fields that come from its VM.
 func newTarget(vm VM, t Target) Target {
-	t.ID, t.Service, t.Address, t.Zone, t.Boot = vm.ID, vm.Service, vm.Address, vm.Zone, vm.Boot
+	t.ID, t.Service, t.Address, t.Zone, t.Boot, t.ColdUntil = vm.ID, vm.Service, vm.Address, vm.Zone, vm.Boot, vm.ColdUntil
 	return t
 }
 
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -66,6 +66,9 @@
 	// its head is unlisted: the VM may have lost nothing but its connection to
 	// the log.
 	Unlisted bool
+	// ColdRemaining is how long the VM is cold according to its report. ColdUntil is
+	// until when it counts as cold, by the boot clock; 0 if it never was.
+	ColdRemaining, ColdUntil time.Duration
 	// Domain is the fabric domain; the members of a replica share one.
 	Domain string
 	// Staged holds the models that are loaded in the memory of the VM's host.
--- a/formation/form.go
+++ b/formation/form.go
@@ -231,6 +231,7 @@
 		coldMembers: map[string]bool{},
 	}
 	longest := time.Duration(0)
+	r.warmFirst(c.vms)
 	for _, vm := range c.vms {
 		a.members = append(a.members, vm.ID)
 		t, load := joinTime(vm, c.model)
@@ -255,6 +256,13 @@
 	}
 }
 
+// warmFirst sorts VMs by the time for which they are still cold. The first one becomes the
+// head of a replica, which takes its requests; the order of the others does not matter.
+func (r *round) warmFirst(vms []fleet.VM) {
+	remaining := func(vm fleet.VM) time.Duration { return max(0, r.view.ColdUntil(vm)-r.now) }
+	slices.SortStableFunc(vms, func(a, b fleet.VM) int { return cmp.Compare(remaining(a), remaining(b)) })
+}
+
 // releaseStandby releases the standby of a VM that joins a replica.
 func (r *round) releaseStandby(vm string) {
 	for _, a := range r.replicas {
--- a/formation/planner_test.go
+++ b/formation/planner_test.go
@@ -27,6 +27,25 @@
 		startFleet(6, 6, 11, 11, 11, 11, 11, 11)
 	})
 
+	// Guards against a replica that may get few requests although a member can take many.
+	It("makes a warm VM the head of a replica, and the one that is cold for the shortest time if none is warm", func() {
+		s := newWorld(1).config.Services[service]
+		s.ColdTime, s.ColdPerSecond = time.Hour, 17
+		headWith := func(cold map[string]time.Duration) string {
+			w = newWorld(1)
+			w.config.Services[service] = s
+			w.addStaged("e", "d0", "large", 6)
+			for id, remaining := range cold {
+				w.engines[id].vm.ColdUntil = w.now + remaining
+			}
+			Expect(w.run(time.Minute, func() bool { return w.serving()["large"] == 1 })).To(BeTrue())
+			return w.member("large", 0).vm.ID
+		}
+		Expect(headWith(map[string]time.Duration{"e-00": time.Hour, "e-01": time.Hour})).To(Equal("e-02"))
+		Expect(headWith(map[string]time.Duration{"e-00": 4 * time.Hour, "e-01": 3 * time.Hour, "e-02": 3 * time.Hour,
+			"e-03": 2 * time.Hour, "e-04": 3 * time.Hour, "e-05": 3 * time.Hour})).To(Equal("e-03"))
+	})
+
 	It("waits for the list of VMs to settle, so that domains are not split into small replicas", func() {
 		w = newWorld(1, 4)
 		for i := range 7 {
--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -216,7 +216,7 @@
 func (w *world) view() *fleet.View {
 	b := fleet.NewBuilder()
 	b.SetConfig(w.config)
-	b.SetEvacuated(w.evacuated)
+	b.SetEvacuated(w.evacuated, nil)
 	for _, vm := range w.seen().vms {
 		b.Put(vm)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,7 +59,7 @@
 			return e
 		}
 		if f.next == nil {
-			if noUpstream(e) || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
+			if noUpstream(e) && !f.withheld || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
 				return f.withPauseEnd(e)
 			}
 			// A request that was not written has not arrived, so the next one is no retry.
@@ -78,7 +78,7 @@
 // it from this node.
 func noUpstream(e *verdict.Error) bool {
 	switch e.Reason {
-	case verdict.ReasonNoReplica, verdict.ReasonAllPaused, verdict.ReasonConfigStale:
+	case verdict.ReasonNoReplica, verdict.ReasonAllPaused, verdict.ReasonZoneEvacuated, verdict.ReasonUpstreamCold, verdict.ReasonConfigStale:
 		return true
 	}
 	return false
@@ -168,21 +168,37 @@
 	if f.node.cutOff() {
 		return nil, verdict.Refuse(verdict.ReasonConfigStale, "%v", errCutOff).WithRetryAfter(retryAfterFailure)
 	}
-	targets := f.usable()
+	warm, cold := f.usable()
 	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
-	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
+	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, warm, req)
+	if shortage != dispatch.NoShortage && len(cold) > 0 {
+		assignment, shortage = f.pickCold(warm, cold, req)
+	}
 	switch shortage {
 	case dispatch.NoShortage:
 	case dispatch.AllPaused:
 		return nil, f.refusePaused()
 	case dispatch.NoRoom:
-		return nil, f.refuseNoRoom(len(targets), len(exclude))
+		return nil, f.refuseNoRoom(len(warm)+len(cold), len(exclude))
 	}
 	t := &try{assignment: assignment}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	return t, nil
 }
 
+// pickCold assigns the request to one of the cold upstreams if no warm one takes it.
+func (f *forwarder) pickCold(warm, cold []fleet.Target, req dispatch.Request) (dispatch.Assignment, dispatch.Shortage) {
+	now := time.Now()
+	assignment, shortage := f.node.balancer.Pick(now, f.service.Engine, cold, req)
+	if shortage == dispatch.NoShortage {
+		return assignment, shortage
+	}
+	if _, all := f.node.balancer.NextPlace(now, slices.Concat(warm, cold), req.Exclude); all {
+		return dispatch.Assignment{}, dispatch.AllPaused
+	}
+	return dispatch.Assignment{}, dispatch.NoRoom
+}
+
 // noteSent reports to peers and in the log that the request is sent to an upstream.
 func (f *forwarder) noteSent(t *try, lastEvent string) {
 	a := &t.assignment
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -45,11 +45,27 @@
 		return false
 	}
 	s.logEvacuations(zones, b)
+	s.returnedAt = returnTimes(s.returnedAt, s.evacuated, zones, bootclock.Now())
 	s.evacuated = zones
-	s.builder.SetEvacuated(zones)
+	s.builder.SetEvacuated(zones, s.returnedAt)
 	return true
 }
 
+// returnTimes returns the times at which evacuations ended, given those known before, the
+// evacuated zones before a change and after it, and its time.
+func returnTimes(known map[string]time.Duration, before, after map[string]bool, now time.Duration) map[string]time.Duration {
+	out := maps.Clone(known)
+	if out == nil {
+		out = map[string]time.Duration{}
+	}
+	for zone := range before {
+		if !after[zone] {
+			out[zone] = now
+		}
+	}
+	return out
+}
+
 // logEvacuations logs and counts the zones whose evacuation begins or ends with a batch.
 func (s *state) logEvacuations(zones map[string]bool, b keyed.Batch) {
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
@@ -79,7 +95,13 @@
 // refuseNoRoom returns the refusal of a request that none of the usable upstreams can take.
 func (f *forwarder) refuseNoRoom(usable, exclude int) *verdict.Error {
 	v := f.node.state.View()
-	if all := v.Targets(f.service.Name, f.model()); usable == 0 && len(withoutEvacuated(v, all)) < len(all) {
+	all := v.Targets(f.service.Name, f.model())
+	inUse := withoutEvacuated(v, all)
+	isCold := func(t fleet.Target) bool { return v.TargetColdUntil(t) > bootclock.Now() }
+	switch {
+	case usable == 0 && slices.ContainsFunc(inUse, isCold):
+		return verdict.Refuse(verdict.ReasonUpstreamCold, "the upstreams are cold, and this node may not send to them now").WithRetryAfter(noRoomRetryAfter())
+	case usable == 0 && len(inUse) < len(all):
 		return verdict.Refuse(verdict.ReasonZoneEvacuated, "the zones of the %d upstreams are evacuated", len(all)).WithRetryAfter(noRoomRetryAfter())
 	}
 	return verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", usable, exclude).WithRetryAfter(noRoomRetryAfter())
@@ -94,23 +116,7 @@
 	if limit <= 0 || n.state.configAge() <= limit-arrivalMargin {
 		return false
 	}
-	n.quorumMu.Lock()
-	defer n.quorumMu.Unlock()
+	n.nodesMu.Lock()
+	defer n.nodesMu.Unlock()
 	return n.quorum.Lost()
 }
-
-// provedAge is the age up to which the proof that the copy of the log is current lets
-// nodes be forgotten that are not seen any more. On a healthy node the proof is at most
-// 1.3 s old.
-const provedAge = 3 * time.Second
-
-// observeNodes records how many nodes this one sees.
-func (n *Node) observeNodes() {
-	nodes := 1
-	if n.peers != nil {
-		nodes += n.peers.LiveCount()
-	}
-	n.quorumMu.Lock()
-	defer n.quorumMu.Unlock()
-	n.quorum.Observe(bootclock.Now(), nodes, n.state.configAge() < provedAge)
-}
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -29,7 +29,7 @@
 	put := func(zone string) keyed.Record { return keyed.Record{Key: "evacuate/" + zone, Value: []byte("{}")} }
 	usable := func() []string {
 		var out []string
-		for _, t := range forwarderFor(n, time.Second).usable() {
+		for _, t := range forwarderFor(n, time.Second).allUsable() {
 			out = append(out, t.ID)
 		}
 		return out
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -40,6 +40,7 @@
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/quorum"
 	"github.com/tamarackcleat/tamarackcleat/retry"
+	"github.com/tamarackcleat/tamarackcleat/slowstart"
 )
 
 const (
@@ -128,8 +129,11 @@
 	durationsMu sync.Mutex
 	durations   map[string]*hdrhistogram.Histogram
 
-	quorumMu sync.Mutex
-	quorum   quorum.Quorum
+	// nodesMu guards what the node knows of others: how many it sees, and its permits for
+	// cold upstreams, which depend on them.
+	nodesMu   sync.Mutex
+	quorum    *quorum.Quorum
+	coldStart *slowstart.Limiter
 
 	retryBudgetMu sync.Mutex
 	retryBudgets  map[string]*retry.Window
@@ -157,9 +161,14 @@
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 		bodiesMemory:    newBodiesMemory(s),
 	}
+	n.quorum = &quorum.Quorum{}
+	n.coldStart = slowstart.New(s.Node, n.quorum)
 	n.requestsEnd, n.endRequests = context.WithCancel(context.Background())
 	n.parts = newPartTable(n.id)
 	n.settings.Store(&s)
+	if !n.PeerAddress().IsValid() {
+		n.Registered()
+	}
 	n.OnChange(func() {})
 	n.balancer.OnPlace(n.pauseLines.wakeFirst)
 	n.state.count = n.count
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -26,6 +26,13 @@
 		n.count("upstream.unused_word." + string(said.Unused))
 		n.logger.Warn(decisions.UpstreamUnusedWord, "upstream", i.ID, "problem", said.Unused, "pause_ms", said.Pause.Milliseconds(), "request", who)
 	}
+	if said.UnusedCold != "" {
+		n.count("upstream.unused_word.cold_" + string(said.UnusedCold))
+		n.logger.Warn(decisions.UpstreamUnusedWord, "upstream", i.ID, "problem", said.UnusedCold, "cold_ms", said.Cold.Milliseconds(), "request", who)
+	}
+	if said.Cold > 0 {
+		n.markCold(i, said.Cold, who)
+	}
 	if said.Leaving {
 		n.markLeaving(i, true, "request", who)
 	}
@@ -49,6 +56,7 @@
 // expireNotices drops what ended incarnations of upstreams have said.
 func (n *Node) expireNotices(now time.Time) {
 	n.state.expireLeaving(bootclock.Now())
+	n.expireCold()
 	v := n.View()
 	n.balancer.RetainPauses(now, func(i fleet.Incarnation) bool {
 		// A pause outlasts the absence of the upstream's record.
@@ -57,7 +65,8 @@
 	})
 }
 
-// mayWrite returns why a request must not be written to its upstream now; nil if it may.
+// mayWrite returns why a request must not be written to its upstream now; nil if it may. A
+// request to a cold upstream then counts as written.
 // Queueing and connecting take time, in which the upstream may have said that it is leaving
 // or wants no requests, or its zone may have been evacuated.
 func (n *Node) mayWrite(t *try) error {
@@ -74,6 +83,8 @@
 		return errors.Wrapf(errZoneEvacuated, "zone %s", vm.Zone)
 	case !n.balancer.MaySend(time.Now(), &t.assignment):
 		return errors.Wrapf(errUpstreamPaused, "pause for %d ms more", n.balancer.PauseRemaining(time.Now(), target.Incarnation()).Milliseconds())
+	case !n.takeColdPermit(v, vm):
+		return errUpstreamCold
 	}
 	return nil
 }
@@ -90,6 +101,8 @@
 		reason = verdict.ReasonUpstreamPaused
 	case errors.Is(err, errZoneEvacuated):
 		reason = verdict.ReasonZoneEvacuated
+	case errors.Is(err, errUpstreamCold):
+		reason = verdict.ReasonUpstreamCold
 	case errors.Is(err, errCutOff):
 		reason = verdict.ReasonConfigStale
 	}
--- a/gateway/pauselines.go
+++ b/gateway/pauselines.go
@@ -153,21 +153,32 @@
 }
 
 // usable returns the upstreams that can answer the request, those in a pause included and
-// those in evacuated zones excluded.
-func (f *forwarder) usable() []fleet.Target {
+// those in evacuated zones excluded: the warm ones and the cold ones to which this node may
+// send now.
+func (f *forwarder) usable() (warm, cold []fleet.Target) {
 	v := f.node.state.View()
-	return usableTargets(withoutEvacuated(v, v.Targets(f.service.Name, f.model())), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
+	targets := usableTargets(withoutEvacuated(v, v.Targets(f.service.Name, f.model())), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
+	return f.node.splitCold(v, f.service, targets)
+}
+
+// allUsable returns all upstreams that usable returns.
+func (f *forwarder) allUsable() []fleet.Target {
+	warm, cold := f.usable()
+	if len(cold) == 0 {
+		return warm
+	}
+	return slices.Concat(warm, cold)
 }
 
 // nextPlace returns how long it takes until the first upstream takes the request; false
 // unless pauses keep it from all of them.
 func (f *forwarder) nextPlace() (time.Duration, bool) {
-	return f.node.balancer.NextPlace(time.Now(), f.usable(), f.exclude)
+	return f.node.balancer.NextPlace(time.Now(), f.allUsable(), f.exclude)
 }
 
 // placeAfter returns a refusal if all upstreams pause beyond limit.
 func (f *forwarder) placeAfter(limit time.Time) *verdict.Error {
-	if time.Until(limit) > f.node.balancer.FirstPlace(time.Now(), f.usable(), f.exclude) {
+	if time.Until(limit) > f.node.balancer.FirstPlace(time.Now(), f.allUsable(), f.exclude) {
 		return nil
 	}
 	return f.refusePaused()
@@ -176,7 +187,7 @@
 // refusePaused returns the refusal of a request whose upstreams all want no requests now.
 func (f *forwarder) refusePaused() *verdict.Error {
 	next, _ := f.nextPlace()
-	return verdict.Refuse(verdict.ReasonAllPaused, "the %d upstreams want no requests now, the first for %d ms", len(f.usable()), next.Milliseconds()).
+	return verdict.Refuse(verdict.ReasonAllPaused, "the %d upstreams want no requests now, the first for %d ms", len(f.allUsable()), next.Milliseconds()).
 		WithRetryAfter(pausedRetryAfter(next))
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -23,9 +23,10 @@
 	return relay.Peer{ID: n.id, Zone: s.Zone, Address: n.PeerAddress(), Cores: s.Cores}
 }
 
-// RegisterPeer adds another node to the peers. It does nothing if the node has no
+// RegisterPeer adds another node to the known ones, and to the peers if the node has a
 // socket for messages between nodes.
 func (n *Node) RegisterPeer(p relay.Peer) {
+	n.registerNode(p.ID)
 	if n.peers != nil {
 		n.peers.Register(p)
 	}
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -51,4 +51,7 @@
 	// EvacuateTime is the time within which no request reaches a zone any more whose
 	// evacuation the log has acknowledged; 0 for no bound.
 	EvacuateTime time.Duration
+	// ColdOvershoot and ColdSlack bound the requests that reach one cold upstream in any
+	// second: ColdOvershoot times fleet.Service.ColdPerSecond plus ColdSlack.
+	ColdOvershoot, ColdSlack float64
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -12,6 +12,7 @@
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/slowstart"
 )
 
 const (
@@ -64,6 +65,11 @@
 	// evacuated holds the evacuated zones. Views share it; it is replaced and never
 	// changed.
 	evacuated map[string]bool
+	// returnedAt holds when evacuations ended, by zone and by the boot clock; it is
+	// replaced like evacuated.
+	returnedAt map[string]time.Duration
+	// cold holds until when upstreams are cold.
+	cold slowstart.Marks
 	// digests holds, by VM id, the hash of the latest report as it was read. A report
 	// that is the same to the byte is not decoded again.
 	digests map[string]uint64
@@ -97,6 +103,7 @@
 		unchanged:    map[string]fleet.VM{},
 		goneAt:       map[string]time.Duration{},
 		leaving:      leavingMarks{},
+		cold:         slowstart.Marks{},
 		readsFailing: true,
 		changed:      func() {},
 		detailed:     func() bool { return true },
@@ -200,11 +207,11 @@
 // reportChanges counts the changes in a batch of reports that are not logged by
 // themselves.
 type reportChanges struct {
-	reports, added, leaving, open int
-	lastOffset                    int64
+	reports, added, leaving, open, cold int
+	lastOffset                          int64
 }
 
-func (c *reportChanges) add(vm fleet.VM, known bool, offset int64) {
+func (c *reportChanges) add(vm fleet.VM, known bool, now time.Duration, offset int64) {
 	c.reports++
 	c.lastOffset = offset
 	if !known {
@@ -216,12 +223,15 @@
 	if vm.Member.State == fleet.MemberOpen {
 		c.open++
 	}
+	if vm.ColdUntil > now {
+		c.cold++
+	}
 }
 
 // log writes one line for all changes, if there are any.
 func (c *reportChanges) log(l *slog.Logger) {
 	if c.reports > 0 {
-		l.Info(decisions.UpstreamsChanged, "reports", c.reports, "added", c.added, "leaving", c.leaving, "open", c.open, "offset", c.lastOffset)
+		l.Info(decisions.UpstreamsChanged, "reports", c.reports, "added", c.added, "leaving", c.leaving, "open", c.open, "cold", c.cold, "offset", c.lastOffset)
 	}
 }
 
@@ -238,6 +248,11 @@
 		return false
 	}
 	s.digests[vm.ID] = digest
+	if vm.ColdRemaining > 0 {
+		// A repetition prolongs the cold time, which counts from each report's arrival.
+		delete(s.digests, vm.ID)
+	}
+	vm.ColdUntil, vm.ColdRemaining = s.cold.Record(now, vm.Incarnation(), vm.ColdRemaining), 0
 	vm.LastSeen = now
 	delete(s.goneAt, vm.ID)
 	was, known := s.builder.VM(vm.ID)
@@ -262,12 +277,13 @@
 	delete(s.unchanged, vm.ID)
 	s.builder.Put(vm)
 	if !s.wasDetailed && !s.inUse(vm.ID) {
-		changes.add(vm, known, r.Offset)
+		changes.add(vm, known, now, r.Offset)
 		return true
 	}
 	s.logger.Info(decisions.UpstreamChanged, "upstream", vm.ID, "known", known, "boot", vm.Boot, "leaving", vm.Leaving,
 		"model", vm.Model, "staged", vm.Staged, "replica", vm.Member.Replica, "generation", vm.Member.Generation,
-		"rank", vm.Member.Rank, "state", string(vm.Member.State), "offset", r.Offset)
+		"rank", vm.Member.Rank, "state", string(vm.Member.State),
+		"cold_ms", max(0, vm.ColdUntil-now).Milliseconds(), "offset", r.Offset)
 	return true
 }
 
@@ -295,7 +311,7 @@
 		staged = a.Staged[i] == b.Staged[i]
 	}
 	return staged && a.Boot == b.Boot && a.Address == b.Address && a.Zone == b.Zone && a.Service == b.Service &&
-		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Unlisted == b.Unlisted && a.Domain == b.Domain && a.Model == b.Model && a.Member == b.Member
+		a.Slots == b.Slots && a.Leaving == b.Leaving && a.Unlisted == b.Unlisted && a.Domain == b.Domain && a.Model == b.Model && a.Member == b.Member && a.ColdUntil == b.ColdUntil
 }
 
 // handleMissing handles an upstream without a record. If the log was unreadable until less
--- a/notice/retryafter.go
+++ b/notice/retryafter.go
@@ -21,6 +21,10 @@
 	Pause time.Duration
 	// Unused is why a value of the header Retry-After was not used; empty if all were.
 	Unused Problem
+	// Cold is how long the upstream is still cold; 0 if it does not say so. UnusedCold
+	// is why a value for that was not used; empty if all were.
+	Cold       time.Duration
+	UnusedCold Problem
 }
 
 // Problem is what is wrong with the values of a Retry-After header.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -99,6 +99,9 @@
 	// ReasonZoneEvacuated marks a request whose upstreams are all in evacuated zones, or
 	// that was not sent to an upstream because its zone is evacuated.
 	ReasonZoneEvacuated Reason = "zone_evacuated"
+	// ReasonUpstreamCold marks a request whose upstreams are all cold and get no more
+	// requests from this node now, or that was not sent to such an upstream.
+	ReasonUpstreamCold Reason = "upstream_cold"
 	// ReasonConnect marks a connection that could not be established.
 	ReasonConnect Reason = "connect_failed"
 	// ReasonUpstreamLost marks a connection that was lost after bytes of the
