gossip, gateway: Tell peers which upstreams said in an answer that they are cold

An engine may become cold without a new entry in the log, or its entry reaches nodes up to 2 s later. Until then only a node that it answered knew, and each other node sent to it as to a warm one.

A node names the upstreams that told it so in its load messages, at most 50 so that a message stays below its limit. It does not pass on what peers told: two nodes would prolong the time for each other with each message.

--- a/gateway/coldstart.go
+++ b/gateway/coldstart.go
@@ -10,6 +10,7 @@
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/slowstart"
 )
 
@@ -103,18 +104,52 @@
 	return n.coldStart.Take(now, vm.Incarnation(), n.coldBound(v.Config.Services[vm.Service]))
 }
 
-// markCold records that an upstream said that it is cold for some time. The view says so at
-// once if that is new.
-func (n *Node) markCold(i fleet.Incarnation, remaining time.Duration, who string) {
+// markCold records that an upstream said that it is cold for some time; own says that it told
+// this node. The view says so at once if that is new, and peers are told. from says who told
+// it, who the peer or the request.
+func (n *Node) markCold(i fleet.Incarnation, remaining time.Duration, own bool, from, who string) {
 	vm, known := n.View().VM(i.ID)
 	now := bootclock.Now()
 	if !known || vm.Boot != i.Boot || vm.ColdUntil >= now+remaining {
 		return
 	}
+	if own {
+		n.noteColdTold(i, now+remaining)
+	}
 	if began := n.state.markCold(now, i, remaining); began {
 		n.count("upstream.cold")
-		n.logger.Info(decisions.UpstreamCold, "upstream", i.ID, "boot", i.Boot, "cold_ms", remaining.Milliseconds(), "told_request", who)
+		n.logger.Info(decisions.UpstreamCold, "upstream", i.ID, "boot", i.Boot, "cold_ms", remaining.Milliseconds(), "told_"+from, who)
+	}
+}
+
+// noteColdTold records until when an upstream is cold that told this node so, and makes the
+// node tell its peers: until the upstream's report reaches them, they would send to it as
+// before.
+func (n *Node) noteColdTold(i fleet.Incarnation, until time.Duration) {
+	n.nodesMu.Lock()
+	n.toldCold[i] = until
+	n.nodesMu.Unlock()
+	if n.peers != nil {
+		n.peers.StateChanged()
+	}
+}
+
+// coldTold returns the upstreams that told this node that they are cold, as long as they
+// are. What peers told is left out: nodes that passed it on would prolong it for each other
+// by the time that their messages take.
+func (n *Node) coldTold() []gossip.ColdUpstream {
+	now := bootclock.Now()
+	n.nodesMu.Lock()
+	defer n.nodesMu.Unlock()
+	var out []gossip.ColdUpstream
+	for i, until := range n.toldCold {
+		if until <= now {
+			delete(n.toldCold, i)
+			continue
+		}
+		out = append(out, gossip.ColdUpstream{Incarnation: i, RemainingMs: (until - now).Milliseconds()})
 	}
+	return out
 }
 
 // markCold records that an upstream is cold for some time and publishes a view if that is
--- a/gateway/coldstart_test.go
+++ b/gateway/coldstart_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/notice"
 	"github.com/tamarackcleat/tamarackcleat/slowstart"
@@ -107,6 +108,18 @@
 		Expect(published).To(Equal(4))
 	})
 
+	It("is told to peers by those that it told, who don't prolong it for each other", func() {
+		report(a, b)
+		n.heed(a.Incarnation(), notice.Notice{Cold: 3 * time.Second}, "1")
+		n.handleMessage(gossip.Message{Node: "p", Cold: []gossip.ColdUpstream{{Incarnation: a.Incarnation(), RemainingMs: 9000}, {Incarnation: b.Incarnation(), RemainingMs: 3000}}})
+		vm, _ := n.View().VM("b")
+		Expect(vm.ColdUntil).To(BeNumerically(">", bootclock.Now()+2*time.Second))
+		told := n.localMessage().Cold
+		Expect(told).To(HaveLen(1))
+		Expect(told[0].Incarnation).To(Equal(a.Incarnation()))
+		Expect(told[0].RemainingMs).To(BeNumerically("<=", 3000))
+	})
+
 	It("is one whose zone has returned from an evacuation", func() {
 		n.state.evacuationPrefix = "evacuate/"
 		report(a, b)
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -134,6 +134,8 @@
 	nodesMu   sync.Mutex
 	quorum    *quorum.Quorum
 	coldStart *slowstart.Limiter
+	// toldCold holds until when upstreams are cold that told this node so.
+	toldCold map[fleet.Incarnation]time.Duration
 
 	retryBudgetMu sync.Mutex
 	retryBudgets  map[string]*retry.Window
@@ -157,6 +159,7 @@
 		closingHeads:    func() []string { return nil },
 		holder:          func() string { return "" },
 		retryBudgets:    map[string]*retry.Window{},
+		toldCold:        map[fleet.Incarnation]time.Duration{},
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 		bodiesMemory:    newBodiesMemory(s),
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -31,7 +31,7 @@
 		n.logger.Warn(decisions.UpstreamUnusedWord, "upstream", i.ID, "problem", said.UnusedCold, "cold_ms", said.Cold.Milliseconds(), "request", who)
 	}
 	if said.Cold > 0 {
-		n.markCold(i, said.Cold, who)
+		n.markCold(i, said.Cold, true, "request", who)
 	}
 	if said.Leaving {
 		n.markLeaving(i, true, "request", who)
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -61,7 +61,7 @@
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
 		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(),
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
 	}
 }
 
@@ -82,6 +82,9 @@
 	for _, i := range m.Leaving {
 		n.markLeaving(i, false, "peer", m.Node)
 	}
+	for _, c := range m.Cold {
+		n.markCold(c.Incarnation, time.Duration(c.RemainingMs)*time.Millisecond, false, "peer", m.Node)
+	}
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -211,6 +211,7 @@
 	self := g.table.self
 	local.Node, local.Zone, local.Cores = self.ID, self.Zone, self.Cores
 	local.Leaving = local.Leaving[:min(maxLeaving, len(local.Leaving))]
+	local.Cold = local.Cold[:min(maxCold, len(local.Cold))]
 	messages := g.table.nextMessages(time.Now(), local)
 	clear(g.changedVMs)
 	g.fullRequested = false
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -59,8 +59,24 @@
 	// Leaving lists the incarnations of VMs that said in an answer that they are
 	// leaving, while their reports don't say so; at most maxLeaving.
 	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
+	// Cold lists the upstreams that said in an answer that they are cold, with the time
+	// for which they still are; at most maxCold.
+	Cold []ColdUpstream `json:"cold,omitempty"`
 }
 
+// ColdUpstream is an upstream that is cold for a time in milliseconds.
+type ColdUpstream struct {
+	fleet.Incarnation
+	RemainingMs int64 `json:"ms"`
+}
+
+// maxCold bounds Message.Cold, since a message that is too large is not sent. Nodes learn of
+// an upstream that is left out by its report or by its answers to themselves.
+const maxCold = 50
+
+// maxColdMs is longer than any upstream is cold.
+const maxColdMs = 3_600_000
+
 // maxCount bounds each count in a message. The sum of all that a node adds up stays far
 // below the largest int.
 const maxCount = 1 << 31
@@ -73,6 +89,10 @@
 // shortens lists that are too long.
 func (m *Message) clampCounts() {
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
+	m.Cold = m.Cold[:min(maxCold, len(m.Cold))]
+	for i := range m.Cold {
+		m.Cold[i].RemainingMs = min(max(0, m.Cold[i].RemainingMs), maxColdMs)
+	}
 	m.Nodes = clampCount(m.Nodes)
 	for _, loads := range []loadMap{m.Loads, m.Excess} {
 		for vm, l := range loads {
@@ -99,7 +119,9 @@
 }
 
 // hasLists reports whether any of the message's lists that are merged has an entry.
-func (m *Message) hasLists() bool { return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving) > 0 }
+func (m *Message) hasLists() bool {
+	return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving)+len(m.Cold) > 0
+}
 
 // mergeLists adds the lists in another message to the message.
 func (m *Message) mergeLists(other Message) {
@@ -108,6 +130,21 @@
 	m.Closing = union(m.Closing, other.Closing)
 	m.Leaving = unionFunc(m.Leaving, other.Leaving, compareIncarnations)
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
+	m.Cold = mergeCold(m.Cold, other.Cold)
+}
+
+// mergeCold returns the upstreams in either of two lists, sorted, each with the longer of
+// its times. It returns a itself if b is empty.
+func mergeCold(a, b []ColdUpstream) []ColdUpstream {
+	if len(b) == 0 {
+		return a
+	}
+	out := slices.Concat(a, b)
+	slices.SortFunc(out, func(x, y ColdUpstream) int {
+		return cmp.Or(compareIncarnations(x.Incarnation, y.Incarnation), cmp.Compare(y.RemainingMs, x.RemainingMs))
+	})
+	out = slices.CompactFunc(out, func(x, y ColdUpstream) bool { return x.Incarnation == y.Incarnation })
+	return out[:min(maxCold, len(out))]
 }
 
 // merge adds the state in another message to the message, whose Loads must not be
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -85,6 +86,7 @@
 			local := Message{Node: n.self.ID, Zone: n.self.Zone, Cores: n.self.Cores,
 				Loads: map[string]dispatch.Load{"vm": {InFlight: 1, PendingPromptTokens: 10}}, Silent: []string{"head of " + n.self.ID},
 				Leaving: []fleet.Incarnation{{ID: "engine of " + n.self.ID, Boot: 7}},
+				Cold:    []ColdUpstream{{fleet.Incarnation{ID: "engine of " + n.self.ID, Boot: 7}, 1000}},
 				Parts:   n.parts.Report(s.now)}
 			for _, o := range n.nextMessages(s.now, local) {
 				s.deliver(address, o)
@@ -179,19 +181,23 @@
 	})
 
 	// Guards against a failure in which only the nodes that a leaving upstream had told knew it.
-	It("receive the upstreams that told any other node that they are leaving, and each only once", func() {
+	It("receive the upstreams that told any other node that they are leaving or cold, and each only once", func() {
 		s := newSimulation(3, 10)
 		s.runRounds(8)
 		n := s.nodes[s.order[0]]
-		leaving := map[fleet.Incarnation]int{}
+		leaving, cold := map[fleet.Incarnation]int{}, map[ColdUpstream]int{}
 		for _, p := range n.peers {
 			if n.isCurrent(s.now, p) {
 				for _, i := range p.lastMessage.Leaving {
 					leaving[i]++
 				}
+				for _, c := range p.lastMessage.Cold {
+					cold[c]++
+				}
 			}
 		}
 		Expect(leaving).To(And(HaveLen(29), HaveEach(1)))
+		Expect(cold).To(And(HaveLen(29), HaveEach(1)))
 		Expect(leaving).To(HaveKey(fleet.Incarnation{ID: "engine of " + s.runningNodes()[1].self.ID, Boot: 7}))
 	})
 
@@ -210,6 +216,23 @@
 		Expect(received.Leaving).To(HaveLen(maxLeaving))
 	})
 
+	It("send and use no more than a bounded number of cold upstreams, each with its longest time", func() {
+		m, other := Message{Node: "n"}, Message{}
+		for i := range maxCold {
+			m.Cold = append(m.Cold, ColdUpstream{fleet.Incarnation{ID: fmt.Sprint("a", i)}, 1})
+			other.Cold = append(other.Cold, ColdUpstream{fleet.Incarnation{ID: fmt.Sprint("a", 2*i)}, int64(i)})
+		}
+		m.mergeLists(other)
+		Expect(m.Cold).To(HaveLen(maxCold))
+		Expect(m.Cold).To(ContainElement(ColdUpstream{fleet.Incarnation{ID: "a10"}, 5}))
+		long, err := json.Marshal(Message{Node: "n", Cold: append(append(other.Cold, m.Cold...), ColdUpstream{})})
+		Expect(err).NotTo(HaveOccurred())
+		received, err := decodeMessage(bytes.Replace(long, []byte(`"ms":0`), []byte(`"ms":-7`), 1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received.Cold).To(HaveLen(maxCold))
+		Expect(received.Cold[0].RemainingMs).To(BeZero())
+	})
+
 	// Guards against findings that stay in one part of the tree, so that each part loses
 	// upstreams of its own to the same part of a prompt.
 	It("know within eight rounds what crashes upstreams by crashes that two of them saw", func() {
