--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -59,7 +59,7 @@
 			return e
 		}
 		if f.next == nil {
-			if noUpstream(e) || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
+			if noUpstream(e) && !f.withheld || f.lastSend() || !f.repeatable(e) || f.withheldCount >= maxWithheld {
 				return f.withPauseEnd(e)
 			}
 			// A request that was not written has not arrived, so the next one is no retry.
@@ -74,9 +74,14 @@
 	}
 }
 
-// noUpstream reports whether a request failed because no upstream can take it.
+// noUpstream reports whether a request failed because no upstream can take it, or may get
+// it from this node.
 func noUpstream(e *verdict.Error) bool {
-	return e.Reason == verdict.ReasonNoReplica || e.Reason == verdict.ReasonAllPaused || e.Reason == verdict.ReasonDeadline
+	switch e.Reason {
+	case verdict.ReasonNoReplica, verdict.ReasonDeadline, verdict.ReasonAllPaused, verdict.ReasonZoneEvacuated, verdict.ReasonUpstreamCold, verdict.ReasonConfigStale:
+		return true
+	}
+	return false
 }
 
 // checkBeforeSending refuses a request that must not be sent to an upstream. A request
@@ -160,20 +165,25 @@
 
 // pick is assign; with neverPaused only at an upstream that did not ask for a pause lately.
 func (f *forwarder) pick(ctx context.Context, exclude []string, failover, neverPaused bool) (*try, *verdict.Error) {
-	targets := f.usable()
+	if f.node.cutOff() {
+		return nil, verdict.Refuse(verdict.ReasonConfigStale, "%v", errCutOff).WithRetryAfter(retryAfterFailure)
+	}
+	warm, cold := f.usable()
 	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
 	f.setObjective(&req)
-	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
+	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, warm, req)
+	if shortage != dispatch.NoShortage && len(cold) > 0 {
+		assignment, shortage = f.pickCold(warm, cold, req)
+	}
 	switch shortage {
 	case dispatch.NoShortage:
 	case dispatch.AllPaused:
 		return nil, f.refusePaused()
 	case dispatch.NoRoom:
-		return nil, verdict.Refuse(verdict.ReasonNoReplica, "no room at %d upstreams, %d tried", len(targets), len(exclude)).
-			WithRetryAfter(noRoomRetryAfter())
+		return nil, f.refuseNoRoom(len(warm)+len(cold), len(exclude))
 	case dispatch.TooLate:
 		return nil, verdict.Refuse(verdict.ReasonDeadline, "too late at %d upstreams, %d tried: %d ms predicted at load %d, %d of %d ms have passed",
-			len(targets), len(exclude), assignment.Predicted.Milliseconds(), assignment.Load, req.Waited.Milliseconds(), req.Target.Milliseconds()).
+			len(warm)+len(cold), len(exclude), assignment.Predicted.Milliseconds(), assignment.Load, req.Waited.Milliseconds(), req.Target.Milliseconds()).
 			WithRetryAfter(noRoomRetryAfter())
 	}
 	t := &try{assignment: assignment}
@@ -181,6 +191,19 @@
 	return t, nil
 }
 
+// pickCold assigns the request to one of the cold upstreams if no warm one takes it.
+func (f *forwarder) pickCold(warm, cold []fleet.Target, req dispatch.Request) (dispatch.Assignment, dispatch.Shortage) {
+	now := time.Now()
+	assignment, shortage := f.node.balancer.Pick(now, f.service.Engine, cold, req)
+	if shortage == dispatch.NoShortage || shortage == dispatch.TooLate {
+		return assignment, shortage
+	}
+	if _, all := f.node.balancer.NextPlace(now, slices.Concat(warm, cold), req.Exclude); all {
+		return dispatch.Assignment{}, dispatch.AllPaused
+	}
+	return dispatch.Assignment{}, dispatch.NoRoom
+}
+
 // noteSent reports to peers and in the log that the request is sent to an upstream.
 func (f *forwarder) noteSent(t *try, lastEvent string) {
 	a := &t.assignment
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -25,9 +25,10 @@
 	return relay.Peer{ID: n.id, Zone: s.Zone, Address: n.PeerAddress(), Cores: s.Cores}
 }
 
-// RegisterPeer adds another node to the peers. It does nothing if the node has no
+// RegisterPeer adds another node to the known ones, and to the peers if the node has a
 // socket for messages between nodes.
 func (n *Node) RegisterPeer(p relay.Peer) {
+	n.registerNode(p.ID)
 	if n.peers != nil {
 		n.peers.Register(p)
 	}
@@ -70,7 +71,7 @@
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
 		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(),
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
 	}
 }
 
@@ -91,6 +92,9 @@
 	for _, i := range m.Leaving {
 		n.markLeaving(i, false, "peer", m.Node)
 	}
+	for _, c := range m.Cold {
+		n.markCold(c.Incarnation, time.Duration(c.RemainingMs)*time.Millisecond, false, "peer", m.Node)
+	}
 	for _, vm := range m.Silent {
 		n.onSilent(vm)
 	}
