--- a/formation/world_test.go
+++ b/formation/world_test.go
@@ -55,7 +55,10 @@
 	// downUntil is when an engine that crashed starts again, cutUntil when one that was
 	// cut off from the store at cutAt reaches it again; reported is its report at cutAt.
 	downUntil, cutAt, cutUntil time.Duration
-	reported                   fleet.VM
+	// unreachableUntil is when an engine that no order or probe reaches can be reached
+	// again. Orders that reached it before may still be carried out.
+	unreachableUntil time.Duration
+	reported         fleet.VM
 	// readyIn names the replicas in which the engine has been ready.
 	readyIn map[string]bool
 	// staging is the model that the host is loading until stagedAt.
@@ -100,6 +103,9 @@
 	// replica or a standby.
 	coldJoins  int
 	violations []string
+	// lateOrders counts the orders of former holders that were carried out late, after the
+	// present holder had formed a replica; lateEffects counts those that changed something.
+	lateOrders, lateEffects int
 }
 
 type delayedOrder struct {
@@ -201,7 +207,7 @@
 		}
 		d := w.delayed[i]
 		w.delayed = slices.Delete(w.delayed, i, i+1)
-		w.execute(d.order, d.fence)
+		w.executeLate(d)
 	}
 	w.publishReports()
 	if len(w.snapshots) > 0 && w.now-w.plannedAt >= w.planGap {
@@ -262,7 +268,7 @@
 			}}))
 		case e != nil && e.replaced:
 			w.send(w.planner.HandleResult(w.now, o, Result{Answered: true, Replaced: true, Status: "421"}))
-		case e == nil || e.down || w.lost != nil && w.lost(o):
+		case e == nil || e.down || w.now < e.unreachableUntil || w.lost != nil && w.lost(o):
 			w.send(w.planner.HandleResult(w.now, o, Result{Status: "timeout"}))
 		case o.Kind == Probe:
 			accepted := e.accepted
@@ -280,6 +286,21 @@
 	}
 }
 
+// executeLate carries out a delayed order.
+func (w *world) executeLate(d delayedOrder) {
+	e, former := w.engines[d.order.VM], d.fence < w.planner.term && w.planner.generation > 0
+	if e == nil || !former {
+		w.execute(d.order, d.fence)
+		return
+	}
+	before := e.accepted
+	w.execute(d.order, d.fence)
+	w.lateOrders++
+	if e.accepted > before {
+		w.lateEffects++
+	}
+}
+
 // execute carries out an order and records violations of the planner's
 // guarantees.
 func (w *world) execute(o Order, fence int64) bool {
@@ -387,20 +408,25 @@
 	return !head.down && (head.vm.Member.State == fleet.MemberOpen || head.vm.Member.State == fleet.MemberClosing)
 }
 
-// checkComplete records a violation if a replica opens while one of its members
-// is still joining or belongs to another replica. With lateOpens, a member that has been
-// ready in the replica is no violation: a former holder's order to open may be carried out
-// after the replica was dismantled, and nodes send nothing to a replica unless all members
-// report that they belong to it.
+// checkComplete records a violation if a replica opens with fewer or more members than its
+// model has, with a member that has never been ready in it, lost or not, or while a member
+// is still joining or belongs to another replica. With lateOpens, the last is no violation:
+// a former holder's order to open may be carried out after the replica was dismantled, and
+// nodes send nothing to a replica unless all members report that they belong to it.
 func (w *world) checkComplete(head *engine) {
+	name := head.vm.Member.Replica
+	if m, ok := w.config.Services[service].Engine.Model(head.vm.Model); !ok || len(head.members) != m.Size {
+		w.violations = append(w.violations, fmt.Sprintf("%v: %s opens with members %v for model %q", w.now, name, head.members, head.vm.Model))
+	}
 	for _, id := range head.members {
 		e := w.engines[id]
-		if e == nil || e.down || w.lateOpens && e.readyIn[head.vm.Member.Replica] {
+		if e == nil {
 			continue
 		}
 		m := e.vm.Member
-		if m.Replica != head.vm.Member.Replica || m.State == fleet.MemberJoining {
-			w.violations = append(w.violations, fmt.Sprintf("%v: %s opens without %s", w.now, m.Replica, id))
+		elsewhere := !w.lateOpens && !e.down && (m.Replica != name || m.State == fleet.MemberJoining)
+		if !e.readyIn[name] || elsewhere {
+			w.violations = append(w.violations, fmt.Sprintf("%v: %s opens without %s", w.now, name, id))
 		}
 	}
 }
