formation: Take no member that has not left a replica with an unreachable head

A replica whose head can't be reached is released once a member has been away for longer than the head needs to break. If the head was ready and not open, it does not break, and a late order to open it may be carried out afterwards. A member whose orders to leave got no answer was then taken for free and ordered to join another replica while its head was open.

Such a member is now free only once it has left, and is ordered to leave until it does. A head that can be reached again, and has not broken, is ordered to leave before its members are free.

--- a/formation/form.go
+++ b/formation/form.go
@@ -34,7 +34,7 @@
 		return !r.adoptedLacksMember(vm)
 	}
 	a, ok := r.replicas[vm.Member.Replica]
-	return ok && (a.released || a.standby && !r.standbyLoading(a, vm))
+	return ok && (a.givesMembers() || a.standby && !r.standbyLoading(a, vm))
 }
 
 // adoptedLacksMember reports whether a replica that was formed under an earlier term, and
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -43,6 +43,9 @@
 	// since when.
 	released   bool
 	releasedAt time.Duration
+	// headUnseen says that the replica was released while its head could not be reached. A
+	// late order may still open it, so a member is free only once it has left.
+	headUnseen bool
 	// headGone says that the head stopped reporting the replica after the release.
 	headGone bool
 	// reallocated says that the replica is closed in favour of one of another
@@ -288,9 +291,12 @@
 		return false
 	}
 	other, ok := r.replicas[vm.Member.Replica]
-	return ok && !other.released && !other.standby
+	return ok && !other.givesMembers() && !other.standby
 }
 
+// givesMembers reports whether VMs that report the replica may join others.
+func (a *replica) givesMembers() bool { return a.released && !a.headUnseen }
+
 func (r *round) join(a *replica, vm fleet.VM) Order {
 	return Order{
 		Kind: Join, VM: vm.ID, Address: vm.Address, Replica: a.name, Generation: a.generation,
@@ -363,14 +369,11 @@
 // stopped serving for lack of them.
 func (r *round) dismantleWithoutHead(a *replica, rep fleet.Replica) {
 	r.recordReturns(a, rep)
-	for _, m := range rep.Members {
-		if m.Member.Rank != 0 && !r.isDead(m) && r.sendDue(a, "leave "+m.ID) {
-			r.order(Order{Kind: Leave, VM: m.ID, Address: m.Address, Replica: a.name, Generation: a.generation})
-		}
-	}
+	r.removeMembers(a, rep)
 	timeout := r.s.StallTimeout + stallMargin
 	switch {
 	case len(a.left) > 0 && r.now-slices.Min(slices.Collect(maps.Values(a.left))) > timeout:
+		a.headUnseen = true
 		r.release(a, "head_gone")
 	case a.unreportedSince > 0 && r.now-a.unreportedSince > timeout:
 		// The replica may still serve. It is adopted if a member reports again.
@@ -379,6 +382,15 @@
 	}
 }
 
+// removeMembers orders the members other than the head to leave their replica.
+func (r *round) removeMembers(a *replica, rep fleet.Replica) {
+	for _, m := range rep.Members {
+		if m.Member.Rank != 0 && !r.isDead(m) && r.sendDue(a, "leave "+m.ID) {
+			r.order(Order{Kind: Leave, VM: m.ID, Address: m.Address, Replica: a.name, Generation: a.generation})
+		}
+	}
+}
+
 // recordReturns records which members report a replica that is being dismantled,
 // although they had left it, and whether any member reports it.
 func (r *round) recordReturns(a *replica, rep fleet.Replica) {
@@ -403,9 +415,9 @@
 		"after_ms", (r.now - a.formedAt).Milliseconds())
 }
 
-// dropReleased deletes a released replica once no VM reports it. A replica whose head has
-// become a member again, through a late order to join, may be opened by a late order too,
-// so it is dismantled once more.
+// dropReleased deletes a released replica once no VM reports it. A replica whose head can be
+// reached again, or has become a member again through a late order to join, may be opened by a
+// late order too, so it is dismantled once more.
 func (r *round) dropReleased(a *replica) {
 	rep, reported := r.reported[a.name]
 	if !reported {
@@ -413,12 +425,19 @@
 		return
 	}
 	head, present := rep.Head()
+	back := a.headGone && (a.openSent || a.adopted) || a.headUnseen && !r.isDead(head)
 	switch {
 	case !present:
 		a.headGone = true
-	case a.headGone && (a.openSent || a.adopted) && head.Member.State != fleet.MemberBroken:
-		a.released, a.headGone, a.headLeft, a.dismantlingSince = false, false, false, 0
+	case head.Member.State == fleet.MemberBroken:
+		a.headUnseen = false
+	case back:
+		a.released, a.headGone, a.headLeft, a.headUnseen, a.dismantlingSince = false, false, false, false, 0
 		r.assignmentsChanged()
 		r.dismantle(a, rep, false)
+		return
+	}
+	if a.headUnseen {
+		r.removeMembers(a, rep)
 	}
 }
--- a/formation/unfenced_test.go
+++ b/formation/unfenced_test.go
@@ -141,4 +141,37 @@
 		Entry("to join replicas", false),
 		Entry("to end a replica", true),
 	)
+
+	// Guards against a member that is taken from a replica whose head opens late: the head
+	// was ready and could not be reached, its order to open was carried out after another
+	// member had left, and the orders to leave of a third one got no answer.
+	It("takes no member that has not left from a replica whose head may yet open", func() {
+		w := newWorld(1, 5)
+		for _, e := range w.engines {
+			e.vm.LastModel = "small"
+		}
+		var opening *Order
+		w.lost = func(o Order) bool {
+			if o.Kind == Open {
+				opening = &o
+			}
+			return o.Kind == Open
+		}
+		Expect(w.run(10*time.Second, func() bool { return opening != nil })).To(BeTrue())
+		head := w.engines[opening.VM]
+		left, staying := w.engines[head.members[1]], w.engines[head.members[2]]
+		w.gotRequests, w.lateOpens = true, true
+		w.startPlanner(2)
+		head.reported, head.cutAt, head.cutUntil, head.unreachableUntil = head.vm, w.now, w.now+time.Hour, w.now+time.Hour
+		w.lost = func(o Order) bool { return o.Kind == Leave && o.VM == staying.vm.ID }
+		Expect(w.run(5*time.Second, func() bool { return left.vm.Member.Replica == "" })).To(BeTrue())
+		w.run(2*time.Second, nil)
+		Expect(w.execute(*opening, 1)).To(BeTrue())
+		w.run(10*time.Second, nil)
+		Expect(w.violations).To(BeEmpty())
+		w.lost = nil
+		w.run(10*time.Second, nil)
+		Expect(w.violations).To(BeEmpty())
+		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
+	})
 })
