formation: End a former holder's replica at once if its head is broken

A new holder that found a broken head took the replica for one that was never ordered to open, and waited for joins of members that were lost: 6 s with replicas that join from memory, longer where models are loaded.

Only an open replica breaks, so an adopted one with a broken head counts as ordered to open and is dismantled.

--- a/formation/handover_test.go
+++ b/formation/handover_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
 const (
@@ -219,6 +221,19 @@
 		Expect(w.serving()).To(HaveKeyWithValue("small", 1))
 	})
 
+	// A new holder waited until a replica of an earlier term must have failed to form,
+	// although its head had reported it as broken, which only an open one becomes. The
+	// member that it lacked was no longer in the log.
+	It("ends a replica of an earlier term at once if its head is broken", func() {
+		head := startSmall()
+		delete(w.engines, head.members[2])
+		w.lost = func(o Order) bool { return o.Kind != Probe }
+		Expect(w.run(2*stallTime, func() bool { return head.vm.Member.State == fleet.MemberBroken })).To(BeTrue())
+		w.lost = nil
+		w.startPlanner(2)
+		Expect(w.run(3*time.Second, w.servesAtLeast(0, 1))).To(BeTrue())
+	})
+
 	// A member that had left a replica with an unreachable head became a member again
 	// through a late order. The others were taken for free when the head would have broken
 	// if the member had stayed away.
--- a/formation/lifecycle.go
+++ b/formation/lifecycle.go
@@ -99,7 +99,7 @@
 	for _, m := range rep.Members {
 		// Only the head's state shows whether the former lease holder opened
 		// the replica.
-		if s := m.Member.State; s == fleet.MemberOpen || s == fleet.MemberClosing {
+		if s := m.Member.State; s == fleet.MemberOpen || s == fleet.MemberClosing || s == fleet.MemberBroken {
 			a.openSent = true
 		}
 		if s := m.Member.State; s == fleet.MemberJoining {
