--- a/formation/unfenced_test.go
+++ b/formation/unfenced_test.go
@@ -90,11 +90,11 @@
 	// carried out after the next one has formed replicas, and engines start again, are cut
 	// off or leave.
 	DescribeTable("keeps replicas whole through late orders of former holders",
-		func(shareOfLateOrders float64, firstSeed uint64) {
-			const seeds = 5
+		func(shareOfLateOrders float64, firstSeed uint64, domains ...int) {
+			const seeds = 10
 			late, effects := 0, 0
 			for seed := firstSeed; seed < firstSeed+seeds; seed++ {
-				w := newWorld(seed, 8, 8, 8)
+				w := newWorld(seed, domains...)
 				w.changeHoldersAndDisturb(shareOfLateOrders)
 				Expect(w.violations).To(BeEmpty(), "seed %d", seed)
 				late, effects = late+w.lateOrders, effects+w.lateEffects
@@ -102,9 +102,11 @@
 			Expect(late).To(BeNumerically(">", 100), "few late orders of former holders met a replica of the present one")
 			Expect(effects).To(BeNumerically(">", 0), "no late order of a former holder changed anything")
 		},
-		Entry("a fifth of the orders is late", 0.2, uint64(1)),
-		Entry("a half of the orders is late", 0.5, uint64(101)),
-		Entry("four fifths of the orders are late", 0.8, uint64(201)),
+		Entry("a fifth of the orders is late", 0.2, uint64(1), 8, 8, 8),
+		Entry("a half of the orders is late", 0.5, uint64(101), 8, 8, 8),
+		Entry("four fifths of the orders are late", 0.8, uint64(201), 8, 8, 8),
+		// With this entry, a planner that opens replicas of former holders fails.
+		Entry("a half of the orders is late, in small domains", 0.5, uint64(11), 5, 5),
 	)
 
 	// Guards against replicas of a new holder that the former holder's orders change: all of
