--- a/exchange/cutoff_test.go
+++ b/exchange/cutoff_test.go
@@ -72,7 +72,7 @@
 					}
 					_, _, err := do(cutOff(whole[:cut], reset))
 					Expect(err).To(HaveOccurred(), "%q, reset %t", whole[:cut], reset)
-					Expect(errors.Is(err, ErrNotSent)).To(BeFalse())
+					Expect(errors.Is(err, ErrNotSent)).To(BeFalse(), "%q, reset %t: %v", whole[:cut], reset, err)
 				}
 			}
 		}
