--- a/formation/unfenced_test.go
+++ b/formation/unfenced_test.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"flag"
 	"maps"
 	"slices"
 	"time"
@@ -9,6 +10,9 @@
 	. "github.com/onsi/gomega"
 )
 
+// lateOrderSeeds is the number of seeds of each entry that plays late orders of former holders.
+var lateOrderSeeds = flag.Uint64("formation.seeds", 10, "number of seeds of each play with late orders")
+
 const (
 	// maxLastMoments is the longest time before the end of a term whose orders all get no
 	// answer.
@@ -91,14 +95,14 @@
 	// off or leave.
 	DescribeTable("keeps replicas whole through late orders of former holders",
 		func(shareOfLateOrders float64, firstSeed uint64, domains ...int) {
-			const seeds = 10
 			late, effects := 0, 0
-			for seed := firstSeed; seed < firstSeed+seeds; seed++ {
+			for seed := firstSeed; seed < firstSeed+*lateOrderSeeds; seed++ {
 				w := newWorld(seed, domains...)
 				w.changeHoldersAndDisturb(shareOfLateOrders)
 				Expect(w.violations).To(BeEmpty(), "seed %d", seed)
 				late, effects = late+w.lateOrders, effects+w.lateEffects
 			}
+			GinkgoWriter.Printf("%d late orders of former holders, %d with an effect\n", late, effects)
 			Expect(late).To(BeNumerically(">", 100), "few late orders of former holders met a replica of the present one")
 			Expect(effects).To(BeNumerically(">", 0), "no late order of a former holder changed anything")
 		},
