--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -117,3 +117,6 @@
 	}
 	return 0, errors.Newf("%s does not say the memory of %s", path, p.Name)
 }
+
+// PID returns the id of the process that was last started.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
