callerlimit, gateway, entry: One account of what callers hold, and who gives way

Cause: bounded.Budget counted large bodies only, and only in the gateway. Nothing bounded connections, heads, bodies below 62 KiB, answers that nobody reads, or any body in tamarackcleatd, which held 2,369 MB for 400 bodies that stopped one byte short.

What: package callerlimit counts connections and the bytes of heads and bodies before they are read, and gives them back in one place each. When it is full, the connections that have sent least for longest give way, never one whose request was read whole, unless its caller does not read the answer. Bodies must make progress (1 KiB in 20 s) in place of the 15 s for the whole body in tamarackcleatd. The listeners for peers, readiness and metrics have accounts of their own. bounded.Budget takes its memory from a pool, which can count all inputs. A process that stops no longer waits for incomplete requests without a limit.

exchange: a limit on all connections to upstreams. Requests that repeat an id got a connection each while the former ones stayed open: 8,069 descriptors in 4 s.

Ordinary requests of the suite have ids of their own. The daemon's settings in the suite now state the limits, which it could not read before. New specs: kept connections with the limits of the smallest VM, and crowds at the other listeners.

--- a/bounded/budget.go
+++ b/bounded/budget.go
@@ -1,6 +1,7 @@
 package bounded
 
 import (
+	"bytes"
 	"io"
 	"sync/atomic"
 
@@ -11,8 +12,8 @@
 	// firstBlockBytes is the size of an input's first block of memory. Each further
 	// block is twice as large as the one before, up to maxBlockBytes.
 	firstBlockBytes = 2 << 10
-	// maxBlockBytes is the size of the blocks that count towards a Budget. Smaller ones
-	// don't, so that large inputs can't keep small ones from being read.
+	// maxBlockBytes is the size of the blocks that count towards a Budget of a fixed size.
+	// Smaller ones don't, so that large inputs can't keep small ones from being read.
 	maxBlockBytes = 64 << 10
 )
 
@@ -20,12 +21,53 @@
 // It is safe for concurrent use.
 type Budget struct {
 	what string
+	max  int64
+	pool Pool
+}
+
+// Pool counts memory that is held.
+type Pool interface {
+	// Take counts n bytes before they are held. It reports false, and counts nothing, if
+	// there is no room.
+	Take(n int64) bool
+	// Give gives bytes back that Take counted.
+	Give(n int64)
+}
+
+// sum is a Pool of a fixed size.
+type sum struct {
 	max  int64
 	used atomic.Int64
 }
 
+// Take implements Pool.
+func (s *sum) Take(n int64) bool {
+	if s.used.Add(n) > s.max {
+		s.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Give implements Pool.
+func (s *sum) Give(n int64) { s.used.Add(-n) }
+
 // NewBudget returns a budget of max bytes; what names it in errors, as in Error.
-func NewBudget(what string, max int64) *Budget { return &Budget{what: what, max: max} }
+func NewBudget(what string, max int64) *Budget {
+	return &Budget{what: what, max: max, pool: &sum{max: max}}
+}
+
+// NewPooledBudget returns a budget whose memory p counts, that of small inputs too. max is
+// the size that errors name.
+func NewPooledBudget(what string, p Pool, max int64) *Budget {
+	return &Budget{what: what, max: max, pool: p}
+}
+
+// counts reports whether memory of n bytes counts towards the budget.
+func (b *Budget) counts(n int64) bool {
+	_, fixed := b.pool.(*sum)
+	return !fixed || n >= maxBlockBytes
+}
 
 // Input is an input that was read whole. Its memory counts towards a Budget until
 // Release is called.
@@ -43,7 +85,7 @@
 func (b *Budget) ReadAll(r io.Reader, what string, limit int64) (*Input, error) {
 	in := &Input{budget: b}
 	for blockSize := int64(firstBlockBytes); ; blockSize = min(2*blockSize, maxBlockBytes) {
-		if blockSize == maxBlockBytes && !in.take(blockSize) {
+		if b.counts(blockSize) && !in.take(blockSize) {
 			return in, TooLong(b.what, b.max)
 		}
 		block := make([]byte, blockSize)
@@ -71,7 +113,7 @@
 	}
 	// The input has no further byte, but only one more read shows that it ends.
 	memory := size + 1
-	if memory > maxBlockBytes && !in.take(memory) {
+	if b.counts(memory-1) && !in.take(memory) {
 		return in, TooLong(b.what, b.max)
 	}
 	for in.size < memory {
@@ -106,14 +148,16 @@
 
 // take takes n bytes out of the budget unless fewer are left.
 func (in *Input) take(n int64) bool {
-	if in.budget.used.Add(n) > in.budget.max {
-		in.budget.used.Add(-n)
+	if !in.budget.pool.Take(n) {
 		return false
 	}
 	in.taken += n
 	return true
 }
 
+// Bytes returns the input in one piece. The copy does not count towards the Budget.
+func (in *Input) Bytes() []byte { return bytes.Join(in.blocks, nil) }
+
 // Len returns the size in bytes.
 func (in *Input) Len() int64 { return in.size }
 
@@ -132,6 +176,6 @@
 
 // Release gives the memory back to the budget. The input is empty then.
 func (in *Input) Release() {
-	in.budget.used.Add(-in.taken)
+	in.budget.pool.Give(in.taken)
 	*in = Input{budget: in.budget}
 }
--- a/config/static/static.go
+++ b/config/static/static.go
@@ -8,9 +8,11 @@
 import (
 	"log/slog"
 	"os"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/config/dynamic"
 	"github.com/tamarackcleat/tamarackcleat/config/strictyaml"
 )
 
@@ -25,6 +27,8 @@
 	Zone string `yaml:"zone" validate:"required,max=63,dns_rfc1035_label" example:"dakar-a"`
 	// Platform holds the addresses of the platform's services.
 	Platform Platform `yaml:"platform" validate:"required" example:"log: http://10.0.0.2:7001"`
+	// Limits holds the limits of the process.
+	Limits Limits `yaml:"limits" example:"memory: 184MiB"`
 	// LogLevel is the minimum level of log lines; info if absent.
 	LogLevel LogLevel `yaml:"log_level" validate:"omitempty,oneof=debug info warn error" example:"info"`
 }
@@ -39,6 +43,37 @@
 	Weights string `yaml:"weights" validate:"required,ip_url" example:"http://10.0.0.2:7003"`
 }
 
+// Limits holds the limits of the process, and the parts of them that callers may hold
+// together. A limit that is absent has its default.
+type Limits struct {
+	// Memory is the memory of the process; no limit if absent.
+	Memory dynamic.Size `yaml:"memory" validate:"omitempty,min=33554432" example:"184MiB"`
+	// Descriptors is the number of open descriptors of the process; no limit if absent.
+	Descriptors Count `yaml:"descriptors" validate:"omitempty,min=64" example:"4100"`
+	// CallerMemory bounds the memory of connections, heads and bodies of callers; three
+	// tenths of Memory, or 64 MiB, if absent.
+	CallerMemory dynamic.Size `yaml:"caller_memory" validate:"omitempty,min=4194304" example:"55MiB"`
+	// CallerConnections bounds the connections of callers, operators and other entry VMs;
+	// three tenths of Descriptors, or 4096, if absent.
+	CallerConnections Count `yaml:"caller_connections" validate:"omitempty,min=16" example:"1230"`
+}
+
+// Count is a number of things.
+type Count int
+
+// maxCountDigits bounds the text form of a Count.
+const maxCountDigits = 9
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (c *Count) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 10, 32)
+	if err != nil || len(text) > maxCountDigits {
+		return errors.Newf("%q is not a number of at most %d digits", text, maxCountDigits)
+	}
+	*c = Count(n)
+	return nil
+}
+
 // LogLevel is the name of a log/slog level. It implements slog.Leveler.
 type LogLevel string
 
--- a/config/static/static_test.go
+++ b/config/static/static_test.go
@@ -37,6 +37,12 @@
 		Expect(s.LogLevel.Level()).To(Equal(slog.LevelInfo))
 	})
 
+	It("decodes the limits of the process", func() {
+		s, err := static.Parse("settings.yaml", []byte(valid+"limits:\n  memory: 184MiB\n  descriptors: 4100\n  caller_memory: 40MiB\n  caller_connections: 900\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Limits).To(Equal(static.Limits{Memory: 184 << 20, Descriptors: 4100, CallerMemory: 40 << 20, CallerConnections: 900}))
+	})
+
 	It("accepts the example file", func() {
 		_, err := static.Load("../../examples/settings.yaml")
 		Expect(err).NotTo(HaveOccurred())
@@ -78,6 +84,8 @@
 		Entry("a platform URL with a host name", "http://10.0.0.2:7001", "http://log:7001", "5:3", "platform.log", "IP number", "http://"),
 		Entry("a missing platform URL", "  log: http://10.0.0.2:7001\n", "", "4:1", "platform.log", "missing", "http://"),
 		Entry("an unknown log level", "warn", "loud", "8:1", "log_level", "none of", "info"),
+		Entry("too few descriptors", "zone: dakar-a\n", "zone: dakar-a\nlimits:\n  descriptors: 10\n", "5:3", "limits.descriptors", "", ""),
+		Entry("a count that is no number", "zone: dakar-a\n", "zone: dakar-a\nlimits:\n  caller_connections: many\n", "5:3", "limits.caller_connections", "not a number", "1230"),
 		Entry("an unknown field", "zone:", "weights: 3\nzone:", "3:1", "weights", "not known", "listen, advertise"),
 	)
 })
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -72,6 +72,7 @@
 	StreamSourceLost      = "stream.source_lost"
 	RelayFailed           = "relay.failed"
 	LogDropped            = "log.dropped"
+	CallersLimited        = "callers.limited"
 	NodeStarted           = "node.started"
 	NodeDraining          = "node.draining"
 	NodeCutRequests       = "node.cut_requests"
@@ -156,6 +157,7 @@
 		{StreamSourceLost, "The peer that this node polls for the streams does not respond; the node reads the log until a peer responds."},
 		{RelayFailed, "This node can't serve peers' polls for the streams; the peers read the log themselves."},
 		{LogDropped, "Log lines were dropped because the output could not keep up: number of lines."},
+		{CallersLimited, "Connections or requests were ended, refused or had to wait, because their senders hold too much or send too little: listener, cause, number since the last such line, of which there is at most one a second for each cause."},
 		{NodeStarted, "The process started to serve callers."},
 		{NodeDraining, "The process received the signal to stop and is draining: requests in flight."},
 		{NodeCutRequests, "The process ends although requests are still in flight, because the time for a planned stop is over: number of requests."},
--- a/entry/command.go
+++ b/entry/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -35,6 +36,9 @@
 		_, err := fmt.Fprintln(c.Root().Writer, "settings are valid")
 		return err
 	}
+	if memory := settings.Limits.Memory; memory > 0 {
+		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(memory)))
+	}
 	logCtx, stopLog := context.WithCancel(context.Background())
 	defer stopLog()
 	logger := slog.New(slog.NewJSONHandler(decisions.NewWriter(logCtx, os.Stderr), &slog.HandlerOptions{Level: settings.LogLevel.Level()}))
--- a/entry/drain.go
+++ b/entry/drain.go
@@ -50,6 +50,7 @@
 	n.draining.Store(true)
 	n.kernel.Post(controller.Name, controller.Drain{ReplyTo: drainSinkName})
 	time.Sleep(drainDelay)
+	n.callers.Stop()
 	err := server.Shutdown(context.Background(), firstRequestWait)
 	select {
 	case <-n.drained:
--- a/entry/node.go
+++ b/entry/node.go
@@ -25,6 +25,7 @@
 	"github.com/tamarackcleat/tamarackcleat/admission"
 	"github.com/tamarackcleat/tamarackcleat/api"
 	"github.com/tamarackcleat/tamarackcleat/balance"
+	"github.com/tamarackcleat/tamarackcleat/callerlimit"
 	"github.com/tamarackcleat/tamarackcleat/calls"
 	"github.com/tamarackcleat/tamarackcleat/config/static"
 	"github.com/tamarackcleat/tamarackcleat/configuration"
@@ -61,6 +62,8 @@
 	settings static.Settings
 	logger   *slog.Logger
 	registry metrics.Registry
+	// callers counts what callers, operators and other entry VMs hold; nil before Run.
+	callers *callerlimit.Account
 
 	kernel        *kernel.Node
 	log           *logfollow.Service
@@ -219,13 +222,16 @@
 	defer stop()
 	n.bind(background)
 	go n.kernel.Run(background)
-	server := drain.New(&http.Server{
+	n.callers = callerlimit.NewAccount(background, callerLimits(n.settings.Limits), n.noteCallers)
+	httpServer := &http.Server{
 		Handler:           n.handler(),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.logger.Handler(), slog.LevelDebug),
-	}, listener)
+	}
+	server := drain.New(httpServer, n.callers.Listen(listener))
+	n.callers.Attach(httpServer)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	n.logger.Info("serving", "address", listener.Addr().String(), "zone", n.settings.Zone)
--- a/entry/response.go
+++ b/entry/response.go
@@ -15,6 +15,7 @@
 var statusByReason = map[verdict.Reason]int{
 	verdict.ReasonBadRequest:       http.StatusBadRequest,
 	verdict.ReasonTooLarge:         http.StatusRequestEntityTooLarge,
+	verdict.ReasonSlowBody:         http.StatusRequestTimeout,
 	verdict.ReasonUnknownClass:     http.StatusNotFound,
 	verdict.ReasonUnknownRequest:   http.StatusNotFound,
 	verdict.ReasonDeadline:         http.StatusTooManyRequests,
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -201,6 +202,34 @@
 		first.Close()
 	})
 
+	// Guards against a node that runs out of descriptors: each request that repeats an id gets
+	// a connection of its own, and the former ones stayed open, thousands within seconds.
+	It("keeps the open connections to all addresses under a limit, closing the one that is idle longest", func() {
+		const limit = 3
+		pool = NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second, MaxOpen: func() int { return limit }})
+		answer := func(n int, r *http.Request) string { return response(r.Header.Get(idHeader), "ok") }
+		upstreams := []*upstream{serve(answer), serve(answer)}
+		for i := range 20 {
+			Expect(do(upstreams[i%2], "same")).To(Equal("ok"))
+			Expect(pool.open).To(BeNumerically("<=", limit))
+		}
+		var held []*Response
+		for i := range limit {
+			resp, err := pool.Do(context.Background(), upstreams[0].address(), request(fmt.Sprint(i)))
+			Expect(err).NotTo(HaveOccurred())
+			held = append(held, resp)
+		}
+		_, err := do(upstreams[1], "further")
+		Expect(errors.Is(err, ErrTooManyConnections)).To(BeTrue())
+		for _, resp := range held {
+			resp.Close()
+		}
+		Expect(do(upstreams[1], "further")).To(Equal("ok"))
+		pool.CloseIdle(upstreams[0].address())
+		pool.CloseIdle(upstreams[1].address())
+		Expect(pool.open).To(BeZero())
+	})
+
 	It("does not keep a connection after a response without a length", func() {
 		u := serve(func(n int, r *http.Request) string { return "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n\r\nall" })
 		resp, err := pool.Do(context.Background(), u.address(), request("1"))
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -43,6 +43,10 @@
 	// node may have to an address, or 0 for no limit. A nil function sets no
 	// limit.
 	MaxPerAddress func(address string) int
+	// MaxOpen returns the largest number of open connections to all addresses together, or
+	// 0 for no limit. If it is reached, the connection that has been idle longest makes
+	// room. A nil function sets no limit.
+	MaxOpen func() int
 	// OnOpen is called after each new connection was opened; it may be nil.
 	OnOpen func()
 }
@@ -54,6 +58,8 @@
 
 	mu    sync.Mutex
 	hosts map[string]*host
+	// open counts the connections of all hosts.
+	open int
 }
 
 // host holds the connections to one address.
@@ -169,26 +175,55 @@
 		}
 	}
 	if p.options.MaxPerAddress != nil {
-		if limit := p.options.MaxPerAddress(address); limit > 0 && h.open >= limit && !h.closeOldest() {
+		if limit := p.options.MaxPerAddress(address); limit > 0 && h.open >= limit && !p.closeOldest(h) {
 			return nil, false, ErrTooManyConnections
 		}
 	}
+	if !p.makeRoom() {
+		return nil, false, ErrTooManyConnections
+	}
 	h.open++
+	p.open++
 	return nil, false, nil
 }
 
-// closeOldest closes the connection that has been idle longest; it reports false if none
-// is idle.
-func (h *host) closeOldest() bool {
+// makeRoom closes the connection that has been idle longest, of all addresses, if no
+// further connection may be opened. It reports false if none is idle. The lock must be held.
+func (p *Pool) makeRoom() bool {
+	if p.options.MaxOpen == nil {
+		return true
+	}
+	limit := p.options.MaxOpen()
+	if limit <= 0 || p.open < limit {
+		return true
+	}
+	var oldest *host
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].lastUsedAt.Before(oldest.idle[0].lastUsedAt)) {
+			oldest = h
+		}
+	}
+	return oldest != nil && p.closeOldest(oldest)
+}
+
+// closeOldest closes the connection to a host that has been idle longest; it reports
+// false if none is idle. The lock must be held.
+func (p *Pool) closeOldest(h *host) bool {
 	if len(h.idle) == 0 {
 		return false
 	}
 	h.idle[0].abort()
 	h.idle = slices.Delete(h.idle, 0, 1)
-	h.open--
+	p.closed(h)
 	return true
 }
 
+// closed stops counting a connection. The lock must be held.
+func (p *Pool) closed(h *host) {
+	h.open--
+	p.open--
+}
+
 // put returns a connection to the pool if keep is set, and closes it otherwise.
 func (p *Pool) put(c *conn, keep bool) {
 	if !keep {
@@ -211,7 +246,7 @@
 	for len(h.idle) > 0 && h.idle[0].expired() {
 		h.idle[0].abort()
 		h.idle = h.idle[1:]
-		h.open--
+		p.closed(h)
 	}
 }
 
@@ -220,7 +255,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
-	h.open--
+	p.closed(h)
 	if h.open == 0 && len(h.idle) == 0 {
 		delete(p.hosts, address)
 	}
@@ -250,7 +285,7 @@
 	}
 	for _, c := range h.idle {
 		c.abort()
-		h.open--
+		p.closed(h)
 	}
 	h.idle = nil
 	if h.open == 0 {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -48,6 +48,8 @@
 		return http.StatusNotFound
 	case verdict.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case verdict.ReasonSlowBody:
+		return http.StatusRequestTimeout
 	}
 	return http.StatusServiceUnavailable
 }
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -155,7 +155,7 @@
 		// closing the server is irrelevant.
 		_ = server.Close()
 	})
-	if err := server.Serve(l); ctx.Err() == nil {
+	if err := n.serveLimited(ctx, "peers", peerLimits(*n.Settings()), server, l); ctx.Err() == nil {
 		n.logger.Error(decisions.RelayFailed, "address", n.PeerAddress().String(), "error", err)
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -76,6 +76,7 @@
 		fmt.Sprintf("config.age_ms %d", n.state.configAge().Milliseconds()),
 		fmt.Sprintf("upstreams.known %d", v.Len()),
 	}
+	lines = append(lines, n.callerLines()...)
 	if v.Config != nil {
 		lines = append(lines, fmt.Sprintf("config.version %d", v.Config.Version))
 		for name, s := range v.Config.Services {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -31,6 +31,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/tamarackcleat/tamarackcleat/bounded"
+	"github.com/tamarackcleat/tamarackcleat/callerlimit"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/drain"
@@ -93,8 +94,8 @@
 	pool     *exchange.Pool
 	// answersMemory bounds the memory of the answers that are being received.
 	answersMemory *bounded.Budget
-	// bodiesMemory bounds the memory of the bodies of the requests in progress.
-	bodiesMemory    *bounded.Budget
+	// callers counts what callers hold; nil before Run.
+	callers         atomic.Pointer[callerlimit.Account]
 	runningAttempts *attemptRegistry
 	firstEvents     *firstEvents
 	silence         *silenceRecord
@@ -148,7 +149,6 @@
 		retryBudgets:    map[string]*retry.Window{},
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
-		bodiesMemory:    newBodiesMemory(s),
 	}
 	n.requestsEnd, n.endRequests = context.WithCancel(context.Background())
 	n.parts = newPartTable(n.id)
@@ -162,6 +162,7 @@
 	n.pool = exchange.NewPool(exchange.Options{
 		DialTimeout: upstreamDialTimeout,
 		UserTimeout: tcpUserTimeout,
+		MaxOpen:     func() int { return maxUpstreamConnections(*n.Settings()) },
 		OnOpen:      func() { n.count("upstream.connections") },
 	})
 	return n
@@ -181,7 +182,12 @@
 func (n *Node) OnSilent(f func(vm string)) { n.onSilent = f }
 
 // count adds one to a counter.
-func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.registry).Inc(1) }
+func (n *Node) count(name string) { n.countMany(name, 1) }
+
+// countMany adds a number to a counter.
+func (n *Node) countMany(name string, by int64) {
+	metrics.GetOrRegisterCounter(name, n.registry).Inc(by)
+}
 
 // SetLeaseHolder sets the function that returns the id of the node that holds the
 // control lease; that node reads the log for the other nodes. Call SetLeaseHolder
@@ -241,14 +247,18 @@
 	defer stop()
 	n.follow(background)
 	go n.watchUpstreams(background)
-	callerServer := drain.New(n.newCallerServer(), callerListener)
+	callers := callerlimit.NewAccount(background, callerLimits(*n.Settings()), n.noteCallers("callers"))
+	n.callers.Store(callers)
+	server := n.newCallerServer()
+	callerServer := drain.New(server, callers.Listen(callerListener))
+	callers.Attach(server)
 	readyServer := &http.Server{
 		Handler: n.readyHandler(), ReadHeaderTimeout: callerHeaderTimeout, WriteTimeout: callerHeaderTimeout,
 		IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- callerServer.Serve() }()
-	go func() { failed <- readyServer.Serve(readyListener) }()
+	go func() { failed <- n.ServeProbes(background, "readiness", readyServer, readyListener) }()
 	n.logger.Info(decisions.NodeStarted, "callers", n.Settings().ListenCaller, "zone", n.Settings().Zone)
 	select {
 	case err := <-failed:
@@ -388,6 +398,7 @@
 	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || n.inFlight.Load() > 0 && !n.cannotFinish(time.Now().Add(streamAnswerTime)) {
 		time.Sleep(drainPollInterval)
 	}
+	n.callers.Load().Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(n.graceShare(finalGraceShare)))
 	defer cancel()
 	if err := server.Shutdown(ctx, firstRequestWait); err != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/bounded"
+	"github.com/tamarackcleat/tamarackcleat/callerlimit"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/retry"
@@ -31,6 +32,8 @@
 	node *Node
 	w    http.ResponseWriter
 	req  *Request
+	// conn is the caller's connection; nil if it is not counted.
+	conn *callerlimit.Conn
 	// body is the request's body; nil if it has none or it was not kept.
 	body *bounded.Input
 	// view is what the request is judged by. Its configuration was current at
@@ -90,7 +93,7 @@
 	if n.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	f := &forwarder{node: n, w: w, arrivedAt: time.Now()}
+	f := &forwarder{node: n, w: w, conn: callerlimit.FromContext(r.Context()), arrivedAt: time.Now()}
 	f.takeView()
 	defer f.releaseBody()
 	if e := f.prepare(r); e != nil {
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -22,6 +22,13 @@
 	Cores float64
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// MaxDescriptors is the limit on the process's open descriptors; 0 for none.
+	MaxDescriptors int
+	// CallerConnections and CallerBytes bound what callers hold together: connections, and
+	// the bytes of connections, heads and bodies. 0 for the default, a part of
+	// MaxDescriptors and MemoryBytes.
+	CallerConnections int
+	CallerBytes       int64
 	// Bounds holds the time and retry bounds that the deployment promises.
 	Bounds Bounds
 }
--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -44,6 +44,7 @@
 	c.checkAbandoned()
 	c.checkRetryBudget()
 	c.checkAvailability()
+	c.checkMemory()
 	for _, name := range s.crashedNodes() {
 		c.addViolation("process of %s ended unexpectedly", name)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -67,7 +67,12 @@
 	defer s.stop()
 	started := time.Now()
 	s.startCallers()
+	awaitCrowds := func() {}
+	if seed%plannedSeedInterval != 0 {
+		awaitCrowds = s.sendCrowds(seed, *faultPeriod)
+	}
 	s.injectFaults(faultsForSeed(seed), *faultPeriod)
+	awaitCrowds()
 	for _, n := range s.nodes {
 		Eventually(func() bool { return s.serves(n, streamKind) && s.serves(n, onceKind) && n.inRotation.Load() }, recoveryTimeout, pollInterval).
 			Should(BeTrue(), func() string { return fmt.Sprintf("seed %d: %s does not recover\n%s", seed, n.name, s.report(started)) })
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -37,6 +37,8 @@
 	// ReasonBodiesMemory marks a request whose body does not fit into the memory for the
 	// bodies of all requests in progress.
 	ReasonBodiesMemory Reason = "bodies_memory_full"
+	// ReasonSlowBody: the request's body made too little progress.
+	ReasonSlowBody Reason = "body_too_slow"
 	// ReasonUnknownClass marks a class that the configuration does not declare.
 	ReasonUnknownClass Reason = "unknown_class"
 	// ReasonNoRoute marks a host and path that no route serves.
