callerlimit: End no more connections than a new one needs

Cause: a new connection that waited for a place chose a further connection every 5 ms, although those before it were still being answered, which takes the server 500 ms. What: at most a tenth of the connections, and at least four, end at a time, and one that gave way in a body is closed 50 ms after its handler has ended. Test: 40 stalled bodies and one new caller; at most four end.

--- a/callerlimit/account.go
+++ b/callerlimit/account.go
@@ -55,6 +55,15 @@
 	// made to give way, and roomPoll how often it checks.
 	roomWait = time.Second
 	roomPoll = 5 * time.Millisecond
+	// A new connection makes no further one give way while more than one in endingPart,
+	// and at least minEnding, are about to be closed: handlers take some milliseconds to
+	// answer, and connections would be ended that nobody needs the places of.
+	endingPart = 10
+	minEnding  = 4
+	// answerLinger is how long a connection that gave way in a body stays open after its
+	// handler has ended, so that the caller can read the answer. The server itself would
+	// keep it for 500 ms.
+	answerLinger = 50 * time.Millisecond
 	// stopGrace is how long an incomplete request may stay without an end once the process
 	// stops.
 	stopGrace = 2 * time.Second
@@ -138,12 +147,27 @@
 		return true
 	}
 	a.pressureUntil = now.Add(pressureTime)
-	victim := a.victim(now, nil)
+	var victim *Conn
+	if a.ending() < max(minEnding, a.limits.Connections/endingPart) {
+		victim = a.victim(now, nil)
+	}
 	a.mu.Unlock()
 	a.evict(victim)
 	return false
 }
 
+// ending returns the number of connections that were made to give way and have not been
+// closed. The account must be locked.
+func (a *Account) ending() int {
+	n := 0
+	for c := range a.conns {
+		if c.shed != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // take counts n bytes of a request of c. If they don't fit, other connections give way. It
 // reports false if there is still no room after roomWait, or if c has to give way itself.
 func (a *Account) take(c *Conn, n int64, held *int64) bool {
--- a/callerlimit/callerlimit_test.go
+++ b/callerlimit/callerlimit_test.go
@@ -213,6 +213,19 @@
 		Expect(status(ordinary)).To(Equal(http.StatusOK))
 	})
 
+	// Guards against a new connection that ends many others while it waits for the place of
+	// the first.
+	It("ends few connections for one new caller", func() {
+		const many = 40
+		s := newServer(callerlimit.Limits{Connections: many, Bytes: 64 << 20})
+		for range many {
+			send(s.dial(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+		}
+		Eventually(s.connections, waitLimit).Should(Equal(many))
+		Expect(s.ask()).To(Equal(http.StatusOK))
+		Expect(s.seen(callerlimit.CauseBody)()).To(BeNumerically("<=", many/10))
+	})
+
 	It("ends no connection whose request was read whole, and lets further callers wait", func() {
 		s := newServer(callerlimit.Limits{Connections: kept, Bytes: room})
 		var waiting []net.Conn
--- a/callerlimit/server.go
+++ b/callerlimit/server.go
@@ -167,6 +167,10 @@
 	c.account.used -= c.bodyBytes
 	c.bodyBytes = 0
 	c.setPhase(body, time.Now())
+	if c.shed != "" {
+		// The server may have closed the connection already; the error is irrelevant.
+		time.AfterFunc(answerLinger, func() { _ = c.Close() })
+	}
 }
 
 // requestEnded notes that the connection waits for its next request.
