callerlimit: Spare idle connections from a crowd that connects again and again

Cause: connections younger than 500 ms don't give way, so a crowd whose requests are all that young ended the idle connections of ordinary callers, although incomplete requests go first. What: idle connections are spared for up to 500 ms while incomplete requests are too young. Tests: callerlimit, once, and once with -race: green. callertest: 58 of 58, one play, the specs of the two programs in two processes at a time.

--- a/callerlimit/account.go
+++ b/callerlimit/account.go
@@ -9,8 +9,10 @@
 //   - the account never holds more than its limits, but for one connection that was
 //     accepted and waits for a place;
 //   - when the account is full, the connections that have sent least for longest give way:
-//     first those with an incomplete request or none, then idle ones. A connection whose
-//     request was read whole gives way only if its caller does not read the answer;
+//     first those with an incomplete request or none, then idle ones, which are spared for
+//     up to graceTime while there are incomplete requests that are too young to give way. A
+//     connection whose request was read whole gives way only if its caller does not read the
+//     answer;
 //   - a connection gives way no sooner than graceTime after its last request began or ended;
 //   - a connection that gives way in the middle of a request gets an answer that the
 //     request has not run, where it can still be read.
@@ -134,9 +136,9 @@
 	return time.Now().Before(a.pressureUntil)
 }
 
-// admit adds a connection. If the account is full, it makes another one give way and
-// reports false; the caller then tries again.
-func (a *Account) admit(c *Conn) bool {
+// admit adds a connection that has waited for a time. If the account is full, it makes
+// another one give way and reports false; the caller then tries again.
+func (a *Account) admit(c *Conn, waited time.Duration) bool {
 	a.mu.Lock()
 	now := time.Now()
 	if len(a.conns) < a.limits.Connections && a.used+ConnectionBytes <= a.limits.Bytes {
@@ -149,7 +151,7 @@
 	a.pressureUntil = now.Add(pressureTime)
 	var victim *Conn
 	if a.ending() < max(minEnding, a.limits.Connections/endingPart) {
-		victim = a.victim(now, nil)
+		victim, _ = a.victim(now, nil, waited < graceTime)
 	}
 	a.mu.Unlock()
 	a.evict(victim)
@@ -174,17 +176,18 @@
 	if n > a.limits.Bytes {
 		return false
 	}
-	for end := time.Now().Add(roomWait); ; time.Sleep(roomPoll) {
-		ok, found := a.tryTake(c, n, held)
-		if ok || !found || !time.Now().Before(end) {
+	for began := time.Now(); ; time.Sleep(roomPoll) {
+		waited := time.Since(began)
+		ok, found := a.tryTake(c, n, held, waited < graceTime)
+		if ok || !found || waited >= roomWait {
 			return ok
 		}
 	}
 }
 
 // tryTake takes the bytes if they fit, and otherwise makes connections give way that hold
-// what is missing. found reports whether bytes will be given back.
-func (a *Account) tryTake(c *Conn, n int64, held *int64) (ok, found bool) {
+// what is missing. found reports whether bytes will be given back. patient is as in victim.
+func (a *Account) tryTake(c *Conn, n int64, held *int64, patient bool) (ok, found bool) {
 	a.mu.Lock()
 	now := time.Now()
 	if c.shed != "" || c.closed {
@@ -200,7 +203,8 @@
 	coming := a.coming()
 	var victims []*Conn
 	for a.used+n-coming > a.limits.Bytes {
-		v := a.victim(now, c)
+		v, spared := a.victim(now, c, patient)
+		found = found || spared
 		if v == nil {
 			break
 		}
@@ -211,7 +215,7 @@
 	for _, v := range victims {
 		a.evict(v)
 	}
-	return false, coming > 0
+	return false, found || coming > 0
 }
 
 // coming returns the bytes of the connections that were made to give way and have not
--- a/callerlimit/server.go
+++ b/callerlimit/server.go
@@ -29,11 +29,12 @@
 		return nil, err
 	}
 	c := &Conn{Conn: inner, account: l.account}
-	if l.account.admit(c) {
+	began := time.Now()
+	if l.account.admit(c, 0) {
 		return c, nil
 	}
 	l.account.report.add(CauseWaiting)
-	for !l.account.admit(c) {
+	for !l.account.admit(c, time.Since(began)) {
 		select {
 		case <-l.closed:
 			// The connection has brought no request, so an error in closing it is irrelevant.
--- a/callerlimit/victim.go
+++ b/callerlimit/victim.go
@@ -40,23 +40,36 @@
 	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.recent, o.recent), r.since.Compare(o.since)) < 0
 }
 
-// victim marks the connection that gives way first, and returns it; nil if none may. The
+// victim marks the connection that gives way first, and returns it; nil if none may. If
+// patient is set, it spares idle connections while there are incomplete requests that may
+// give way within graceTime, and reports that: otherwise a crowd that connects again and
+// again, none of whose requests is that old, would end the connections of everybody else. The
 // account must be locked.
-func (a *Account) victim(now time.Time, except *Conn) *Conn {
-	var found *Conn
+func (a *Account) victim(now time.Time, except *Conn, patient bool) (found *Conn, spared bool) {
 	var first rank
+	fresh := false
 	for c := range a.conns {
 		if c == except || c.shed != "" {
 			continue
 		}
+		fresh = fresh || c.incomplete() && now.Sub(c.phaseAt) < graceTime
 		if r := c.rank(now); r.class != classKept && (found == nil || r.before(first)) {
 			found, first = c, r
 		}
 	}
-	if found != nil {
-		found.shed = found.cause()
+	if found == nil {
+		return nil, false
 	}
-	return found
+	if patient && fresh && first.class == classIdle {
+		return nil, true
+	}
+	found.shed = found.cause()
+	return found, false
+}
+
+// incomplete reports whether the connection has brought no request, or a part of one.
+func (c *Conn) incomplete() bool {
+	return c.phase == head || c.phase == body || c.phase == idle && !c.answered
 }
 
 // rank returns the place of the connection in the order in which connections give way. The
@@ -127,7 +140,7 @@
 	defer a.mu.Unlock()
 	var out []*Conn
 	for c := range a.conns {
-		incomplete := c.phase == head || c.phase == body
+		incomplete := c.phase != idle && c.incomplete()
 		unread := !c.writeAt.IsZero() && now.Sub(c.writeAt) >= unreadGrace
 		if a.stopping && c.shed == "" && (unread || incomplete && now.Sub(c.phaseAt) >= stopGrace) {
 			c.shed = c.cause()
