dispatch: Explain what Pick would decide

Operators can't see why a request goes to a replica, or to none.

Balancer.Explain returns the candidates, their predictions and shares, and what excludes each. Pick and Explain share the search, admission and share functions (selection.go), so they can't differ. Explain counts no load or arrival and draws no random number. A property test compares both over random loads, and shows that Explain changes no later choice.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -33,7 +33,7 @@
 	if len(targets) == 0 || len(b.peers) == 0 {
 		return 0
 	}
-	p := b.poolOf(targets[0])
+	p := b.knownPool(targets[0])
 	duration := p.duration
 	if !p.ended {
 		duration = float64(assumedDuration)
@@ -66,7 +66,7 @@
 func choose(rng *rand.Rand, found []candidate, unreported float64) candidate {
 	rng.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
 	slices.SortStableFunc(found, compareScores)
-	weights := levelShares(found, unreported+1)
+	weights := choiceShares(found, unreported)
 	at := rng.Float64()
 	for i, w := range weights {
 		if at -= w; at < 0 {
@@ -76,6 +76,12 @@
 	return found[0]
 }
 
+// choiceShares returns the probabilities with which the first of the candidates, sorted by
+// score, are chosen; the others are not.
+func choiceShares(found []candidate, unreported float64) []float64 {
+	return levelShares(found, unreported+1)
+}
+
 // levelShares returns the parts of a number of requests that each candidate takes if they
 // raise the lowest scores to one level. The candidates are sorted by score; those above the
 // level have no part.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -190,27 +190,19 @@
 func (b *Balancer) Pick(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) (Assignment, Shortage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	found := b.candidates(now, engine, targets, r, false)
-	if len(found) == 0 {
-		found = b.candidates(now, engine, targets, r, true)
+	s := b.selection(now, engine, targets, r)
+	if engine != nil && len(s.found) > 0 {
+		b.poolOf(s.found[0].target).recordArrival(now, r)
 	}
-	if len(found) == 0 {
-		if _, all := b.nextPlace(now, targets, r.Exclude); all {
-			return Assignment{}, AllPaused
-		}
-		return Assignment{}, NoRoom
-	}
-	if engine != nil {
-		stats := b.poolOf(found[0].target)
-		stats.recordArrival(now, r)
-		admitted := stats.admissible(now, engine, found, r)
-		if len(admitted) == 0 {
-			best := slices.MinFunc(found, compareScores)
-			return Assignment{Target: best.target, Load: best.load.InFlight, Predicted: best.score}, TooLate
-		}
-		found = admitted
+	switch s.shortage {
+	case NoShortage:
+	case TooLate:
+		best := slices.MinFunc(s.found, compareScores)
+		return Assignment{Target: best.target, Load: best.load.InFlight, Predicted: best.score}, TooLate
+	default:
+		return Assignment{}, s.shortage
 	}
-	best := choose(b.rng, found, b.unreported(now, targets))
+	best := choose(b.rng, s.admitted, b.unreported(now, targets))
 	l := b.loadOf(best.target)
 	if l.inFlight == 0 {
 		l.lastProgress = now
@@ -224,21 +216,6 @@
 	}, NoShortage
 }
 
-// candidates returns the targets that have capacity for a request, those that failed lately
-// only if suspects is true.
-func (b *Balancer) candidates(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request, suspects bool) []candidate {
-	var out []candidate
-	for _, t := range targets {
-		if slices.Contains(r.Exclude, t.InstanceKey()) || !suspects && b.isSuspect(now, t) || !b.hasPlace(now, t, r.NeverPaused) {
-			continue
-		}
-		if c, ok := b.candidate(now, engine, t, r); ok {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // isSuspect reports whether a target failed less than suspectDuration ago.
 func (b *Balancer) isSuspect(now time.Time, t fleet.Target) bool {
 	l, ok := b.loads[keyOf(t)]
@@ -294,7 +271,7 @@
 	if c.load.InFlight+1 > t.Slots+t.Slots/replicaQueueDivisor {
 		return c, false
 	}
-	stats := b.poolOf(t)
+	stats := b.knownPool(t)
 	c.uncorrected = Predict(engine, t.Model, c.load, r, stats.observed())
 	c.step = max(minStep, Predict(engine, t.Model, c.load.plus(stats.typical()), r, stats.observed())-c.uncorrected)
 	c.score = max(0, c.uncorrected+stats.error)
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -41,6 +41,16 @@
 	seenAt time.Time
 }
 
+// knownPool returns what was observed of a target's pool; empty statistics that are not kept
+// if nothing was.
+func (b *Balancer) knownPool(t fleet.Target) *poolStats {
+	if p, ok := b.pools[pool{t.Service, t.Model}]; ok {
+		return p
+	}
+	return &poolStats{}
+}
+
+// poolOf returns the statistics of a target's pool, and creates them if there are none.
 func (b *Balancer) poolOf(t fleet.Target) *poolStats {
 	key := pool{t.Service, t.Model}
 	p, ok := b.pools[key]
