gateway, operator: explain-route shows where a request would go

When requests pile up or are refused, operators have to infer the choice of an upstream from log lines of requests that were sent.

A gateway answers GET /route beside its metrics, and the command explain-route prints it. The path is that of a real request: the same resolution, filters, order of warm and cold upstreams and refusals, with Balancer.Explain in the place of Pick.

--- a/api/api.go
+++ b/api/api.go
@@ -1,5 +1,6 @@
 // Package api defines the headers, paths and JSON messages of tamarackcleatd's
-// own HTTP interfaces for callers, operators and the other entry VMs.
+// own HTTP interfaces for callers, operators and the other entry VMs, and of
+// tamarackcleat-gateway's interface for operators.
 package api
 
 import (
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -81,6 +81,7 @@
 	NodeCutRequests       = "node.cut_requests"
 	NodeStopped           = "node.stopped"
 	MetricsFailed         = "metrics.failed"
+	ExplanationUnsent     = "explanation.unsent"
 	SettingsReloaded      = "settings.reloaded"
 	SettingsRejected      = "settings.rejected"
 )
@@ -169,6 +170,7 @@
 		{NodeCutRequests, "The process ends although requests are still in flight, because the time for a planned stop is over: number of requests."},
 		{NodeStopped, "The process ends: requests still in flight, time since it received the signal to stop."},
 		{MetricsFailed, "The address for metrics can't be served; requests are still served."},
+		{ExplanationUnsent, "The explanation of a route could not be sent to the operator who asked for it: error."},
 		{SettingsReloaded, "The settings were reloaded: whether any bound changed."},
 		{SettingsRejected, "Reloaded settings are not valid; the earlier settings stay in force."},
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -12,7 +12,6 @@
 	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -197,8 +196,7 @@
 	switch s.shortage {
 	case NoShortage:
 	case TooLate:
-		best := slices.MinFunc(s.found, compareScores)
-		return Assignment{Target: best.target, Load: best.load.InFlight, Predicted: best.score}, TooLate
+		return s.closest(), TooLate
 	default:
 		return Assignment{}, s.shortage
 	}
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -9,8 +9,9 @@
 
 // Explanation is what Pick would decide on a request.
 type Explanation struct {
-	// Shortage is the one that Pick would return.
+	// Shortage is the one that Pick would return; with TooLate, Closest is the Assignment.
 	Shortage Shortage
+	Closest  Assignment
 	// Candidates describes all targets, in their order.
 	Candidates []ExplainedCandidate
 	// Limit is the longest predicted time to the first event with which a replica without
@@ -52,6 +53,9 @@
 	if engine != nil && r.Target > 0 && len(targets) > 0 {
 		e.Limit = max(0, b.knownPool(targets[0]).limit(now, r)-r.Waited)
 	}
+	if s.shortage == TooLate {
+		e.Closest = s.closest()
+	}
 	shares := sharesByTarget(s.admitted, e.Unreported)
 	for _, t := range targets {
 		e.Candidates = append(e.Candidates, b.explainCandidate(now, engine, t, r, s, shares))
--- a/dispatch/selection.go
+++ b/dispatch/selection.go
@@ -56,6 +56,13 @@
 	return s
 }
 
+// closest describes the target with the best prediction of those that have capacity; it
+// counts nowhere. There must be one.
+func (s selection) closest() Assignment {
+	best := slices.MinFunc(s.found, compareScores)
+	return Assignment{Target: best.target, Load: best.load.InFlight, Predicted: best.score}
+}
+
 // candidates returns the targets that have capacity for a request, those that failed lately
 // only if suspects is true.
 func (b *Balancer) candidates(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request, suspects bool) []candidate {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -165,43 +165,70 @@
 
 // pick is assign; with neverPaused only at an upstream that did not ask for a pause lately.
 func (f *forwarder) pick(ctx context.Context, exclude []string, failover, neverPaused bool) (*try, *verdict.Error) {
-	if f.node.cutOff() {
-		return nil, verdict.Refuse(verdict.ReasonConfigStale, "%v", errCutOff).WithRetryAfter(retryAfterFailure)
+	if e := f.refuseCutOff(); e != nil {
+		return nil, e
 	}
 	warm, cold := f.usable()
-	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
-	f.setObjective(&req)
-	assignment, shortage := f.node.balancer.Pick(time.Now(), f.service.Engine, warm, req)
-	if shortage != dispatch.NoShortage && len(cold) > 0 {
-		assignment, shortage = f.pickCold(warm, cold, req)
-	}
-	switch shortage {
-	case dispatch.NoShortage:
-	case dispatch.AllPaused:
-		return nil, f.refusePaused()
-	case dispatch.NoRoom:
-		return nil, f.refuseNoRoom(len(warm)+len(cold), len(exclude))
-	case dispatch.TooLate:
-		return nil, verdict.Refuse(verdict.ReasonDeadline, "too late at %d upstreams, %d tried: %d ms predicted at load %d, %d of %d ms have passed",
-			len(warm)+len(cold), len(exclude), assignment.Predicted.Milliseconds(), assignment.Load, req.Waited.Milliseconds(), req.Target.Milliseconds()).
-			WithRetryAfter(noRoomRetryAfter())
+	req := f.dispatchRequest(exclude, failover, neverPaused)
+	var assignment dispatch.Assignment
+	shortage := f.pickWarmFirst(warm, cold, exclude, func(targets []fleet.Target) (short dispatch.Shortage) {
+		assignment, short = f.node.balancer.Pick(time.Now(), f.service.Engine, targets, req)
+		return short
+	})
+	if e := f.refuseShortage(shortage, len(warm)+len(cold), req, assignment); e != nil {
+		return nil, e
 	}
 	t := &try{assignment: assignment}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	return t, nil
 }
 
-// pickCold assigns the request to one of the cold upstreams if no warm one takes it.
-func (f *forwarder) pickCold(warm, cold []fleet.Target, req dispatch.Request) (dispatch.Assignment, dispatch.Shortage) {
-	now := time.Now()
-	assignment, shortage := f.node.balancer.Pick(now, f.service.Engine, cold, req)
+// refuseCutOff returns the refusal of a request if the node is cut off; nil otherwise.
+func (f *forwarder) refuseCutOff() *verdict.Error {
+	if !f.node.cutOff() {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonConfigStale, "%v", errCutOff).WithRetryAfter(retryAfterFailure)
+}
+
+// dispatchRequest describes the request to the balancer.
+func (f *forwarder) dispatchRequest(exclude []string, failover, neverPaused bool) dispatch.Request {
+	req := dispatch.Request{PromptTokens: f.req.PromptTokens, Exclude: exclude, NeverPaused: neverPaused, Failover: failover}
+	f.setObjective(&req)
+	return req
+}
+
+// pickWarmFirst calls pick with the warm upstreams and, if none takes the request, with the
+// cold ones. It returns the shortage of all of them.
+func (f *forwarder) pickWarmFirst(warm, cold []fleet.Target, exclude []string, pick func([]fleet.Target) dispatch.Shortage) dispatch.Shortage {
+	shortage := pick(warm)
+	if shortage == dispatch.NoShortage || len(cold) == 0 {
+		return shortage
+	}
+	shortage = pick(cold)
 	if shortage == dispatch.NoShortage || shortage == dispatch.TooLate {
-		return assignment, shortage
+		return shortage
 	}
-	if _, all := f.node.balancer.NextPlace(now, slices.Concat(warm, cold), req.Exclude); all {
-		return dispatch.Assignment{}, dispatch.AllPaused
+	if _, all := f.node.balancer.NextPlace(time.Now(), slices.Concat(warm, cold), exclude); all {
+		return dispatch.AllPaused
 	}
-	return dispatch.Assignment{}, dispatch.NoRoom
+	return dispatch.NoRoom
+}
+
+// refuseShortage returns the refusal of a request for a shortage at the usable upstreams;
+// nil if there is none. With TooLate, closest describes the best of them.
+func (f *forwarder) refuseShortage(shortage dispatch.Shortage, usable int, req dispatch.Request, closest dispatch.Assignment) *verdict.Error {
+	switch shortage {
+	case dispatch.AllPaused:
+		return f.refusePaused()
+	case dispatch.NoRoom:
+		return f.refuseNoRoom(usable, len(req.Exclude))
+	case dispatch.TooLate:
+		return verdict.Refuse(verdict.ReasonDeadline, "too late at %d upstreams, %d tried: %d ms predicted at load %d, %d of %d ms have passed",
+			usable, len(req.Exclude), closest.Predicted.Milliseconds(), closest.Load, req.Waited.Milliseconds(), req.Target.Milliseconds()).
+			WithRetryAfter(noRoomRetryAfter())
+	}
+	return nil
 }
 
 // noteSent reports to peers and in the log that the request is sent to an upstream.
--- a/gateway/pauselines.go
+++ b/gateway/pauselines.go
@@ -50,11 +50,21 @@
 	return len(l.lines[p]) == 0
 }
 
+// full reports whether no further request may wait for a pool.
+func (l *pauseLines) full(p upstreamPool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFull(p)
+}
+
+// isFull is full. The caller holds the mutex.
+func (l *pauseLines) isFull(p upstreamPool) bool { return len(l.lines[p]) >= maxPauseWaiting }
+
 // join adds a request at the end of a line; nil if the line is full.
 func (l *pauseLines) join(p upstreamPool) *lineWaiter {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.lines[p]) >= maxPauseWaiting {
+	if l.isFull(p) {
 		return nil
 	}
 	w := &lineWaiter{wake: make(chan struct{}, 1)}
@@ -108,15 +118,26 @@
 	pool := upstreamPool{f.service.Name, f.model()}
 	alone := f.node.pauseLines.empty(pool)
 	t, e := f.pick(ctx, f.exclude, f.failover, !alone)
-	if e == nil || alone && e.Reason != verdict.ReasonAllPaused {
+	if !joinsLine(alone, e) {
 		return t, e
 	}
 	return f.waitForPlace(ctx, pool)
 }
 
+// joinsLine reports whether a request that could not be placed because of e waits in the line
+// of its pool, given whether no other one waits there.
+func joinsLine(alone bool, e *verdict.Error) bool {
+	return e != nil && (!alone || e.Reason == verdict.ReasonAllPaused)
+}
+
+// pauseLimit returns until when the request may wait in a line.
+func (f *forwarder) pauseLimit() time.Time {
+	return time.Now().Add(time.Duration(pauseWaitShare * float64(time.Until(f.deadline))))
+}
+
 // waitForPlace waits in a line until the request can be assigned to an upstream.
 func (f *forwarder) waitForPlace(ctx context.Context, pool upstreamPool) (*try, *verdict.Error) {
-	limit := time.Now().Add(time.Duration(pauseWaitShare * float64(time.Until(f.deadline))))
+	limit := f.pauseLimit()
 	if e := f.placeAfter(limit); e != nil {
 		return nil, e
 	}
@@ -156,9 +177,26 @@
 // those in evacuated zones excluded: the warm ones and the cold ones to which this node may
 // send now.
 func (f *forwarder) usable() (warm, cold []fleet.Target) {
-	v := f.node.state.View()
-	targets := usableTargets(withoutEvacuated(v, v.Targets(f.service.Name, f.model())), bootclock.Now(), f.node.Settings().Bounds.DrainTime)
-	return f.node.splitCold(v, f.service, targets)
+	s := f.filter()
+	return s.warm, s.cold
+}
+
+// filtered holds the upstreams that can answer a request after each filter: all of a view,
+// those outside of evacuated zones, those of them that stay, and of these the warm ones and
+// the cold ones to which this node may send now.
+type filtered struct {
+	view                         *fleet.View
+	all, inUse, stay, warm, cold []fleet.Target
+}
+
+// filter applies the filters to the upstreams of the newest view.
+func (f *forwarder) filter() filtered {
+	s := filtered{view: f.node.state.View()}
+	s.all = s.view.Targets(f.service.Name, f.model())
+	s.inUse = withoutEvacuated(s.view, s.all)
+	s.stay = usableTargets(s.inUse, bootclock.Now(), f.node.Settings().Bounds.DrainTime)
+	s.warm, s.cold = f.node.splitCold(s.view, f.service, s.stay)
+	return s
 }
 
 // allUsable returns all upstreams that usable returns.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -142,7 +142,7 @@
 		return verdict.Refuse(verdict.ReasonBadRequest, "%v", err)
 	}
 	if f.view.Config == nil {
-		return verdict.Refuse(verdict.ReasonNoConfig, "the node has no configuration yet").WithRetryAfter(retryAfterFailure)
+		return refuseNoConfig()
 	}
 	// A request that is refused anyway holds no memory while a large body comes.
 	keepBody := !hasLargeBody(r) || f.resolve() == nil
@@ -156,6 +156,20 @@
 	if !keepBody {
 		return verdict.Refuse(verdict.ReasonConfigStale, "the configuration has changed while the body came").WithRetryAfter(retryAfterFailure)
 	}
+	f.setDeadline()
+	if p := f.req.Timeout; p > 0 {
+		f.waited = f.node.callerTimeouts.waited(f.arrivedAt, f.route.Name, p)
+	}
+	return f.refuseStopping()
+}
+
+// refuseNoConfig returns the refusal of a request before the first configuration.
+func refuseNoConfig() *verdict.Error {
+	return verdict.Refuse(verdict.ReasonNoConfig, "the node has no configuration yet").WithRetryAfter(retryAfterFailure)
+}
+
+// setDeadline sets the deadline from the route's timeout and the caller's.
+func (f *forwarder) setDeadline() {
 	f.deadline = f.arrivedAt.Add(defaultTimeout)
 	if t := f.route.Timeout; t > 0 {
 		f.deadline = f.arrivedAt.Add(t)
@@ -163,13 +177,15 @@
 	if p := f.req.Timeout; p > 0 && f.arrivedAt.Add(p).Before(f.deadline) {
 		f.deadline = f.arrivedAt.Add(p)
 	}
-	if p := f.req.Timeout; p > 0 {
-		f.waited = f.node.callerTimeouts.waited(f.arrivedAt, f.route.Name, p)
-	}
-	if f.node.cannotFinish(f.deadline) {
-		return verdict.Refuse(verdict.ReasonStopping, "%v", errNodeStopping).WithRetryAfter(retryAfterStopping)
+}
+
+// refuseStopping returns the refusal of a request that can't end before the node stops; nil
+// if it can.
+func (f *forwarder) refuseStopping() *verdict.Error {
+	if !f.node.cannotFinish(f.deadline) {
+		return nil
 	}
-	return nil
+	return verdict.Refuse(verdict.ReasonStopping, "%v", errNodeStopping).WithRetryAfter(retryAfterStopping)
 }
 
 // setWriteDeadline bounds the writing of the answer, so that a caller that reads
@@ -191,13 +207,10 @@
 // resolve finds the route of the request, the team that holds its API key and the
 // service that answers it.
 func (f *forwarder) resolve() *verdict.Error {
-	c := f.view.Config
-	route, ok := c.Match(f.req.Host, f.req.Path)
-	if !ok {
-		return f.refuseUnknown(verdict.ReasonNoRoute, "no route serves the host and path")
+	if e := f.resolveRoute(); e != nil {
+		return e
 	}
-	f.route = route
-	if c.RequireKey && !route.Public {
+	if c := f.view.Config; c.RequireKey && !f.route.Public {
 		if age := f.configAge(); f.node.tooOldForKeys(age) {
 			return verdict.Refuse(verdict.ReasonConfigStale, "the configuration was last proved current %v ago", age).WithRetryAfter(retryAfterFailure)
 		}
@@ -207,6 +220,17 @@
 		}
 		f.team = team
 	}
+	return nil
+}
+
+// resolveRoute finds the route of the request and the service that answers it.
+func (f *forwarder) resolveRoute() *verdict.Error {
+	c := f.view.Config
+	route, ok := c.Match(f.req.Host, f.req.Path)
+	if !ok {
+		return f.refuseUnknown(verdict.ReasonNoRoute, "no route serves the host and path")
+	}
+	f.route = route
 	f.service = c.Services[f.pickService()]
 	return nil
 }
--- a/operator/program.go
+++ b/operator/program.go
@@ -107,7 +107,7 @@
 		Action:                rejectUnknownCommand,
 		Commands: []*cli.Command{
 			p.validateCommand(), p.publishCommand(), p.diffCommand(), p.targetsCommand(),
-			p.statusCommand(), p.explainCommand(), p.watchCommand(),
+			p.statusCommand(), p.explainCommand(), p.explainRouteCommand(), p.watchCommand(),
 		},
 	}
 	for _, c := range append(root.Commands, root) {
