docs, dispatch: Describe explain-route, predict each candidate once

Operators need to know what the table says and what the answer leaves out. Explain also predicted each candidate a second time under the mutex that requests need.

Explain reuses the candidates that the selection has found.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,6 +6,9 @@
 // event of an answer is predicted from the load and the engine's configuration. The
 // upstream is selected at random, with the shares that would level the predictions
 // if all nodes selected so since the loads were reported.
+//
+// Explain and Pick share the code of the decision; Explain changes nothing that a later
+// Pick depends on.
 package dispatch
 
 import (
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -56,23 +56,42 @@
 	if s.shortage == TooLate {
 		e.Closest = s.closest()
 	}
-	shares := sharesByTarget(s.admitted, e.Unreported)
-	for _, t := range targets {
-		e.Candidates = append(e.Candidates, b.explainCandidate(now, engine, t, r, s, shares))
-	}
+	e.Candidates = b.explainCandidates(now, engine, targets, r, s, e.Unreported)
 	return e
 }
 
-// explainCandidate describes a target, given the selection and the share of each target
-// that may be selected.
-func (b *Balancer) explainCandidate(now time.Time, engine *fleet.Engine, t fleet.Target, r Request, s selection, shares map[targetKey]float64) ExplainedCandidate {
-	_, why := b.consider(now, engine, t, r, s.suspects)
-	share, admitted := shares[keyOf(t)]
-	if why == NotExcluded && !admitted {
-		why = Late
+// explainCandidates describes the targets, given the selection among them.
+func (b *Balancer) explainCandidates(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request, s selection, unreported float64) []ExplainedCandidate {
+	// Candidates that were found are not predicted again: the mutex is held, and each
+	// prediction sums the loads of all peers.
+	found := make(map[targetKey]candidate, len(s.found))
+	for _, c := range s.found {
+		found[keyOf(c.target)] = c
 	}
+	shares := sharesByTarget(s.admitted, unreported)
+	out := make([]ExplainedCandidate, 0, len(targets))
+	for _, t := range targets {
+		c, ok := found[keyOf(t)]
+		why := NotExcluded
+		if !ok {
+			c, why = b.explainExcluded(now, engine, t, r, s.suspects)
+		}
+		share, admitted := shares[keyOf(t)]
+		if ok && !admitted {
+			why = Late
+		}
+		out = append(out, ExplainedCandidate{
+			Target: t, Excluded: why, Load: c.load, Predicted: c.score, Share: share, Pause: b.pauses.Remaining(now, t.Incarnation()),
+		})
+	}
+	return out
+}
+
+// explainExcluded returns why a target is no candidate, and the candidate that it would be.
+func (b *Balancer) explainExcluded(now time.Time, engine *fleet.Engine, t fleet.Target, r Request, suspects bool) (candidate, Exclusion) {
+	_, why := b.consider(now, engine, t, r, suspects)
 	c, _ := b.candidate(now, engine, t, r)
-	return ExplainedCandidate{Target: t, Excluded: why, Load: c.load, Predicted: c.score, Share: share, Pause: b.pauses.Remaining(now, t.Incarnation())}
+	return c, why
 }
 
 // sharesByTarget returns the probabilities with which the candidates are chosen; 0 for those
--- a/gateway/explain.go
+++ b/gateway/explain.go
@@ -14,8 +14,9 @@
 
 // explainRoute says where a request would go now. It runs the code that places requests
 // with Balancer.Explain in the place of Pick, so it takes no place, no permit of a cold
-// upstream and no retry. The API key and the parts of the prompt are not checked. priority
-// overrides that of the route if it is not nil.
+// upstream and no retry. Like each request, it updates how many other nodes this one sees.
+// The API key and the parts of the prompt are not checked. priority overrides that of the
+// route if it is not nil.
 func (n *Node) explainRoute(req *Request, priority *int) api.RouteExplanation {
 	f := &forwarder{node: n, req: req, arrivedAt: time.Now()}
 	if priority != nil {
--- a/operator/program.go
+++ b/operator/program.go
@@ -1,6 +1,7 @@
 // Package operator implements the command line for operators. Operators control
 // the service only by the targets in its configuration: the commands publish the
-// configuration and show how well its targets are met.
+// configuration and show how well its targets are met. explain-route asks a gateway of
+// the users' platform, read only.
 //
 // The guarantee: publish replaces only the version that the document is based
 // on, never one that the operator has not seen, and never reports a publication
