--- a/gateway/explainhandler.go
+++ b/gateway/explainhandler.go
@@ -87,6 +87,7 @@
 		return nil, nil, err
 	}
 	req := &Request{ID: query.Get(api.RouteID), Host: query.Get(api.RouteHost), Path: query.Get(api.RoutePath), Model: query.Get(api.RouteModel)}
+	req.Path, _, _ = strings.Cut(req.Path, "?")
 	if tokens != nil {
 		req.PromptTokens = *tokens
 	}
