--- a/api/route.go
+++ b/api/route.go
@@ -56,7 +56,8 @@
 	Peers             int   `json:"peers"`
 	PeerLoadAgeMs     int64 `json:"peerLoadAgeMs"`
 	MeanPeerLoadAgeMs int64 `json:"meanPeerLoadAgeMs"`
-	// Unreported is the estimated number of requests sent since those reports.
+	// Unreported is the estimated number of requests sent since those reports to the
+	// candidates that may be selected, or to all if none may.
 	Unreported float64 `json:"unreported"`
 	// Candidates lists the upstreams of the service and model, those with the largest
 	// share first.
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/tamarackcleat/tamarackcleat/fleet"
@@ -17,8 +16,8 @@
 	// Limit is the longest predicted time to the first event with which a replica without
 	// a free slot takes the request; 0 if that doesn't matter.
 	Limit time.Duration
-	// Unreported is the estimated number of requests that all nodes together have sent to
-	// the targets since the loads were reported.
+	// Unreported is the estimated number of requests that all nodes together have sent since
+	// the loads were reported: to the targets that may be selected, or to all if none may.
 	Unreported float64
 	// Peers is the number of peers whose reports count. MeanPeerLoadAge and PeerLoadAge
 	// are the mean and the highest age of these reports.
@@ -43,69 +42,82 @@
 
 // Explain returns what Pick would decide on a request at the same moment. It shares the
 // code with Pick, counts nothing and draws no random numbers: the random part of a moved
-// request's scores (Request.Failover) is left out.
+// request's scores (Request.Failover) is left out. Of more than maxSearched targets, Pick
+// considers some that it draws at random, but Explain considers all: the shares are then
+// those of a choice among all, and Pick may find that its targets would answer too late
+// when others would not.
 func (b *Balancer) Explain(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) Explanation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.Failover = false
-	s := b.selection(now, engine, targets, r)
-	e := Explanation{Shortage: s.shortage, Unreported: b.unreported(now, targets), MeanPeerLoadAge: b.meanPeerLoadAge(now), PeerLoadAge: b.oldestPeerLoadAge(now), Peers: b.livePeers(now)}
-	if engine != nil && r.Target > 0 && len(targets) > 0 {
-		e.Limit = max(0, b.knownPool(targets[0]).limit(now, r)-r.Waited)
+	search := b.newSearch(now, engine, targets, r)
+	s := search.selection(search.candidatesOfAll)
+	e := Explanation{Shortage: s.shortage, MeanPeerLoadAge: b.meanPeerLoadAge(now), PeerLoadAge: b.oldestPeerLoadAge(now), Peers: b.livePeers(now)}
+	if len(targets) == 0 {
+		return e
+	}
+	if engine != nil && r.Target > 0 {
+		e.Limit = max(0, search.stats.limit(now, r)-r.Waited)
 	}
 	if s.shortage == TooLate {
 		e.Closest = s.closest()
 	}
-	e.Candidates = b.explainCandidates(now, engine, targets, r, s, e.Unreported)
+	considered, reasons := search.explainTargets(s)
+	e.Unreported = search.unreported(considered)
+	if len(s.admitted) > 0 {
+		e.Unreported = search.unreported(s.admitted)
+	}
+	shares := sharesByTarget(s.admitted, e.Unreported)
+	e.Candidates = make([]ExplainedCandidate, len(considered))
+	for i, c := range considered {
+		e.Candidates[i] = ExplainedCandidate{
+			Target: targets[i], Excluded: reasons[i], Load: c.load, Predicted: c.score, Share: shares[keyOf(targets[i])],
+			Pause: b.pauses.Remaining(now, targets[i].Incarnation()),
+		}
+	}
 	return e
 }
 
-// explainCandidates describes the targets, given the selection among them.
-func (b *Balancer) explainCandidates(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request, s selection, unreported float64) []ExplainedCandidate {
-	// Candidates that were found are not predicted again: the mutex is held, and each
-	// prediction sums the loads of all peers.
-	found := make(map[targetKey]candidate, len(s.found))
-	for _, c := range s.found {
-		found[keyOf(c.target)] = c
-	}
-	shares := sharesByTarget(s.admitted, unreported)
-	out := make([]ExplainedCandidate, 0, len(targets))
-	for _, t := range targets {
-		c, ok := found[keyOf(t)]
-		why := NotExcluded
+// explainTargets returns all targets as candidates, and what excludes each, given the
+// selection among them.
+func (s *search) explainTargets(sel selection) ([]candidate, []Exclusion) {
+	// Candidates that were found are not predicted again, because the mutex is held.
+	found, admitted := byTarget(sel.found), byTarget(sel.admitted)
+	considered, reasons := make([]candidate, len(s.targets)), make([]Exclusion, len(s.targets))
+	for i := range s.targets {
+		t := &s.targets[i]
+		c, ok := found[keyOf(*t)]
 		if !ok {
-			c, why = b.explainExcluded(now, engine, t, r, s.suspects)
-		}
-		share, admitted := shares[keyOf(t)]
-		if ok && !admitted {
-			why = Late
+			_, reasons[i] = s.consider(t, sel.suspects)
+			c, _ = s.candidate(t, s.loads[keyOf(*t)])
+		} else if _, ok := admitted[keyOf(*t)]; !ok {
+			reasons[i] = Late
 		}
-		out = append(out, ExplainedCandidate{
-			Target: t, Excluded: why, Load: c.load, Predicted: c.score, Share: share, Pause: b.pauses.Remaining(now, t.Incarnation()),
-		})
+		considered[i] = c
 	}
-	return out
+	return considered, reasons
 }
 
-// explainExcluded returns why a target is no candidate, and the candidate that it would be.
-func (b *Balancer) explainExcluded(now time.Time, engine *fleet.Engine, t fleet.Target, r Request, suspects bool) (candidate, Exclusion) {
-	_, why := b.consider(now, engine, t, r, suspects)
-	c, _ := b.candidate(now, engine, t, r)
-	return c, why
+// byTarget returns candidates by their targets.
+func byTarget(candidates []candidate) map[targetKey]candidate {
+	out := make(map[targetKey]candidate, len(candidates))
+	for _, c := range candidates {
+		out[keyOf(*c.target)] = c
+	}
+	return out
 }
 
-// sharesByTarget returns the probabilities with which the candidates are chosen; 0 for those
-// that are admitted but above the level.
+// sharesByTarget returns the probabilities with which the candidates are chosen, without
+// those that are never chosen.
 func sharesByTarget(admitted []candidate, unreported float64) map[targetKey]float64 {
-	sorted := slices.Clone(admitted)
-	slices.SortStableFunc(sorted, compareScores)
-	shares := choiceShares(sorted, unreported)
-	out := make(map[targetKey]float64, len(sorted))
-	for i, c := range sorted {
-		out[keyOf(c.target)] = 0
-		if i < len(shares) {
-			out[keyOf(c.target)] = shares[i]
-		}
+	if len(admitted) == 0 {
+		return nil
+	}
+	requests := unreported + 1
+	low := lowest(admitted, requests)
+	out := map[targetKey]float64{}
+	for i, share := range sortedShares(low, requests) {
+		out[keyOf(*low[i].target)] = share
 	}
 	return out
 }
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -116,4 +116,37 @@
 			}
 		}
 	})
+
+	// Pick considers only some of so many targets, which it draws at random.
+	It("considers all of many targets and draws nothing", func() {
+		const many = 300
+		balancers := []*dispatch.Balancer{dispatch.New(rand.New(rand.NewPCG(1, 2))), dispatch.New(rand.New(rand.NewPCG(1, 2)))}
+		targets, loads := make([]fleet.Target, many), map[string]dispatch.Load{}
+		for i := range targets {
+			targets[i] = target(fmt.Sprint(i))
+			targets[i].Slots = slots
+			loads[targets[i].ID] = dispatch.Load{InFlight: 1 + i%slots}
+		}
+		delete(loads, targets[many-1].ID)
+		for _, b := range balancers {
+			b.SetPeerLoads(now, "peer", loads)
+		}
+		for range 50 {
+			e := balancers[0].Explain(now, &eightSlots, targets, dispatch.Request{PromptTokens: 100})
+			Expect(e.Candidates).To(HaveLen(many))
+			sum, best := 0.0, e.Candidates[many-1]
+			for _, c := range e.Candidates {
+				sum += c.Share
+				Expect(c.Share).To(BeNumerically("<=", best.Share))
+				Expect(c.Predicted).To(BeNumerically(">=", best.Predicted))
+			}
+			Expect(sum).To(BeNumerically("~", 1, 1e-6))
+			a, short := balancers[0].Pick(now, &eightSlots, targets, dispatch.Request{PromptTokens: 100})
+			plain, plainShort := balancers[1].Pick(now, &eightSlots, targets, dispatch.Request{PromptTokens: 100})
+			Expect(a).To(Equal(plain))
+			Expect(short).To(Equal(plainShort))
+			balancers[0].Done(now, &a)
+			balancers[1].Done(now, &plain)
+		}
+	})
 })
