--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -64,9 +64,9 @@
 	requests := unreported + 1
 	low := lowest(found, requests)
 	rng.Shuffle(len(low), func(i, j int) { low[i], low[j] = low[j], low[i] })
-	slices.SortStableFunc(low, compareScores)
+	shares := sortedShares(low, requests)
 	at := rng.Float64()
-	for i, w := range levelShares(low, requests) {
+	for i, w := range shares {
 		if at -= w; at < 0 {
 			return low[i]
 		}
@@ -93,6 +93,13 @@
 	return out
 }
 
+// sortedShares sorts the candidates that lowest has returned by score, and returns the
+// probabilities with which the first of them are chosen; the others are not.
+func sortedShares(low []candidate, requests float64) []float64 {
+	slices.SortStableFunc(low, compareScores)
+	return levelShares(low, requests)
+}
+
 // levelShares returns the parts of a number of requests that each candidate takes if they
 // raise the lowest scores to one level. The candidates are sorted by score; those above the
 // level have no part.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -6,13 +6,15 @@
 // event of an answer is predicted from the load and the engine's configuration. The
 // upstream is selected at random, with the shares that would level the predictions
 // if all nodes selected so since the loads were reported.
+//
+// Explain and Pick share the code of the decision; Explain changes nothing that a later
+// Pick depends on.
 package dispatch
 
 import (
 	"cmp"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -194,24 +196,19 @@
 func (b *Balancer) Pick(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) (Assignment, Shortage) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.newSearch(now, engine, targets, r)
-	found := s.anyCandidates()
-	if len(found) == 0 {
-		if _, all := b.nextPlace(now, targets, r.Exclude); all {
-			return Assignment{}, AllPaused
-		}
-		return Assignment{}, NoRoom
+	search := b.newSearch(now, engine, targets, r)
+	s := search.selection(search.anyCandidates)
+	if engine != nil && len(s.found) > 0 {
+		b.poolOf(targets[0]).recordArrival(now, r)
 	}
-	if engine != nil {
-		s.stats.recordArrival(now, r)
-		admitted := s.stats.admissible(now, engine, found, r)
-		if len(admitted) == 0 {
-			best := slices.MinFunc(found, compareScores)
-			return Assignment{Target: *best.target, Load: best.load.InFlight, Predicted: best.score}, TooLate
-		}
-		found = admitted
+	switch s.shortage {
+	case NoShortage:
+	case TooLate:
+		return s.closest(), TooLate
+	default:
+		return Assignment{}, s.shortage
 	}
-	best := choose(b.rng, found, s.unreported(found))
+	best := choose(b.rng, s.admitted, search.unreported(s.admitted))
 	l := b.loadOf(*best.target)
 	if l.inFlight == 0 {
 		l.lastProgress = now
@@ -225,66 +222,6 @@
 	}, NoShortage
 }
 
-// search holds what is the same for all targets of a search.
-type search struct {
-	*Balancer
-	now       time.Time
-	engine    *fleet.Engine
-	targets   []fleet.Target
-	request   Request
-	stats     *poolStats
-	predictor predictor
-	// reports holds the loads that peers reported within peerLoadMaxAge.
-	reports []map[string]Load
-}
-
-func (b *Balancer) newSearch(now time.Time, engine *fleet.Engine, targets []fleet.Target, r Request) *search {
-	s := &search{Balancer: b, now: now, engine: engine, targets: targets, request: r, reports: b.recentReports(now)}
-	if len(targets) > 0 {
-		s.stats = b.poolOf(targets[0])
-		s.predictor = newPredictor(engine, targets[0].Model, s.stats.duration)
-	}
-	return s
-}
-
-// anyCandidates returns the candidates among some of the targets, or else among all, or else
-// among those that failed lately.
-func (s *search) anyCandidates() []candidate {
-	all := s.targets
-	if len(all) > maxSearched {
-		first := s.rng.IntN(len(all))
-		s.targets = slices.Concat(all[first:min(len(all), first+maxSearched)], all[:max(0, first+maxSearched-len(all))])
-		if found := s.candidates(false); len(found) > 0 {
-			return found
-		}
-		s.targets = all
-	}
-	if found := s.candidates(false); len(found) > 0 {
-		return found
-	}
-	return s.candidates(true)
-}
-
-// candidates returns the targets that have capacity for the request, those that failed
-// lately only if suspects is true.
-func (s *search) candidates(suspects bool) []candidate {
-	out := make([]candidate, 0, len(s.targets))
-	for i := range s.targets {
-		t := &s.targets[i]
-		if len(s.request.Exclude) > 0 && slices.Contains(s.request.Exclude, t.InstanceKey()) {
-			continue
-		}
-		own := s.loads[keyOf(*t)]
-		if own != nil && !suspects && s.now.Before(own.suspectedUntil) || !s.hasPlace(s.now, *t, s.request.NeverPaused) {
-			continue
-		}
-		if c, ok := s.candidate(t, own); ok {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
 // TotalLoad returns the load of all nodes together on a target, as far as this node knows.
 func (b *Balancer) TotalLoad(now time.Time, t fleet.Target) Load {
 	b.mu.Lock()
--- a/operator/program.go
+++ b/operator/program.go
@@ -1,6 +1,7 @@
 // Package operator implements the command line for operators. Operators control
 // the service only by the targets in its configuration: the commands publish the
-// configuration and show how well its targets are met.
+// configuration and show how well its targets are met. explain-route asks a gateway of
+// the users' platform, read only.
 //
 // The guarantee: publish replaces only the version that the document is based
 // on, never one that the operator has not seen, and never reports a publication
@@ -107,7 +108,7 @@
 		Action:                rejectUnknownCommand,
 		Commands: []*cli.Command{
 			p.validateCommand(), p.publishCommand(), p.diffCommand(), p.targetsCommand(),
-			p.statusCommand(), p.explainCommand(), p.watchCommand(),
+			p.statusCommand(), p.explainCommand(), p.explainRouteCommand(), p.watchCommand(),
 		},
 	}
 	for _, c := range append(root.Commands, root) {
