gateway: Bound what is remembered of callers' deadlines

A caller with a very long deadline made all others of its route look as if they had returned after a refusal, and routes that configurations had removed stayed in memory.

--- a/gateway/objective.go
+++ b/gateway/objective.go
@@ -14,6 +14,9 @@
 	// returnedShare is the part of a route's latency target by which less than the longest
 	// waiting time of its callers shows that a caller has tried before.
 	returnedShare = 0.5
+	// maxTimeoutRoutes bounds the routes that are remembered. Configurations replace routes,
+	// and those that are gone get no requests that would replace them.
+	maxTimeoutRoutes = 4096
 )
 
 // callerTimeouts holds the longest times that the callers of each route were lately ready
@@ -32,13 +35,17 @@
 
 func newCallerTimeouts() *callerTimeouts { return &callerTimeouts{routes: map[string]*routeTimeout{}} }
 
-// waited records how long a caller of a route is ready to wait, and returns how much less
-// that is than others were lately: how long ago a caller that returned first tried.
+// waited records how long a caller of a route is ready to wait, within the route's timeout,
+// and returns how much less that is than others were lately: how long ago a caller that
+// returned first tried.
 func (c *callerTimeouts) waited(now time.Time, route string, timeout time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t, ok := c.routes[route]
 	if !ok {
+		if len(c.routes) >= maxTimeoutRoutes {
+			clear(c.routes)
+		}
 		t = &routeTimeout{since: now}
 		c.routes[route] = t
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -160,8 +160,8 @@
 		return verdict.Refuse(verdict.ReasonConfigStale, "the configuration has changed while the body came").WithRetryAfter(retryAfterFailure)
 	}
 	f.setDeadline()
-	if p := f.req.Timeout; p > 0 {
-		f.waited = f.node.callerTimeouts.waited(f.arrivedAt, f.route.Name, p)
+	if f.req.Timeout > 0 {
+		f.waited = f.node.callerTimeouts.waited(f.arrivedAt, f.route.Name, f.deadline.Sub(f.arrivedAt))
 	}
 	return f.refuseStopping()
 }
