--- a/gateway/objective.go
+++ b/gateway/objective.go
@@ -60,7 +60,7 @@
 // that an upstream may have run, or whose answer has begun, is placed wherever there is
 // capacity: refusing it would waste what was done.
 func (f *forwarder) setObjective(r *dispatch.Request) {
-	if f.service.Engine == nil || f.route.LatencyTarget <= 0 || f.attempts > 0 || f.failover || r.Failover || f.events.lastID != "" {
+	if !f.node.Settings().AdmitInTime || f.service.Engine == nil || f.route.LatencyTarget <= 0 || f.attempts > 0 || f.failover || r.Failover || f.events.lastID != "" {
 		return
 	}
 	r.Priority, r.Target, r.Waited = f.priority(), f.route.LatencyTarget, time.Since(f.arrivedAt)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -18,6 +18,9 @@
 	PeerPort int
 	// Bootstrap says that the deployment is being started for the first time.
 	Bootstrap bool
+	// AdmitInTime says that a request which no upstream can answer in time is refused while
+	// all slots are taken, in place of being queued at an upstream.
+	AdmitInTime bool
 	// Cores is the process's share of the VM's processors, in processor cores.
 	Cores float64
 	// MemoryBytes is the memory limit of the process.
