--- a/review/cmd-2/unmarked-refusal/main.go
+++ b/review/cmd-2/unmarked-refusal/main.go
@@ -48,7 +48,7 @@
 	fleet := make([]*stand.PlainEngine, engines)
 	for i := range fleet {
 		e := &stand.PlainEngine{ID: fmt.Sprintf("i-%d", i+1), Service: "desk-app", Slots: slots}
-		e.Work = func(w http.ResponseWriter, id string) {
+		e.Work = func(w http.ResponseWriter, _ *http.Request, id string) {
 			time.Sleep(work)
 			w.Header().Set(stand.HeaderStamp, "stamp-"+e.ID+"-"+id)
 			since := time.Since(began)
--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -31,15 +31,18 @@
 	Slots       int
 	// Work answers a request that the engine runs. The attempt id is in the header
 	// already.
-	Work func(w http.ResponseWriter, id string)
+	Work func(w http.ResponseWriter, req *http.Request, id string)
 
 	store  *standin.Store
-	server *http.Server
+	record *Record
 	addr   string
 	slots  chan struct{}
 	stop   chan struct{}
 
-	mu   sync.Mutex
+	mu     sync.Mutex
+	server *http.Server
+	// down says that the process has ended.
+	down bool
 	runs map[string]int
 }
 
@@ -49,32 +52,86 @@
 	if err != nil {
 		return err
 	}
-	e.store, e.addr, e.runs, e.stop = s, l.Addr().String(), map[string]int{}, make(chan struct{})
+	e.store, e.record, e.addr, e.runs, e.stop = s, r, l.Addr().String(), map[string]int{}, make(chan struct{})
 	e.slots = make(chan struct{}, e.Slots)
-	e.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { e.serve(w, req, r) })}
-	go func() { _ = e.server.Serve(l) }()
+	e.serveOn(l)
 	go e.register()
 	return nil
 }
 
+func (e *PlainEngine) serveOn(l net.Listener) {
+	server := &http.Server{Handler: http.HandlerFunc(e.serve)}
+	e.mu.Lock()
+	e.server, e.down = server, false
+	e.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+}
+
+// Crash ends the engine's process: its connections are reset or closed, its port refuses,
+// and it sends nothing more to the store. After a time it is back at its address under a
+// new id. Crash does nothing if the process has ended already, and reports that by false.
+func (e *PlainEngine) Crash(back time.Duration) bool {
+	e.mu.Lock()
+	server, was := e.server, e.down
+	e.down = true
+	e.mu.Unlock()
+	if was {
+		return false
+	}
+	_ = server.Close()
+	e.record.Add("crash    %s", e.id())
+	old := e.id()
+	// The store drops the entry after three heartbeats of silence.
+	time.AfterFunc(3*heartbeat, func() { e.store.Put("keyed.servers", old, nil) })
+	time.AfterFunc(back, e.restart)
+	return true
+}
+
+func (e *PlainEngine) restart() {
+	select {
+	case <-e.stop:
+		return
+	default:
+	}
+	l, err := net.Listen("tcp", e.addr)
+	if err != nil {
+		e.record.Add("an engine could not start again: %v", err)
+		return
+	}
+	e.mu.Lock()
+	e.ID += "b"
+	e.mu.Unlock()
+	e.serveOn(l)
+	e.record.Add("back     %s", e.id())
+}
+
+func (e *PlainEngine) id() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ID
+}
+
 // Stop ends the engine.
 func (e *PlainEngine) Stop() {
 	close(e.stop)
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	_ = e.server.Close()
 }
 
-// register writes the engine's entry, again and again.
+// register writes the engine's entry, again and again, unless its process has ended.
 func (e *PlainEngine) register() {
-	born := time.Now().UnixMilli()
+	born, last := map[string]int64{}, ""
 	for n := 1; ; n++ {
-		entry, err := json.Marshal(map[string]any{
-			"service": e.Service, "address": e.addr, "zone": "kol-a", "version": "v1", "slots": e.Slots, "state": "ready",
-			"coldRemainingMs": 0, "born": born, "sequence": n,
-		})
-		if err != nil {
-			panic(err)
+		e.mu.Lock()
+		id, down := e.ID, e.down
+		e.mu.Unlock()
+		if id != last {
+			born[id], last, n = time.Now().UnixMilli(), id, 1
+		}
+		if !down {
+			e.put(id, born[id], n)
 		}
-		e.store.Put("keyed.servers", e.ID, entry)
 		select {
 		case <-e.stop:
 			return
@@ -83,6 +140,17 @@
 	}
 }
 
+func (e *PlainEngine) put(id string, born int64, sequence int) {
+	entry, err := json.Marshal(map[string]any{
+		"service": e.Service, "address": e.addr, "zone": "kol-a", "version": "v1", "slots": e.Slots, "state": "ready",
+		"coldRemainingMs": 0, "born": born, "sequence": sequence,
+	})
+	if err != nil {
+		panic(err)
+	}
+	e.store.Put("keyed.servers", id, entry)
+}
+
 // Runs returns how often the engine has begun to work on a request.
 func (e *PlainEngine) Runs(id string) int {
 	e.mu.Lock()
@@ -90,17 +158,18 @@
 	return e.runs[id]
 }
 
-func (e *PlainEngine) serve(w http.ResponseWriter, req *http.Request, r *Record) {
+func (e *PlainEngine) serve(w http.ResponseWriter, req *http.Request) {
+	me := e.id()
 	id := req.Header.Get(HeaderAttempt)
 	if id != "" {
 		w.Header().Set(HeaderAttempt, id)
 	}
 	if req.URL.Path == "/healthz" {
-		w.Header().Set(headerInstance, e.ID)
+		w.Header().Set(headerInstance, me)
 		return
 	}
-	if want := req.Header.Get(headerExpect); want != "" && want != e.ID {
-		w.Header().Set(headerInstance, e.ID)
+	if want := req.Header.Get(headerExpect); want != "" && want != me {
+		w.Header().Set(headerInstance, me)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -116,6 +185,6 @@
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
-	r.Add("run      %s at %s: %s %s", id, e.ID, req.Method, req.URL.Path)
-	e.Work(w, id)
+	e.record.Add("run      %s at %s: %s %s, Last-Event-Id %q", id, me, req.Method, req.URL.Path, req.Header.Get("Last-Event-Id"))
+	e.Work(w, req, id)
 }
