--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -32,6 +32,8 @@
 	// Work answers a request that the engine runs. The attempt id is in the header
 	// already.
 	Work func(w http.ResponseWriter, req *http.Request, id string)
+	// Quiet leaves the runs out of the record.
+	Quiet bool
 
 	store  *standin.Store
 	record *Record
@@ -185,6 +187,8 @@
 	e.mu.Lock()
 	e.runs[id]++
 	e.mu.Unlock()
-	e.record.Add("run      %s at %s: %s %s, Last-Event-Id %q", id, me, req.Method, req.URL.Path, req.Header.Get("Last-Event-Id"))
+	if !e.Quiet {
+		e.record.Add("run      %s at %s: %s %s, Last-Event-Id %q", id, me, req.Method, req.URL.Path, req.Header.Get("Last-Event-Id"))
+	}
 	e.Work(w, req, id)
 }
--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 )
@@ -23,14 +24,16 @@
 	metricsPort = 9464
 )
 
-// Bounds are the bounds in the settings of a gateway that differ between cases. The others
-// are those of the settings file in our pages.
+// Bounds are the bounds and limits in the settings of a gateway that may differ between
+// cases. The others are those of the settings file in our pages.
 type Bounds struct {
 	GraceS, StallMs int
+	MemoryMb        int
+	CPUShare        float64
 }
 
 // PageBounds are the bounds of the settings file in our pages.
-var PageBounds = Bounds{GraceS: 8, StallMs: 4000}
+var PageBounds = Bounds{GraceS: 8, StallMs: 4000, MemoryMb: 284, CPUShare: 0.4}
 
 // Gateway is a process of the deploy file's role.
 type Gateway struct {
@@ -87,7 +90,7 @@
 
 // WriteSettings writes the gateway's settings file.
 func (g *Gateway) WriteSettings(b Bounds) error {
-	text := fmt.Sprintf(settingsText, g.Name, g.IP, peerPort, peerPort+15, frontPort, readyPort, b.GraceS, b.StallMs, g.store)
+	text := fmt.Sprintf(settingsText, g.Name, g.IP, peerPort, peerPort+15, frontPort, readyPort, b.GraceS, b.StallMs, g.store, b.CPUShare, b.MemoryMb)
 	return os.WriteFile(g.settingsPath(), []byte(text), 0o600)
 }
 
@@ -114,9 +117,9 @@
 front = "%[2]s:%[5]d"
 readyAddr = "%[2]s:%[6]d"
 [limits]
-cpuShare = 0.4
+cpuShare = %[10]v
 cores = 1
-memoryMb = 284
+memoryMb = %[11]d
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
@@ -223,3 +226,18 @@
 	}
 	return fmt.Errorf("%s is not ready after %v", g.Name, limit)
 }
+
+// Memory returns the resident memory of the process, in bytes.
+func (g *Gateway) Memory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+			return kilobytes << 10, nil
+		}
+	}
+	return 0, fmt.Errorf("the process of %s does not say its memory", g.Name)
+}
