--- a/review/stand/gateway.go
+++ b/review/stand/gateway.go
@@ -227,7 +227,7 @@
 	return fmt.Errorf("%s is not ready after %v", g.Name, limit)
 }
 
-// Memory returns the resident memory of the process, in bytes.
+// Memory returns the resident memory of the process without its files, in bytes.
 func (g *Gateway) Memory() (int64, error) {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
 	if err != nil {
@@ -235,7 +235,7 @@
 	}
 	for line := range strings.Lines(string(status)) {
 		var kilobytes int64
-		if _, err := fmt.Sscanf(line, "VmRSS: %d kB", &kilobytes); err == nil {
+		if _, err := fmt.Sscanf(line, "RssAnon: %d kB", &kilobytes); err == nil {
 			return kilobytes << 10, nil
 		}
 	}
