--- a/review/cmd-2/route-churn/main.go
+++ b/review/cmd-2/route-churn/main.go
@@ -97,8 +97,8 @@
 		return nil, err
 	}
 	for i := range engines {
-		// Of 6,000 requests, only the last ones matter to this case, so the runs are not
-		// written one by one.
+		// The clients note whether a request has run, so that the record has one line for
+		// each request of a kept connection.
 		e := &stand.PlainEngine{ID: fmt.Sprintf("i-%d", i+1), Service: "redaction-ia", Slots: slots, Quiet: true}
 		e.Work = s.stream
 		if err := e.Start(s.store, r); err != nil {
@@ -255,7 +255,9 @@
 		if err == nil {
 			err = c.Receive(t, time.Now().Add(deadline+time.Second))
 		}
-		if _, passed := s.passedOn.LoadAndDelete(t.ID); err != nil && t.Status == 0 && n > 0 && passed {
+		_, passed := s.passedOn.LoadAndDelete(t.ID)
+		s.r.Add("%s %s: status %d, run %t", g.Name, t.ID, t.Status, passed)
+		if err != nil && t.Status == 0 && n > 0 && passed {
 			s.unanswered[i].Add(1)
 			s.r.Add("closed   %s: %s was sent on a kept connection, passed on and got no answer: %v", g.Name, t.ID, err)
 		}
