--- a/review/cmd-2/route-churn/main.go
+++ b/review/cmd-2/route-churn/main.go
@@ -22,7 +22,9 @@
 	// it, so that the configuration stays small.
 	routesPerVersion = 900
 	versions         = 22
-	versionPause     = 4500 * time.Millisecond
+	// longest bounds the time of all versions together.
+	longest      = 100 * time.Second
+	versionPause = 4500 * time.Millisecond
 	// memoryMb is that of the site's smallest machines.
 	memoryMb    = 184
 	memoryLimit = memoryMb << 20
@@ -159,8 +161,11 @@
 			running.Go(func() { s.steady(i, g) })
 		}
 	}
-	version := 1
+	version, began := 1, time.Now()
 	for n := range versions {
+		if time.Since(began) > longest {
+			break
+		}
 		if n > 0 && trouble {
 			version++
 			if err := publish(s.store, version, names(version)); err != nil {
