--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -70,9 +70,14 @@
 
 // Send writes a request with a body.
 func (c *Conn) Send(a *Attempt, method, path, body string, deadline time.Duration) error {
+	return c.SendWith(a, method, path, "", body, deadline)
+}
+
+// SendWith is Send with further lines of the header.
+func (c *Conn) SendWith(a *Attempt, method, path, fields, body string, deadline time.Duration) error {
 	a.SentAt = time.Now()
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\n", method, path, Host, HeaderAttempt, a.ID,
-		HeaderDeadline, deadline.Milliseconds(), Key)
+		HeaderDeadline, deadline.Milliseconds(), Key) + fields
 	if method != http.MethodGet {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
