exchange: An answer without a length is broken off if its connection failed during the upload

What callers saw: an engine answered a long upload at once with a 200 that has no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, a stream as a complete stream.

Cause: the exchange writes the whole request before it reads the answer, and goes on to read after a failed write, because an engine may answer what it does not read to its end. The kernel reports a reset once. The write takes the report, so that the read gets the bytes that had arrived and then an end like that of an orderly close, which is the end of a body without a length.

Why this works: the response keeps the error of the write. If it has one, the end of the connection proves nothing, so Read returns the error, marked as ErrUnprovenEnd, unless the answer itself states its end. An upstream that closes only its own direction and reads the upload on causes no failed write, so its answer is whole as before.

--- a/exchange/cutoff_test.go
+++ b/exchange/cutoff_test.go
@@ -120,6 +120,89 @@
 	})
 })
 
+// Guards against a part of a body that is passed on as a whole one: the connection failed
+// while the request was written, and nothing else stated the end of the body.
+var _ = Describe("An answer that breaks off before its request is written", func() {
+	// size doesn't fit into the buffers of a connection.
+	const size = 8 << 20
+	// answer sends a request to an upstream that reads a part of its body, answers with
+	// data and ends the connection, and returns what came of it.
+	answer := func(pool *Pool, data string, read int64, end func(*net.TCPConn)) (int, string, error) {
+		u := serveRaw(func(c io.ReadWriter, n int) {
+			r, err := http.ReadRequest(bufio.NewReaderSize(c, 16))
+			if err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, r.Body, read)
+			_, _ = io.WriteString(c, data)
+			// The bytes must arrive before a reset discards them.
+			time.Sleep(50 * time.Millisecond)
+			tcp := c.(*net.TCPConn)
+			end(tcp)
+			_ = tcp.Close()
+		})
+		r := request("1")
+		r.Body = make(Bytes, size)
+		resp, err := pool.Do(context.Background(), u.address(), r)
+		if err != nil {
+			return 0, "", err
+		}
+		defer resp.Close()
+		body, err := io.ReadAll(resp)
+		return resp.Status, string(body), err
+	}
+	ends := map[string]func(*net.TCPConn){
+		"reset":                   func(c *net.TCPConn) { _ = c.SetLinger(0) },
+		"closed":                  func(*net.TCPConn) {},
+		"half closed, then reset": func(c *net.TCPConn) { _ = c.CloseWrite(); _ = c.SetLinger(0) },
+	}
+	const fields = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\n"
+
+	DescribeTable("is a failure of a request that may have run", func(data string) {
+		for how, end := range ends {
+			for _, read := range []int64{0, 100 << 10} {
+				pool := NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
+				status, body, err := answer(pool, data, read, end)
+				Expect(err).To(HaveOccurred(), "%s after %d bytes: %d %q", how, read, status, body)
+				Expect(errors.Is(err, ErrNotSent)).To(BeFalse(), how)
+				Expect(pool.hosts).To(BeEmpty(), how)
+			}
+		}
+	},
+		Entry("without a length", fields+"\r\nhalf"),
+		Entry("without a length and before its body", fields+"\r\n"),
+		Entry("in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+idHeader+": 1\r\n\r\nhalf"),
+		Entry("short of its length", fields+"Content-Length: 9\r\n\r\nhalf"),
+		Entry("before its last chunk", fields+"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"),
+		Entry("in its head", fields),
+	)
+
+	DescribeTable("is whole if it states its end, and its connection is not used again", func(data string) {
+		for how, end := range ends {
+			pool := NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
+			status, body, err := answer(pool, data, 0, end)
+			Expect(err).NotTo(HaveOccurred(), how)
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("all"))
+			Expect(pool.hosts).To(BeEmpty(), how)
+		}
+	},
+		Entry("by a length", fields+"Content-Length: 3\r\n\r\nall"),
+		Entry("by a last chunk", fields+"Transfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"),
+	)
+
+	It("is whole without a length if the upstream closes its direction and reads on", func() {
+		pool := NewPool(Options{DialTimeout: time.Second, UserTimeout: time.Second})
+		status, body, err := answer(pool, fields+"\r\nall", 0, func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.CopyN(io.Discard, c, size)
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("all"))
+	})
+})
+
 // Guards against an upstream's answer that is dropped: it came before the request was
 // written to its end, and the upstream did not read the rest.
 var _ = Describe("An answer to a request that the upstream does not read to its end", func() {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -35,6 +35,11 @@
 	ErrTooManyConnections = errors.New("too many connections to the upstream")
 	// ErrUnmatchedResponse marks a response that answers another request.
 	ErrUnmatchedResponse = errors.New("response belongs to another request")
+	// ErrUnprovenEnd marks a response without a length or a transfer encoding on a
+	// connection that failed while the request was written. The kernel reports such a
+	// failure once, to the write, and then an end of the connection like that of a whole
+	// response.
+	ErrUnprovenEnd = errors.New("the connection failed before the end of the response")
 	// ErrUnattributedResponse marks a response that names no request on a connection
 	// that has carried several.
 	ErrUnattributedResponse = errors.New("response names no request on a reused connection")
@@ -174,6 +179,8 @@
 	// framed is whether the response has a length or a transfer encoding, so that
 	// its end shows without the connection being closed.
 	framed bool
+	// sendErr is why the request was not written to its end; nil if it was.
+	sendErr error
 	// atEOF is whether the body was read to its end.
 	atEOF bool
 	// release returns the connection to its pool, to be kept or closed.
@@ -227,6 +234,7 @@
 		body:      limitBodySize(resp.Body),
 		stopAbort: stopAbort,
 		framed:    resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		sendErr:   sendErr,
 		release:   p.put,
 	}, nil
 }
@@ -284,9 +292,13 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if errors.Is(err, io.EOF) {
-		r.atEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if r.sendErr != nil && !r.framed {
+		return n, errors.Mark(errors.Wrap(r.sendErr, "sending"), ErrUnprovenEnd)
 	}
+	r.atEOF = true
 	return n, err
 }
 
