wirecheck: A response with a damaged field line is a failure, not an answer

What callers saw: an engine in trouble sent an answer with a blank or a control byte in the name of a field. The caller got it as an answer, with that line passed on, or with a body that was not the engine's: the raw chunks where the damaged field was Transfer-Encoding, and the rest of the head where the byte was a line feed at the beginning of a name. A refusal with such a field was believed.

Cause: the parser of net/http accepts a blank in a name and keeps the field under that name, which then frames nothing; it takes a line that begins with a blank or a tab for the continuation of the one before it; and it takes a line feed alone for the end of a line, so that one at the beginning of a name ends the head. Other control bytes it refuses. Trailers and interim responses are read in the same way.

Why this works: wirecheck.Reader follows the responses on a connection below the parser. Each line of a head or trailer must end with CR LF and begin with a valid name and a colon, and hold no control byte but tabs in its value; RFC 9112 allows a proxy to refuse the rest. Bytes of a malformed line and what follows it don't reach the parser, the error is that of the exchange, and the connection is not used again. The gateway answers 502 bad_answer, "may have run", or breaks a stream off, tries another upstream where the route allows it, suspects the upstream, logs upstream.malformed with the id of the request and counts it under the same name.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -34,6 +34,7 @@
 	UpstreamProbed        = "upstream.probed"
 	UpstreamTooLong       = "upstream.too_long"
 	UpstreamUnattributed  = "upstream.unattributed"
+	UpstreamMalformed     = "upstream.malformed"
 	UpstreamDead          = "upstream.dead"
 	UpstreamEvicted       = "upstream.evicted"
 	UpstreamBack          = "upstream.back"
@@ -123,6 +124,7 @@
 		{UpstreamUnusedWord, "A value of the header Retry-After in an upstream's answer, or the time for which the upstream says that it is cold, was not used as it is: what is wrong with it."},
 		{UpstreamProbed, "tamarackcleatd asked an upstream that broke the answer to a request whether it has crashed: the finding, number of probes, time they took, error of the last one."},
 		{UpstreamUnattributed, "A response could not be attributed to the request, because it names none or another one; it counts as no answer, and the connection was closed: error, request."},
+		{UpstreamMalformed, "The head or the trailer of a response is malformed; it counts as no answer, and the connection was closed: what is wrong, request."},
 		{UpstreamTooLong, "An upstream sent more than a limit allows, so its answer was cut off and the connection closed: name of the limit, request."},
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -7,7 +7,8 @@
 // response on it had a length or a transfer encoding and was read exactly to its
 // end. A response of any size takes a bounded amount of memory: the error for one
 // above a limit is marked as bounded.ErrTooLong, and its connection is closed.
-// Responses are parsed by the standard library.
+// Responses are parsed by the standard library once package wirecheck has checked their
+// heads and trailers.
 package exchange
 
 import (
@@ -270,10 +271,11 @@
 func (c *conn) readFinal(method string) (*http.Response, error) {
 	c.source.SetLimit(limitHead, maxHeadBytes)
 	defer c.source.RemoveLimit()
+	c.responses.AnswersHead(method == http.MethodHead)
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, c.source.Cause(err)
+			return nil, c.cause(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -292,10 +294,12 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if r.sendErr != nil && !r.framed {
+	switch {
+	case err == nil:
+		return n, nil
+	case !errors.Is(err, io.EOF):
+		return n, r.conn.cause(err)
+	case r.sendErr != nil && !r.framed:
 		return n, errors.Mark(errors.Wrap(r.sendErr, "sending"), ErrUnprovenEnd)
 	}
 	r.atEOF = true
@@ -319,7 +323,7 @@
 func (r *Response) Close() {
 	notAborted := r.stopAbort()
 	reusable := notAborted && r.atEOF && r.framed && !r.conn.closeAfterResponse && r.conn.reader.Buffered() == 0 &&
-		len(r.conn.carried) < maxRequestsPerConn
+		r.conn.responses.Err() == nil && len(r.conn.carried) < maxRequestsPerConn
 	r.release(r.conn, reusable)
 }
 
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 const idHeader = "X-Id"
@@ -152,6 +154,29 @@
 		Expect(u.conns.Load()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a request on a connection whose next bytes are known to be malformed.
+	It("does not reuse a connection whose response is followed by a malformed line", func() {
+		u := serve(func(n int, r *http.Request) string {
+			return response(r.Header.Get(idHeader), "ok") + "HTTP/1.1 200 OK\n"
+		})
+		Expect(do(u, "1")).To(Equal("ok"))
+		Expect(do(u, "2")).To(Equal("ok"))
+		Expect(u.conns.Load()).To(BeEquivalentTo(2))
+	})
+
+	// Guards against damaged fields that are passed on or change the framing of the body.
+	DescribeTable("fails at a malformed line and closes the connection", func(response string) {
+		u := serve(func(int, *http.Request) string { return response })
+		_, err := do(u, "1")
+		Expect(errors.Is(err, wirecheck.ErrMalformed)).To(BeTrue(), "%v", err)
+		Expect(errors.Is(err, ErrNotSent)).To(BeFalse())
+		Expect(pool.hosts).To(BeEmpty())
+	},
+		Entry("in a head", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nContent-Length : 2\r\n\r\nok"),
+		Entry("in a head after one that is skipped", response("2", "no")+"HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nX A: b\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("in a trailer", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n"),
+	)
+
 	It("fails if all responses belong to other requests", func() {
 		foreign := response("other", "no")
 		u := serve(func(int, *http.Request) string { return foreign + foreign + foreign + foreign })
--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"testing"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // bytesConn is a connection from which fixed bytes are read.
@@ -23,6 +25,7 @@
 		response("1", "ok"), response("2", "no") + response("1", "ok"), "HTTP/1.1 100 Continue\r\n\r\n" + response("1", "ok"),
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nT: x\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nall", "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nContent-Length: -1\r\n\r\n", "", "\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length : 1\r\n\r\na", response("2", "no") + "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX -A: 1\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
 	}
@@ -35,6 +38,11 @@
 		if resp.Header.Get(idHeader) != "1" {
 			t.Fatal("a response to another request is returned")
 		}
+		for name := range resp.Header {
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Fatalf("the name of a field is %q", name)
+			}
+		}
 		body, _ := io.ReadAll(limitBodySize(resp.Body))
 		if len(body) > len(data) {
 			t.Fatalf("%d bytes of body in %d", len(body), len(data))
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/tamarackcleat/tamarackcleat/bounded"
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 const (
@@ -74,9 +75,11 @@
 type conn struct {
 	net     net.Conn
 	address string
-	// reader buffers the bytes of source, which reads from net.
-	reader *bufio.Reader
-	source *bounded.Reader
+	// reader buffers the bytes of responses, which checks those of source, which reads from
+	// net.
+	reader    *bufio.Reader
+	responses *wirecheck.Reader
+	source    *bounded.Reader
 	// idleTimeout is how long the upstream keeps the connection while it is idle.
 	idleTimeout time.Duration
 	lastUsedAt  time.Time
@@ -90,7 +93,21 @@
 
 func newConn(n net.Conn, address string) *conn {
 	source := bounded.NewReader(n)
-	return &conn{net: n, address: address, reader: bufio.NewReaderSize(source, readBufferSize), source: source, idleTimeout: defaultIdleTimeout}
+	responses := wirecheck.NewReader(source)
+	return &conn{
+		net: n, address: address, reader: bufio.NewReaderSize(responses, readBufferSize), responses: responses, source: source,
+		idleTimeout: defaultIdleTimeout,
+	}
+}
+
+// cause returns the error of the bytes from the upstream if there was one, and else err. A
+// parser between them and their user may hide that error, because what it got looks
+// malformed or cut off.
+func (c *conn) cause(err error) error {
+	if e := c.responses.Err(); e != nil {
+		return e
+	}
+	return c.source.Cause(err)
 }
 
 // abort closes the connection, which ends a blocked read or write.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -360,13 +360,17 @@
 	return nil
 }
 
-// readFailed returns the failure for an error while an upstream's answer was read. If
-// the upstream sent more than a limit allows, the limit is logged and counted, and the
+// readFailed returns the failure for an error while an upstream's answer was read. An
+// answer that is malformed or belongs to another request is logged and counted. If the
+// upstream sent more than a limit allows, the limit is logged and counted, and the
 // upstream is suspected, because the next answer may not end either.
 func (f *forwarder) readFailed(t fleet.Target, detail string, err error) *verdict.Error {
 	if e, ok := f.unattributed(t, detail, err); ok {
 		return e
 	}
+	if e, ok := f.malformed(t, detail, err); ok {
+		return e
+	}
 	limit, tooLong := bounded.Exceeded(err)
 	if !tooLong {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "%s: %v", detail, err)
--- a/gateway/failureanswer.go
+++ b/gateway/failureanswer.go
@@ -8,6 +8,7 @@
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
+	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -29,11 +30,13 @@
 func isFailure(resp *exchange.Response) bool { return resp.Status >= http.StatusInternalServerError }
 
 // readFailure reads the rest of a failure that an upstream answers with. It returns nil if
-// the answer is cut off or too large, which proves nothing. It may be called while an
-// attempt of the request runs.
-func (f *forwarder) readFailure(resp *exchange.Response) *failureAnswer {
+// the answer is cut off, malformed or too large, which proves nothing. It may be called
+// while an attempt of the request runs.
+func (f *forwarder) readFailure(t fleet.Target, resp *exchange.Response) *failureAnswer {
 	body, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
 	if err != nil {
+		// The move has its own failure; what is wrong with this answer is logged and counted.
+		_ = f.readFailed(t, "the failure was cut off", err)
 		body.Release()
 		return nil
 	}
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -186,7 +186,7 @@
 	e := a.f.openMove(t)
 	var failure *failureAnswer
 	if e != nil && t.resp != nil && isFailure(t.resp) && !t.info.NotRun {
-		failure = a.f.readFailure(t.resp)
+		failure = a.f.readFailure(t.assignment.Target, t.resp)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
