--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +17,7 @@
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/relay"
+	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 )
 
 var _ = DescribeTable("Source", func(self string, live []string, holder, want string) {
@@ -50,8 +52,12 @@
 	first, second *keyed.Stream
 	server        *httptest.Server
 	subscriber    *relay.Subscriber
-	// broken makes the first node answer polls with an error status.
+	// broken makes the first node answer polls with an error status, and raw with these
+	// bytes; nil for none.
 	broken atomic.Bool
+	raw    atomic.Pointer[string]
+	// polls counts the polls of the second node.
+	polls atomic.Int64
 	// keys receives the keys of the records applied on the second node.
 	keys chan string
 }
@@ -66,6 +72,12 @@
 	})
 	handler := relay.Handler([]*keyed.Stream{c.first})
 	c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.polls.Add(1)
+		if raw := c.raw.Load(); raw != nil {
+			_, _ = io.Copy(io.Discard, r.Body)
+			fault.ServeRaw(w, *raw)
+			return
+		}
 		if c.broken.Load() {
 			w.WriteHeader(http.StatusTeapot)
 			return
@@ -122,6 +134,26 @@
 		Eventually(c.relayed).Should(BeTrue())
 	})
 
+	// Guards against an answer that proves a stream to be up to date although one of its
+	// fields is damaged.
+	It("does not serve a stream while a name of a field in the peer's answers is damaged", func() {
+		c := newChain()
+		Eventually(c.relayed).Should(BeTrue())
+		const every = 5
+		for i, answer := range fault.MalformedAnswers(http.StatusOK, `{"streams":{}}`) {
+			if i%every > 0 {
+				continue
+			}
+			c.raw.Store(&answer)
+			begun := c.polls.Load()
+			// The answer to a poll has been taken when the next one begins.
+			Eventually(c.polls.Load, "5s").Should(BeNumerically(">=", begun+2))
+			Expect(c.subscriber.Connected()).To(BeFalse(), "%q", answer)
+		}
+		c.raw.Store(nil)
+		Eventually(c.subscriber.Connected, "5s").Should(BeTrue())
+	})
+
 	It("does not serve a stream while the peer answers with errors", func() {
 		c := newChain()
 		Eventually(c.relayed).Should(BeTrue())
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -16,6 +16,7 @@
 	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 const (
@@ -63,7 +64,7 @@
 		client: &http.Client{
 			Timeout: pollWait + pollTimeoutMargin,
 			Transport: &http.Transport{
-				DialContext:            dialer.DialContext,
+				DialContext:            wirecheck.Dial(dialer.DialContext),
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: maxResponseHeadBytes,
 				IdleConnTimeout:        idleConnTimeout,
