porthttp: Damaged field lines are errors in tamarackcleatd too

What callers saw: tamarackcleatd took an answer of an upstream with a blank, a tab or a line feed in the name of a field for a sound one: the answer to a call was passed on, and a refusal was believed, so that the caller was told "not run" on the word of an engine in trouble. The same held for reports, orders, cache events, the log, the lists of VMs and models, and the answers of other entry nodes.

Why this works: all these clients are made by NewHTTPClient, which dials through wirecheck.Dial now. The error is that of a request whose answer was lost: may have run, upstream_lost, in the lines and counters of the request as for any other.

--- a/port/porthttp/transport.go
+++ b/port/porthttp/transport.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bounded"
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 // Settings of the transport of NewHTTPClient.
@@ -29,7 +30,7 @@
 func NewHTTPClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return &http.Client{Transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            wirecheck.Dial(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
