wirecheck: A status below 100 is a malformed response, not an interim one

What callers saw: an engine in trouble sent an answer with the status 000. It never got to the caller, but the request went on with what followed it on the connection. If nothing did, the caller waited until its deadline. If the body of that answer looked like an answer, or another one followed, the caller got that as the answer to its request. In the gateway process an order or a probe with this status counted as answered, and so as refused, although the engine may have carried it out.

Cause: the parser reads "000", "099", "+20" and "-00" as numbers below 100, and the exchange skips each head with a status below 200 as an interim one, without the body that the parser gives it.

The store, peers and tamarackcleatd took the status for a failure before; their tests cover it now.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/standin/fault"
 	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
@@ -89,7 +90,9 @@
 	})
 	// do sends a request and returns the body of the response.
 	do := func(u *upstream, id string) (string, error) {
-		resp, err := pool.Do(context.Background(), u.address(), request(id))
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		resp, err := pool.Do(ctx, u.address(), request(id))
 		if err != nil {
 			return "", err
 		}
@@ -177,6 +180,24 @@
 		Entry("in a trailer", "HTTP/1.1 200 OK\r\n"+idHeader+": 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n"),
 	)
 
+	// Guards against an invalid status that passes for an interim response: what followed it
+	// was the answer, be it a part of its own body, or the request was held until its deadline.
+	DescribeTable("fails at once at an invalid status", func(rest string) {
+		for _, code := range fault.InvalidStatuses {
+			u := serve(func(int, *http.Request) string { return "HTTP/1.1 " + code + " X\r\n" + idHeader + ": 1\r\n" + rest })
+			begun := time.Now()
+			body, err := do(u, "1")
+			Expect(errors.Is(err, wirecheck.ErrMalformed)).To(BeTrue(), "%s: %q, %v", code, body, err)
+			Expect(time.Since(begun)).To(BeNumerically("<", time.Second), code)
+			Expect(pool.hosts).To(BeEmpty())
+		}
+	},
+		Entry("without a body", "Content-Length: 0\r\n\r\n"),
+		Entry("with a body", "Content-Length: 2\r\n\r\nok"),
+		Entry("with a body that looks like an answer", "Content-Length: 45\r\n\r\n"+response("1", "ok")),
+		Entry("before another answer", "Content-Length: 0\r\n\r\n"+response("1", "ok")),
+	)
+
 	It("fails if all responses belong to other requests", func() {
 		foreign := response("other", "no")
 		u := serve(func(int, *http.Request) string { return foreign + foreign + foreign + foreign })
--- a/port/porthttp/malformed_test.go
+++ b/port/porthttp/malformed_test.go
@@ -20,8 +20,8 @@
 )
 
 // Guards against answers that are taken as sound ones although the name of a field holds a
-// blank or a control byte, which may have changed what the body is.
-var _ = Describe("An answer with a damaged name of a field", func() {
+// blank or a control byte, which may have changed what the body is, or the status is none.
+var _ = Describe("A malformed answer", func() {
 	ctx := context.Background()
 	// each calls f with the address of a server for each damaged form of an answer.
 	each := func(status int, body string, f func(address, answer string)) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -134,9 +134,9 @@
 		Eventually(c.relayed).Should(BeTrue())
 	})
 
-	// Guards against an answer that proves a stream to be up to date although one of its
-	// fields is damaged.
-	It("does not serve a stream while a name of a field in the peer's answers is damaged", func() {
+	// Guards against an answer that proves a stream to be up to date although its status or
+	// one of its fields is damaged.
+	It("does not serve a stream while the peer's answers are malformed", func() {
 		c := newChain()
 		Eventually(c.relayed).Should(BeTrue())
 		const every = 5
--- a/standin/fault/malformed.go
+++ b/standin/fault/malformed.go
@@ -20,8 +20,11 @@
 	return out
 }
 
+// InvalidStatuses are codes that are no status but that a lenient parser reads as a number.
+var InvalidStatuses = []string{"000", "001", "099", "+20", "-00"}
+
 // MalformedAnswers returns answers with a status and a JSON body that are sound but for the
-// name of one field, in the head or in the trailer.
+// name of one field, in the head or in the trailer, or for their status.
 func MalformedAnswers(status int, body string) []string {
 	head := fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Type: application/json\r\n", status)
 	length := fmt.Sprintf("Content-Length: %d", len(body))
@@ -37,6 +40,9 @@
 		out = append(out, head+length+"\r\n"+line+"\r\n\r\n"+body,
 			head+"Transfer-Encoding: chunked\r\n\r\n"+chunks+"X-Sum: 1\r\n"+line+"\r\n\r\n")
 	}
+	for _, code := range InvalidStatuses {
+		out = append(out, "HTTP/1.1 "+code+" X\r\nContent-Type: application/json\r\n"+length+"\r\n\r\n"+body)
+	}
 	return out
 }
 
--- a/wirecheck/fuzz_test.go
+++ b/wirecheck/fuzz_test.go
@@ -14,7 +14,7 @@
 
 // FuzzResponses reads arbitrary bytes as the responses on a connection. The Reader must not
 // lose track of where a head or a trailer begins: the names of all fields that the parser
-// gets are valid.
+// gets are valid, and so is each status.
 func FuzzResponses(f *testing.F) {
 	for _, seed := range []string{
 		withLength + interim + inChunks + withLength, noContent + unchanged + old, unframed,
@@ -31,6 +31,9 @@
 			if err != nil {
 				return
 			}
+			if resp.StatusCode < http.StatusContinue {
+				t.Fatalf("the status is %d", resp.StatusCode)
+			}
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return
 			}
--- a/wirecheck/wirecheck.go
+++ b/wirecheck/wirecheck.go
@@ -4,7 +4,8 @@
 // takes a line that begins with a blank for the continuation of the one before it, and takes
 // a line feed on its own for the end of a line. A damaged field then passes as another one
 // or as a part of the body, and a damaged Content-Length or Transfer-Encoding as none at
-// all. A proxy must not pass such a response on (RFC 9112, sections 2.2, 5.1 and 5.2).
+// all. A proxy must not pass such a response on (RFC 9112, sections 2.2, 5.1 and 5.2). Nor
+// must it take a status below 100 for that of an interim response.
 //
 // The guarantee: a Reader follows all responses on a connection, and no byte of a line that
 // is malformed, in a head or in a trailer, or of what follows it, reaches the parser once
@@ -168,8 +169,7 @@
 	case !ok:
 		return malformed("a line that ends with a line feed alone", line)
 	case r.at == inStatusLine:
-		r.takeStatusLine(string(content))
-		return nil
+		return r.takeStatusLine(content)
 	case len(content) == 0:
 		r.endFields()
 		return nil
@@ -177,18 +177,23 @@
 	return r.takeField(content)
 }
 
-// takeStatusLine takes a status line. The parser refuses one that it can't read.
-func (r *Reader) takeStatusLine(line string) {
-	proto, rest, _ := strings.Cut(line, " ")
+// takeStatusLine takes a status line. The parser refuses one that it can't read, but reads a
+// status below 100 as a number like any other.
+func (r *Reader) takeStatusLine(line []byte) error {
+	proto, rest, _ := strings.Cut(string(line), " ")
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	status, err := strconv.Atoi(code)
 	major, minor, ok := http.ParseHTTPVersion(proto)
-	if err != nil || !ok {
+	switch {
+	case err != nil || !ok:
 		r.at = inRest
-		return
+		return nil
+	case status < http.StatusContinue:
+		return malformed("the status", line)
 	}
 	r.head = head{status: status, mayChunk: major > 1 || major == 1 && minor > 0, length: -1}
 	r.at = inFields
+	return nil
 }
 
 // takeField takes a field line, of a head or a trailer, without its end.
--- a/wirecheck/wirecheck_test.go
+++ b/wirecheck/wirecheck_test.go
@@ -137,6 +137,13 @@
 		})
 	})
 
+	DescribeTable("with an invalid status are malformed", func(code string) {
+		r := wirecheck.NewReader(strings.NewReader("HTTP/1.1 " + code + " X\r\nContent-Length: 4\r\n\r\n" + withLength))
+		data, err := io.ReadAll(r)
+		Expect(data).To(BeEmpty())
+		Expect(errors.Is(err, wirecheck.ErrMalformed)).To(BeTrue())
+	}, Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "+20"), Entry(nil, "-00"), Entry(nil, "-10"))
+
 	It("keep what comes before a malformed line, and the error", func() {
 		r := wirecheck.NewReader(strings.NewReader(withLength + "HTTP/1.1 200 OK\r\nX Id: 1\r\n\r\n"))
 		data, err := io.ReadAll(r)
