entry: A malformed response is logged with its request and counted

What was seen: in tamarackcleatd a malformed response left no line and no counter of its own. If the request was answered by another upstream, only the trace of that request told of a lost answer, until it was dropped.

Cause: the error of the response ends in a verdict without a cause, and net/http replaces that of a trailer by one of its own.

Evidence: the spec, with a damaged head, status and trailer, could not pass before, as nothing was logged; with the error of the body instead of that of the connection, the trailer's case still failed.

Why this works: wirecheck keeps the error with the connection, and the Trace of a request asks it there when the response fails. It is logged as upstream.malformed with the id of the request, the upstream and the reason, and counted under the name that the gateway uses.

--- a/entry/notices.go
+++ b/entry/notices.go
@@ -70,9 +70,16 @@
 	return porthttp.WithTrace(ctx, &porthttp.Trace{
 		BeforeWrite: func() *verdict.Error { return q.confirm(ctx, u) },
 		GotHead:     func(said porthttp.Said) { q.node.listener.heard(u.Process, said) },
+		Malformed:   func(err error) { q.noteMalformed(u, err) },
 	})
 }
 
+// noteMalformed logs and counts a malformed answer to the request.
+func (q *request) noteMalformed(u balance.Upstream, err error) {
+	q.node.stats.count("upstream.malformed")
+	q.node.logger.Warn(decisions.UpstreamMalformed, "request_id", q.id, "upstream", u.ID, "reason", verdict.ReasonUpstreamLost, "error", err)
+}
+
 // confirm asks the router whether the request may still be sent to the upstream that
 // was picked. It returns why not, and keeps that as q.withheld.
 func (q *request) confirm(ctx context.Context, u balance.Upstream) *verdict.Error {
--- a/port/porthttp/trace.go
+++ b/port/porthttp/trace.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/tamarackcleat/tamarackcleat/notice"
 	"github.com/tamarackcleat/tamarackcleat/port"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 // Trace holds functions that the client of an upstream calls in the course of a
@@ -22,6 +27,35 @@
 	// GotHead is called with what the upstream says of itself, once the head of its
 	// answer has arrived.
 	GotHead func(Said)
+	// Malformed is called with the error for an answer whose head or trailer is malformed,
+	// at most once.
+	Malformed func(error)
+}
+
+// tracedBody is the body of an answer, which passes a malformed trailer to a Trace. The
+// error of the body itself doesn't name that cause.
+type tracedBody struct {
+	io.ReadCloser
+	conn  net.Conn
+	trace *Trace
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *tracedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) && !b.ended {
+		b.ended = true
+		b.trace.noteMalformed(b.conn)
+	}
+	return n, err
+}
+
+// noteMalformed calls Malformed if an answer on a connection was malformed.
+func (t *Trace) noteMalformed(c net.Conn) {
+	if err := wirecheck.ConnErr(c); errors.Is(err, wirecheck.ErrMalformed) && t.Malformed != nil {
+		t.Malformed(err)
+	}
 }
 
 // Said is what an upstream says of itself in the head of an answer.
@@ -55,16 +89,19 @@
 		return t.transport().RoundTrip(req)
 	}
 	var withheld *verdict.Error
-	if trace.BeforeWrite != nil {
-		req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-			GotConn: func(info httptrace.GotConnInfo) {
-				// Writing to the closed connection fails, so no byte is sent.
-				if withheld = trace.BeforeWrite(); withheld != nil {
-					info.Conn.Close()
-				}
-			},
-		}))
-	}
+	var conn net.Conn
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn = info.Conn
+			if trace.BeforeWrite == nil {
+				return
+			}
+			// Writing to the closed connection fails, so no byte is sent.
+			if withheld = trace.BeforeWrite(); withheld != nil {
+				info.Conn.Close()
+			}
+		},
+	}))
 	resp, err := t.transport().RoundTrip(req)
 	if withheld != nil {
 		if err == nil {
@@ -73,10 +110,15 @@
 		}
 		return nil, &withheldError{withheld}
 	}
-	if err == nil && trace.GotHead != nil {
+	if err != nil {
+		trace.noteMalformed(conn)
+		return nil, err
+	}
+	if trace.GotHead != nil {
 		trace.GotHead(readSaid(resp))
 	}
-	return resp, err
+	resp.Body = &tracedBody{ReadCloser: resp.Body, conn: conn, trace: trace}
+	return resp, nil
 }
 
 // transport returns the transport of the client, or the one that net/http uses if the
--- a/wirecheck/dial.go
+++ b/wirecheck/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 )
 
 // DialFunc opens a connection, as http.Transport.DialContext does.
@@ -25,7 +26,29 @@
 type conn struct {
 	net.Conn
 	responses *Reader
+	// malformed holds the error of responses once there is one.
+	malformed atomic.Pointer[error]
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) { return c.responses.Read(b) }
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.responses.Read(b)
+	if found := c.responses.Err(); found != nil {
+		c.malformed.Store(&found)
+	}
+	return n, err
+}
+
+// ConnErr returns the error for a malformed or too long line in the responses on a connection that a
+// function of Dial has opened; nil if there was none, and for any other connection. It may
+// be called at any time.
+func ConnErr(c net.Conn) error {
+	checked, ok := c.(*conn)
+	if !ok {
+		return nil
+	}
+	if found := checked.malformed.Load(); found != nil {
+		return *found
+	}
+	return nil
+}
--- a/wirecheck/wirecheck.go
+++ b/wirecheck/wirecheck.go
@@ -85,11 +85,12 @@
 // AnswersHead says whether the next response answers a HEAD request, and so has no body.
 func (r *Reader) AnswersHead(yes bool) { r.withoutBody = yes }
 
-// Err returns the error for a malformed line that was found; nil if there was none. Bytes
-// before that line may not have been read yet.
+// Err returns the error for a malformed or too long line that was found; nil if there was
+// none. Bytes before that line may not have been read yet.
 func (r *Reader) Err() error { return r.err }
 
-// Read implements io.Reader. The error for a malformed line is marked as ErrMalformed.
+// Read implements io.Reader. The error for a malformed line is marked as ErrMalformed, that
+// for one which is too long as bounded.ErrTooLong.
 func (r *Reader) Read(b []byte) (int, error) {
 	if r.err != nil {
 		return 0, r.err
