--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -271,7 +271,7 @@
 func (c *conn) readFinal(method string) (*http.Response, error) {
 	c.source.SetLimit(limitHead, maxHeadBytes)
 	defer c.source.RemoveLimit()
-	c.responses.AnswersHead(method == http.MethodHead)
+	c.responses.SetWithoutBody(method == http.MethodHead)
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/gateway/failureanswer.go
+++ b/gateway/failureanswer.go
@@ -35,8 +35,8 @@
 func (f *forwarder) readFailure(t fleet.Target, resp *exchange.Response) *failureAnswer {
 	body, err := f.node.answersMemory.ReadAll(resp, limitAnswer, maxAnswerBytes)
 	if err != nil {
-		// The move has its own failure; what is wrong with this answer is logged and counted.
-		_ = f.readFailed(t, "the failure was cut off", err)
+		// The move fails in any case; a malformed answer is logged and counted.
+		_, _ = f.malformed(t, "the failure was cut off", err)
 		body.Release()
 		return nil
 	}
--- a/standin/fault/malformed.go
+++ b/standin/fault/malformed.go
@@ -46,7 +46,7 @@
 	return out
 }
 
-// ServeRaw answers a request with bytes and closes the connection.
+// ServeRaw sends bytes in place of an answer and closes the connection.
 func ServeRaw(w http.ResponseWriter, answer string) {
 	conn, buf, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/wirecheck/wirecheck.go
+++ b/wirecheck/wirecheck.go
@@ -1,4 +1,5 @@
-// Package wirecheck checks the field lines of HTTP/1 responses before a parser sees them.
+// Package wirecheck checks the heads and trailers of HTTP/1 responses before a parser sees
+// them.
 //
 // The parser of the standard library is lenient: it accepts a blank in the name of a field,
 // takes a line that begins with a blank for the continuation of the one before it, and takes
@@ -63,7 +64,7 @@
 	line []byte
 	// left is the number of bytes up to the end of the part; it counts only inBody.
 	left int64
-	// withoutBody says that the next response has no body whatever its head says.
+	// withoutBody says that the next responses have no body whatever their heads say.
 	withoutBody bool
 	head        head
 	err         error
@@ -82,8 +83,9 @@
 // NewReader returns a reader of the responses that come from source.
 func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
 
-// AnswersHead says whether the next response answers a HEAD request, and so has no body.
-func (r *Reader) AnswersHead(yes bool) { r.withoutBody = yes }
+// SetWithoutBody says whether the next responses have no body whatever their heads say, as
+// those to HEAD requests.
+func (r *Reader) SetWithoutBody(withoutBody bool) { r.withoutBody = withoutBody }
 
 // Err returns the error for a malformed or too long line that was found; nil if there was
 // none. Bytes before that line may not have been read yet.
--- a/wirecheck/wirecheck_test.go
+++ b/wirecheck/wirecheck_test.go
@@ -100,11 +100,11 @@
 	It("have no body if they answer a HEAD request", func() {
 		input := "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
 		r := wirecheck.NewReader(strings.NewReader(input + input + "x y: z\r\n"))
-		r.AnswersHead(true)
+		r.SetWithoutBody(true)
 		_, err := io.ReadAll(r)
 		Expect(err).NotTo(HaveOccurred())
 		r = wirecheck.NewReader(strings.NewReader(input + "HTTP/1.1 200 OK\r\nx y: z\r\n"))
-		r.AnswersHead(true)
+		r.SetWithoutBody(true)
 		_, err = io.ReadAll(r)
 		Expect(errors.Is(err, wirecheck.ErrMalformed)).To(BeTrue())
 	})
