gateway: A status that promises "not run" needs the upstream's statement

Cause: the statuses of the node's own answers follow the verdict, but relayComplete relayed each failure of an engine with its status.

Ruled out: a second send by the node (one request.sent an id), a wrong verdict of the node itself (no request.refused; the answers bear the engine's signature), a misread statement (no request.retried with verdict not_run).

Why this works: on routes whose requests may run once, 408, 421, 429 and 503 reach the caller only through the verdict not_run, which the engine's statement gives. Any other becomes a 502 of the node, without signature or Retry-After, with the status in the log and the counter upstream.unproved_refusal. Requests that may be repeated get the engine's answer unchanged.

The stand-in's engines now fail with any status, in the soak too.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// promisesNotRun reports whether a status promises that the request has not run and never
+// will. Callers repeat any request after it.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // statusOf returns the HTTP status of a failure. Statuses that promise that the
 // request has not run are used only for the verdict NotRun.
 func statusOf(e *verdict.Error) int {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -419,6 +419,10 @@
 		release = func() {}
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamError, "status %d", resp.Status)
 	}
+	if promisesNotRun(resp.Status) && !f.route.Repeatable() {
+		f.node.count("upstream.unproved_refusal")
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamError, "status %d, but no statement that the request was not run", resp.Status)
+	}
 	if !failed && !a.Signed {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d without a signature", resp.Status)
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -355,7 +356,7 @@
 // run twice is repeated. DuplicateAnswers concerns plain services alone and Spoiling
 // streams alone. A client that gets the body of Raw gets one that is not the engine's.
 var engineFaultSets = []standin.EngineFaults{
-	{LoseAnswers: true}, {LoseAnswers: true}, {Fail: true}, {DuplicateAnswers: true, Spoiling: standin.SpoilRepeat}, {TruncateAnswers: true},
+	{LoseAnswers: true}, {LoseAnswers: true}, {FailStatus: http.StatusInternalServerError}, {FailStatus: http.StatusServiceUnavailable}, {DuplicateAnswers: true, Spoiling: standin.SpoilRepeat}, {TruncateAnswers: true},
 	{RefuseRequests: true}, {Delay: 150 * time.Millisecond, Spoiling: standin.SpoilLastID},
 	{Raw: &standin.RawAnswer{End: standin.EndClose, Bytes: func(fields, id string) string {
 		return "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"
