entry: A request that was sent and ran out of time gets 504, not 429

What callers saw: tamarackcleatd answered 429 with the verdict may_have_run if the time of a request ended while an upstream worked on it, and 503 for an upstream's answer that breaks the protocol. Both statuses tell a caller that goes by them that nothing has run.

Cause: statuses were chosen by the reason alone, and these two reasons occur with either verdict. With not_run they keep their status.

Refusals of calls with a key say may_have_run because of earlier attempts; their own attempt has not run, so their statuses stay.

--- a/entry/response.go
+++ b/entry/response.go
@@ -35,8 +35,18 @@
 	verdict.ReasonStalled:          http.StatusGatewayTimeout,
 }
 
+// statusIfSent maps the reasons of failures that have another HTTP status if the request was
+// sent to an upstream: 429 and 503 tell callers that it has not run.
+var statusIfSent = map[verdict.Reason]int{
+	verdict.ReasonDeadline:  http.StatusGatewayTimeout,
+	verdict.ReasonBadAnswer: http.StatusBadGateway,
+}
+
 // httpStatus returns the HTTP status of a failure.
 func httpStatus(e *verdict.Error) int {
+	if code, ok := statusIfSent[e.Reason]; ok && e.Verdict != verdict.NotRun {
+		return code
+	}
 	if code, ok := statusByReason[e.Reason]; ok {
 		return code
 	}
