--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -11,8 +11,10 @@
 	// Pause stops the VM as long as it is set: the VM neither answers nor
 	// makes progress.
 	Pause bool `json:"pause"`
-	// CrashOn, if not empty, crashes the VM when a prompt contains this text.
-	CrashOn string `json:"crash_on"`
+	// CrashOn, if not empty, crashes the VM when a prompt contains this text, after it has
+	// sent CrashAfter chunks of the answer.
+	CrashOn    string `json:"crash_on"`
+	CrashAfter int    `json:"crash_after"`
 	// SlowFactor, if over 1, multiplies the times that the VM takes to load
 	// weights and to produce tokens.
 	SlowFactor float64 `json:"slow_factor"`
@@ -45,9 +47,9 @@
 	LoseCacheEvery int `json:"lose_cache_every"`
 }
 
-// crashes reports whether a prompt crashes the VM.
-func (f Faults) crashes(prompt string) bool {
-	return f.CrashOn != "" && strings.Contains(prompt, f.CrashOn)
+// crashes reports whether a prompt crashes the VM once it has sent a number of chunks.
+func (f Faults) crashes(prompt string, sent int) bool {
+	return f.CrashOn != "" && sent == f.CrashAfter && strings.Contains(prompt, f.CrashOn)
 }
 
 // isEveryNth reports whether n is a multiple of every; it is false if every is
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -40,7 +40,7 @@
 		return
 	}
 	defer done()
-	if s.Faults.Get().crashes(req.Prompt) {
+	if s.Faults.Get().crashes(req.Prompt, 0) {
 		s.Crash()
 		fault.AbortConnection()
 	}
@@ -141,6 +141,10 @@
 		if err := cw.send(chunk); err != nil {
 			return err
 		}
+		if s.Faults.Get().crashes(req.Prompt, i+1-req.ResumeFrom) {
+			s.Crash()
+			return errCrashed
+		}
 	}
 	if !s.sleep(ctx, 0) {
 		return context.Cause(ctx)
