gateway, poison: A crash in the middle of an answer counts

Cause: a start was taken as the proof that a request is sound. A crash after an event was no evidence (noteFailure), a start cleared the crashes before it, and the rest of a stream was asked for at a second engine without a check (admitParts), which crashed too.

Ruled out: crashes that are not seen, evidence that doesn't reach the other nodes.

Why this works: a part is cleared only by an answer that gets further than the one that was cut off. Bystanders' answers do, and a deadly part's never do. What answers show ranks the suspects, so that what all requests share, and those that only ran beside a deadly request, come after it. Requests with a part that was never in a whole answer run one at a time after its first crash; the rest of a stream waits for its turn too.

Nodes tell each other of a suspect with a single such crash at once, then twice a second, instead of in each message. A cleared part is reported although its crashes are old; without that, each node had to try a part again by itself.

Plain crashes cost more than before by what nodes tell each other of what was cut off.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,7 +142,7 @@
 	a := f.startMovable(ctx, t)
 	e := f.sendAttempt(t)
 	if e != nil {
-		f.noteFailure(t, e, f.events.count)
+		f.noteFailure(t, e, f.events.relayed)
 	}
 	if a != nil {
 		f.endMovable(a, e != nil)
@@ -240,16 +240,16 @@
 		"peers_age_ms", a.PeerLoadAge.Milliseconds(), "last_event", lastEvent, "waited_ms", millisSince(f.arrivedAt), "parts", f.req.SharedParts)...)
 }
 
-// noteFailure draws conclusions about the upstream of a failed try. events is the number
-// of events that were relayed.
-func (f *forwarder) noteFailure(t *try, e *verdict.Error, events int) {
+// noteFailure draws conclusions about the upstream of a failed try. begun says that an event
+// of the answer was relayed, of this try or of an earlier one.
+func (f *forwarder) noteFailure(t *try, e *verdict.Error, begun bool) {
 	if f.node.state.isLeaving(t.assignment.Target.Incarnation()) {
 		// Its process may end with requests in flight; that is no crash.
 		return
 	}
 	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
-	if e.Reason == verdict.ReasonUpstreamLost && events == 0 && t.ctx.Err() == nil {
-		f.countCrash(t.assignment.Target)
+	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil {
+		f.countCrash(t.assignment.Target, begun)
 	}
 }
 
@@ -322,7 +322,7 @@
 	}
 	if t.info.Stream && t.resp.Status < http.StatusMultipleChoices {
 		f.events.overlaps = t.lastEvent != f.events.lastID
-		return f.relayStream(t.resp, t.info, &t.assignment)
+		return f.relayStream(t)
 	}
 	return f.relayComplete(t.resp, t.info, t.assignment.Target, f.lastSend())
 }
@@ -426,7 +426,10 @@
 	if !failed && !a.Signed {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "status %d without a signature", resp.Status)
 	}
-	if !failed {
+	switch {
+	case resp.Status < http.StatusMultipleChoices:
+		f.recordEnd()
+	case !failed:
 		f.recordStart()
 	}
 	return f.writeAnswer(resp.Status, resp.Header, body)
@@ -448,8 +451,8 @@
 }
 
 // relayStream relays a stream event by event.
-func (f *forwarder) relayStream(resp *exchange.Response, a ResponseInfo, assignment *dispatch.Assignment) *verdict.Error {
-	if !a.Signed {
+func (f *forwarder) relayStream(t *try) *verdict.Error {
+	if !t.info.Signed {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBadAnswer, "the stream has no signature")
 	}
 	f.events.discardPending()
@@ -457,17 +460,17 @@
 	f.events.mayRefuseFirst = f.route.Repeatable() && f.attempts < f.route.MaxAttempts && !f.lastSend()
 	buf := make([]byte, streamBufferBytes)
 	for {
-		n, err := resp.Read(buf)
+		n, err := t.resp.Read(buf)
 		if n > 0 {
-			if e := f.relayEvents(resp, buf[:n], assignment); e != nil {
+			if e := f.relayEvents(t.resp, buf[:n], &t.assignment); e != nil {
 				return e
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return f.endStream(resp)
+			return f.endStream(t)
 		}
 		if err != nil {
-			return f.readFailed(assignment.Target, "the stream was cut off", err)
+			return f.readFailed(t.assignment.Target, "the stream was cut off", err)
 		}
 	}
 }
@@ -531,18 +534,24 @@
 
 // endStream ends an answer after the upstream has ended its stream. It fails if the
 // stream is not whole.
-func (f *forwarder) endStream(resp *exchange.Response) *verdict.Error {
-	if err := f.events.checkEnd(resp.Framed()); err != nil {
+func (f *forwarder) endStream(t *try) *verdict.Error {
+	if err := f.events.checkEnd(t.resp.Framed()); err != nil {
 		reason := verdict.ReasonBadAnswer
-		if !resp.Framed() {
+		if !t.resp.Framed() {
 			// The connection has ended, as it does if the upstream crashes.
 			reason = verdict.ReasonUpstreamLost
 		}
 		return verdict.New(verdict.MayHaveRun, reason, "%v", err)
 	}
+	switch {
+	case f.events.relayed && t.lastEvent == "":
+		f.recordEnd()
+	case f.events.relayed:
+		f.recordRest()
+	}
 	if !f.answerStarted {
-		copyHeader(f.w.Header(), resp.Header)
-		f.writeHeader(resp.Status)
+		copyHeader(f.w.Header(), t.resp.Header)
+		f.writeHeader(t.resp.Status)
 	}
 	return nil
 }
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -51,23 +51,22 @@
 	return f.suspectIDs
 }
 
-// countCrash counts a crash caused by the request if the upstream's process has
+// countCrash counts a crash that the request may have caused if the upstream's process has
 // ended. A process that still accepts connections has not crashed; only its answer
-// was lost. Don't call countCrash for a request that has received events: another
-// request of the same batch crashed the upstream.
-func (f *forwarder) countCrash(t fleet.Target) {
+// was lost. begun says that the answer had begun.
+func (f *forwarder) countCrash(t fleet.Target, begun bool) {
 	conn, err := net.DialTimeout("tcp", t.Address, crashProbeTimeout)
 	switch {
 	case err == nil:
-		go f.awaitCrash(t, conn)
+		go f.awaitCrash(t, conn, begun)
 	case errors.Is(err, syscall.ECONNREFUSED):
-		f.recordCrash(t)
+		f.recordCrash(t, begun)
 	}
 }
 
 // awaitCrash records a crash if an upstream that has accepted a connection ends it and
 // then accepts no other one: a process that ends may close its port last.
-func (f *forwarder) awaitCrash(t fleet.Target, conn net.Conn) {
+func (f *forwarder) awaitCrash(t fleet.Target, conn net.Conn, begun bool) {
 	// Errors in setting the deadline and in closing mean that the connection has ended.
 	_ = conn.SetReadDeadline(time.Now().Add(crashWatchTime))
 	n, err := conn.Read(make([]byte, 1))
@@ -81,20 +80,20 @@
 		return
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		f.recordCrash(t)
+		f.recordCrash(t, begun)
 	}
 }
 
 // recordCrash records that the request may have crashed an upstream.
-func (f *forwarder) recordCrash(t fleet.Target) {
+func (f *forwarder) recordCrash(t fleet.Target, begun bool) {
 	now := time.Now()
 	crashes := 0
 	f.node.updateParts(func(table *poison.Table) bool {
-		table.RecordCrash(now, f.suspects(), crashID(t))
+		table.RecordCrash(now, f.suspects(), crashID(t), begun)
 		crashes = table.Crashes(poison.Content(f.fingerprint()))
 		return true
 	})
-	f.node.logger.Warn(decisions.RequestCrashed, f.logFields("upstream", t.ID, "replica", t.Replica, "crashes", crashes, "parts", f.req.SharedParts)...)
+	f.node.logger.Warn(decisions.RequestCrashed, f.logFields("upstream", t.ID, "replica", t.Replica, "crashes", crashes, "begun", begun, "parts", f.req.SharedParts)...)
 }
 
 // crashID returns the identifier of the crash of an upstream. It differs between
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -293,7 +293,7 @@
 		e = f.awaitEvent(t, at)
 	}
 	if e != nil {
-		f.noteFailure(t, e, at.events)
+		f.noteFailure(t, e, at.relayed)
 	}
 	return e
 }
--- a/gateway/parts.go
+++ b/gateway/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	maxTrialWait = 1500 * time.Millisecond
 	// trialPollInterval is how often a waiting request checks whether it may run.
 	trialPollInterval = 20 * time.Millisecond
+	// maxResumeWait is how long a stream that has begun waits instead. It goes on then,
+	// as most of them only ran beside the request that crashed their upstream.
+	maxResumeWait = 600 * time.Millisecond
 	// maxTrialWaiting bounds the requests of a node that wait.
 	maxTrialWaiting = 128
 	// retryAfterTrial is the delay after which a caller may retry a request that was
@@ -44,11 +48,12 @@
 }
 
 // judge returns the evidence against the first convicted part or content among parts, if
-// there is one, and otherwise whether the request may run now.
-func (p *partTable) judge(now time.Time, request string, parts []string) (poison.Evidence, poison.Standing, bool) {
+// there is one, and otherwise whether the request may run now. resumes says that it resumes
+// an answer that was cut off.
+func (p *partTable) judge(now time.Time, request string, parts []string, resumes bool) (poison.Evidence, poison.Standing, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	evidence, convicted, suspected := p.table.Judge(now, parts)
+	evidence, convicted, suspected := p.table.Judge(now, parts, resumes)
 	switch {
 	case convicted:
 		return evidence, poison.Convicted, false
@@ -63,10 +68,17 @@
 func (p *partTable) sound(now time.Time, parts []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, convicted, suspected := p.table.Judge(now, parts)
+	_, convicted, suspected := p.table.Judge(now, parts, false)
 	return !convicted && len(suspected) == 0
 }
 
+// convicted reports whether one of parts is convicted, alone or together with others.
+func (p *partTable) convicted(now time.Time, parts []string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(parts, func(part string) bool { return p.table.Standing(now, part) == poison.Convicted })
+}
+
 // wait adds a waiting request, or reports false if too many wait.
 func (p *partTable) wait() bool {
 	p.mu.Lock()
@@ -129,48 +141,61 @@
 
 // admitParts waits until the request may run if one of its parts is suspected, and
 // refuses it if a part or its content is convicted. Call releaseParts after the attempt.
-// A stream that has begun proves by that that its parts are sound, so it goes on.
+// A stream that has begun waits no longer than maxResumeWait and goes on then, unless one
+// of its parts is convicted.
 func (f *forwarder) admitParts(ctx context.Context) *verdict.Error {
-	if f.events.count > 0 {
-		return nil
-	}
 	e, admitted := f.judgeParts()
 	if e != nil || admitted {
 		return e
 	}
-	defer func() {
-		if e != nil {
-			f.releaseParts()
-		}
-	}()
+	e, admitted = f.awaitTurn(ctx)
+	if e != nil || !admitted {
+		f.releaseParts()
+	}
+	if e == nil && !admitted && (!f.events.relayed || f.node.parts.convicted(time.Now(), f.suspects())) {
+		return refuseSuspect()
+	}
+	return e
+}
+
+// awaitTurn waits until the request, which has a suspected part, may run. It reports false
+// if that takes too long or too many requests wait.
+func (f *forwarder) awaitTurn(ctx context.Context) (*verdict.Error, bool) {
 	if !f.node.parts.wait() {
-		e = refuseSuspect()
-		return e
+		return nil, false
 	}
 	defer f.node.parts.endWait()
 	f.node.count("part.waited")
-	limit := time.NewTimer(min(maxTrialWait, time.Until(f.deadline)))
+	longest := maxTrialWait
+	if f.events.relayed {
+		longest = maxResumeWait
+	}
+	limit := time.NewTimer(min(longest, time.Until(f.deadline)))
 	defer limit.Stop()
 	poll := time.NewTicker(trialPollInterval)
 	defer poll.Stop()
-	for !admitted && e == nil {
+	for {
 		select {
 		case <-ctx.Done():
-			e = f.contextError(ctx, refuseSuspect())
+			return f.contextError(ctx, refuseSuspect()), false
 		case <-limit.C:
-			e = refuseSuspect()
+			return nil, false
 		case <-poll.C:
-			e, admitted = f.judgeParts()
+			if e, admitted := f.judgeParts(); e != nil || admitted {
+				return e, admitted
+			}
 		}
 	}
-	return e
 }
 
 // partsAllowMove reports whether the request may be sent to a second upstream while an
-// attempt runs: nothing is suspected of it, or its answer has begun. It may be called
-// while an attempt of the request runs.
+// attempt runs: nothing is suspected of it, or, if its answer has begun, none of its parts
+// is convicted. It may be called while an attempt of the request runs.
 func (f *forwarder) partsAllowMove() bool {
-	return f.relayed().events > 0 || f.node.parts.sound(time.Now(), f.suspects())
+	if f.relayed().relayed {
+		return !f.node.parts.convicted(time.Now(), f.suspects())
+	}
+	return f.node.parts.sound(time.Now(), f.suspects())
 }
 
 // refuseSuspect returns the refusal of a request with a suspected part.
@@ -180,7 +205,7 @@
 
 // judgeParts reports whether the request may run now, or returns its refusal.
 func (f *forwarder) judgeParts() (*verdict.Error, bool) {
-	evidence, standing, admitted := f.node.parts.judge(time.Now(), f.req.ID, f.suspects())
+	evidence, standing, admitted := f.node.parts.judge(time.Now(), f.req.ID, f.suspects(), f.events.relayed)
 	switch standing {
 	case poison.Convicted:
 		reason, what := verdict.ReasonPartQuarantined, "part "+evidence.Part+" of the prompt"
@@ -208,9 +233,25 @@
 	f.node.updateParts(func(t *poison.Table) bool { return recordStart(t, time.Now(), f.req.ID, f.suspects()) })
 }
 
-// recordStart records that an answer to a request with these parts has begun, which is the
-// outcome that the request's claims are for. It reports whether peers should be told.
+// recordStart records that an answer to a request with these parts has begun. That is the
+// outcome that the request's claims are for, unless its parts are suspected of crashing
+// upstreams later in the answer. It reports whether peers should be told.
 func recordStart(t *poison.Table, now time.Time, request string, parts []string) bool {
-	t.Release(request)
+	if !t.CutsOff(parts) {
+		t.Release(request)
+	}
 	return t.RecordStart(now, parts)
 }
+
+// recordEnd records that one upstream has written the whole answer to the request.
+func (f *forwarder) recordEnd() {
+	f.node.updateParts(func(t *poison.Table) bool { return t.RecordEnd(time.Now(), f.suspects()) })
+}
+
+// recordRest records that an upstream has ended an answer that another one had begun.
+func (f *forwarder) recordRest() {
+	f.node.updateParts(func(t *poison.Table) bool {
+		t.RecordRest(time.Now(), f.suspects())
+		return false
+	})
+}
--- a/gateway/parts_test.go
+++ b/gateway/parts_test.go
@@ -30,12 +30,12 @@
 	})
 
 	It("ends when nothing is suspected of the request any more", func() {
-		_, standing, admitted := p.judge(now, "r", []string{"new"})
+		_, standing, admitted := p.judge(now, "r", []string{"new"}, false)
 		Expect(standing).To(Equal(poison.Suspected))
 		Expect(admitted).To(BeFalse())
 		Expect(p.report(now).Claims).To(HaveLen(1))
 		pass(claimTime)
-		_, standing, admitted = p.judge(now, "r", []string{"new"})
+		_, standing, admitted = p.judge(now, "r", []string{"new"}, false)
 		Expect(standing).To(Equal(poison.Sound))
 		Expect(admitted).To(BeTrue())
 		Expect(p.report(now).Claims).To(BeEmpty())
@@ -43,13 +43,30 @@
 
 	It("ends when its answer has begun", func() {
 		pass(claimTime)
-		p.table.RecordCrash(now, []string{"part"}, 1)
-		p.judge(now, "r", []string{"part"})
+		p.table.RecordCrash(now, []string{"part"}, 1, false)
+		p.judge(now, "r", []string{"part"}, false)
 		pass(claimTime)
-		_, _, admitted := p.judge(now, "r", []string{"part"})
+		_, _, admitted := p.judge(now, "r", []string{"part"}, false)
 		Expect(admitted).To(BeTrue())
 		Expect(p.report(now).Claims).To(HaveLen(1))
 		recordStart(p.table, now, "r", []string{"part"})
 		Expect(p.report(now).Claims).To(BeEmpty())
 	})
+
+	// Guards against several upstreams lost at once to a part that crashes them in the middle
+	// of answers.
+	It("ends with its answer if crashes have cut off answers that had begun", func() {
+		pass(claimTime)
+		p.table.RecordCrash(now, []string{"part"}, 1, true)
+		pass(claimTime)
+		p.table.RecordEnd(now, []string{"other"})
+		p.judge(now, "r", []string{"part"}, false)
+		pass(claimTime)
+		_, _, admitted := p.judge(now, "r", []string{"part"}, false)
+		Expect(admitted).To(BeTrue())
+		recordStart(p.table, now, "r", []string{"part"})
+		Expect(p.report(now).Claims).To(HaveLen(1))
+		p.release("r")
+		Expect(p.report(now).Claims).To(BeEmpty())
+	})
 })
--- a/gossip/table_test.go
+++ b/gossip/table_test.go
@@ -239,7 +239,7 @@
 		s := newSimulation(3, 28)
 		s.runRounds(8)
 		for i, a := range []netip.AddrPort{s.order[0], s.order[len(s.order)-1]} {
-			s.nodes[a].parts.RecordCrash(s.now, []string{"deadly", fmt.Sprint("other", i)}, poison.CrashID(i))
+			s.nodes[a].parts.RecordCrash(s.now, []string{"deadly", fmt.Sprint("other", i)}, poison.CrashID(i), false)
 			s.runRounds(3)
 		}
 		s.runRounds(8)
@@ -249,6 +249,25 @@
 		}
 	})
 
+	// Guards against a deadly part that each node knows of too few crashes of, because they
+	// came in the middle of answers.
+	It("know within eight rounds what crashes upstreams in the middle of answers, by crashes that three of them saw", func() {
+		s := newSimulation(3, 28)
+		s.runRounds(8)
+		for i, a := range []netip.AddrPort{s.order[0], s.order[len(s.order)/2], s.order[len(s.order)-1]} {
+			parts := s.nodes[a].parts
+			parts.RecordCrash(s.now, []string{"deadly", "common", fmt.Sprint("other", i)}, poison.CrashID(i), true)
+			s.runRounds(3)
+			parts.RecordEnd(s.now, []string{"common"})
+		}
+		s.runRounds(8)
+		for _, n := range s.nodes {
+			Expect(n.parts.Standing(s.now, "deadly")).To(Equal(poison.Convicted), n.self.ID)
+			Expect(n.parts.Standing(s.now, "common")).To(Equal(poison.Sound), n.self.ID)
+			Expect(n.parts.Standing(s.now, "other0")).NotTo(Equal(poison.Convicted), n.self.ID)
+		}
+	})
+
 	// Half of the nodes fail at once, the parents of all availability zones among them.
 	It("form a tree again after the nodes between them have failed, and after those have come back", func() {
 		s := newSimulation(3, 28)
--- a/poison/assess.go
+++ b/poison/assess.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// candidate is a suspect with the crashes since its last start that no convicted part
-// explains, and how many of them count.
+// candidate is a suspect with the open crashes that no convicted part explains, and how many
+// of them count.
 type candidate struct {
 	*suspect
 	part  string
@@ -23,7 +23,7 @@
 	t.stale = false
 	var parts, contents []*candidate
 	for part, s := range t.suspects {
-		s.convicted, s.unexplained, s.twins = false, 0, nil
+		s.convicted, s.unexplained, s.needed, s.twins = false, 0, convictCrashesDoubtful, nil
 		c := &candidate{suspect: s, part: part, open: s.open()}
 		c.count = s.count(c.open)
 		if s.content {
@@ -33,6 +33,7 @@
 		}
 	}
 	for {
+		t.weigh(parts)
 		explained := convictLikeliest(parts)
 		if len(explained) == 0 {
 			break
@@ -47,10 +48,60 @@
 		c.unexplained = c.count
 	}
 	for _, c := range contents {
-		c.unexplained, c.convicted = c.count, c.count >= convictCrashes
+		c.needed = t.neededForContent(c)
+		c.unexplained, c.convicted = c.count, c.count >= c.needed
 	}
 }
 
+// weigh sets how many crashes convict each part.
+func (t *Table) weigh(parts []*candidate) {
+	// unproved holds the crashes that a part may explain whose answers were never whole.
+	unproved := map[CrashID]bool{}
+	for _, c := range parts {
+		if c.proof() == startProof {
+			for _, id := range c.open {
+				unproved[id] = true
+			}
+		}
+	}
+	for _, c := range parts {
+		c.needed = t.needed(c, unproved)
+	}
+}
+
+// needed returns how many crashes convict a part. unproved holds the crashes that a part
+// with less proof may explain.
+func (t *Table) needed(c *candidate, unproved map[CrashID]bool) int {
+	if !c.cutsOff() {
+		if c.proof() == noProof {
+			return convictCrashes
+		}
+		return convictCrashesDoubtful
+	}
+	shared := slices.ContainsFunc(c.open, func(id CrashID) bool { return unproved[id] })
+	if t.untold(c) || c.proof() == partProof || c.proof() == wholeProof && shared {
+		return convictCrashesUntold
+	}
+	return convictCrashesDoubtful
+}
+
+// neededForContent returns how many crashes convict a content.
+func (t *Table) neededForContent(c *candidate) int {
+	switch {
+	case !c.cutsOff():
+		return convictCrashes
+	case t.untold(c), c.proof() == partProof:
+		return convictCrashesUntold
+	}
+	return convictCrashesDoubtful
+}
+
+// untold reports whether no answer to any request has ended whole since the first crash of a
+// candidate: a part that all requests share can't be told from a deadly one then.
+func (t *Table) untold(c *candidate) bool {
+	return !slices.ContainsFunc(c.open, func(id CrashID) bool { return t.lastEnd.After(c.crashes[id].at) })
+}
+
 // convictLikeliest convicts the part that explains the most crashes, of those against
 // which the evidence suffices, and its rivals. It returns the crashes that they explain.
 func convictLikeliest(parts []*candidate) []CrashID {
@@ -58,9 +109,9 @@
 	slices.SortFunc(likely, func(a, b *candidate) int { return cmp.Or(a.compare(b), cmp.Compare(a.part, b.part)) })
 	for _, top := range likely {
 		convicted := slices.DeleteFunc(slices.Clone(likely), func(c *candidate) bool { return !top.rivals(c) })
-		need := convictCrashes
-		if len(convicted) > 1 || !top.lastStart.IsZero() {
-			need = convictCrashesDoubtful
+		need := top.needed
+		if len(convicted) > 1 {
+			need = max(need, convictCrashesDoubtful)
 		}
 		if top.count < need {
 			continue
@@ -86,23 +137,23 @@
 	return out
 }
 
-// compare orders candidates: before others those that no answer has begun with, and then
-// those that explain the most crashes. What a deadly part shares with bystanders explains
-// their crashes too, but answers have begun with it.
+// compare orders candidates: before others those with the least proof of being sound, and
+// then those that explain the most crashes. What a deadly part shares with bystanders
+// explains their crashes too, but answers have cleared it.
 func (c *candidate) compare(other *candidate) int {
-	return cmp.Or(cmp.Compare(c.started(), other.started()), cmp.Compare(len(other.open), len(c.open)), c.lastStart.Compare(other.lastStart))
-}
-
-// started returns 1 if an answer has begun with the candidate, and else 0.
-func (c *candidate) started() int {
-	if c.lastStart.IsZero() {
-		return 0
-	}
-	return 1
+	return cmp.Or(cmp.Compare(c.proof(), other.proof()), cmp.Compare(len(other.open), len(c.open)), c.cleared().Compare(other.cleared()))
 }
 
 // rivals reports whether the evidence doesn't tell which of two candidates caused a crash.
-// A candidate is its own rival.
+// A candidate is its own rival. An answer that a crash has cut off may be resumed on the next
+// upstream that the deadly one crashes, so one crash more or less tells nothing of parts that
+// were never in a whole answer.
 func (c *candidate) rivals(other *candidate) bool {
-	return c.compare(other) == 0 && slices.ContainsFunc(c.open, func(id CrashID) bool { return slices.Contains(other.open, id) })
+	if !slices.ContainsFunc(c.open, func(id CrashID) bool { return slices.Contains(other.open, id) }) {
+		return false
+	}
+	if c.proof() == startProof && other.proof() == startProof {
+		return max(len(c.open)-len(other.open), len(other.open)-len(c.open)) <= 1
+	}
+	return c.compare(other) == 0
 }
--- a/poison/table.go
+++ b/poison/table.go
@@ -2,11 +2,12 @@
 // requests, and keeps requests with it from them.
 //
 // A crash of an upstream makes suspects of the content and of each part of the requests
-// that it had not begun to answer. Most of them are bystanders, so counts alone don't
-// convict: an answer that begins clears its content and the parts of its prompt, and a
-// crash counts only against the part that explains the most crashes. Requests with a
-// suspected part run one at a time on all nodes, so that evidence arrives before further
-// upstreams are lost.
+// that it was answering. Most of them are bystanders, so counts alone don't convict. An
+// answer that gets further than the one that a crash cut off clears its content and the
+// parts of its prompt: an answer that begins is enough if the crash came before the first
+// event, and otherwise only an answer that ends whole. A crash counts only against the part
+// that explains the most crashes. Requests with a suspected part run one at a time on all
+// nodes, so that evidence arrives before further upstreams are lost.
 //
 // Nodes exchange their evidence, and each derives the convictions from it. They are not
 // stored, so evidence that arrives late corrects them.
@@ -24,19 +25,18 @@
 	// maxSuspects bounds the suspects of a table. A full one drops dropAtOnce of them.
 	maxSuspects = 256
 	dropAtOnce  = 32
-	// maxStarts bounds the parts whose latest start is remembered.
-	maxStarts = 4096
+	// maxAnswered bounds the parts whose latest answers are remembered.
+	maxAnswered = 4096
 	// maxCrashes bounds the crashes remembered for a suspect; the latest are kept.
 	maxCrashes = 6
 	// convictCrashes is the number of crashes that convict a content, and a part that
 	// no answer has begun with, if no other part explains as many.
-	// convictCrashesDoubtful applies to all other parts.
+	// convictCrashesDoubtful applies to all other parts, and to answers that had begun.
+	// convictCrashesUntold applies if the evidence can't tell a part that crashes
+	// upstreams in the middle of answers from the parts beside it.
 	convictCrashes         = 2
 	convictCrashesDoubtful = 3
-	// trialCrashes is the number of crashes from which requests with a part that
-	// answers have begun with run one at a time. A part without such an answer needs
-	// one.
-	trialCrashes = 2
+	convictCrashesUntold   = 5
 	// minHold is how long a conviction by convictCrashes lasts after the latest
 	// crash. Each further crash makes it holdFactor times as long. A single request
 	// at a time may run after that.
@@ -58,8 +58,12 @@
 	// catchUpTime is how long after its start, or after it stood still, a node may not
 	// know yet what its peers know.
 	catchUpTime = 200 * time.Millisecond
-	// clearedTime is how long a cleared suspect is reported to peers.
-	clearedTime = 5 * time.Second
+	// clearedTime is how long a cleared suspect is reported to peers, and one with weak
+	// evidence. The latter is repeated once each weakInterval, in the reports of
+	// weakWindow, which is longer than the time between two reports.
+	clearedTime  = 5 * time.Second
+	weakInterval = 500 * time.Millisecond
+	weakWindow   = 65 * time.Millisecond
 )
 
 // CrashID identifies a crash of an upstream. It is the same at all nodes.
@@ -91,18 +95,16 @@
 // upstream that crashed.
 type suspect struct {
 	content bool
-	// crashes holds when each crash was seen.
-	crashes map[CrashID]time.Time
-	// lastStart is when an answer to a request with the part last began; zero for
-	// never.
-	lastStart time.Time
+	crashes map[CrashID]crash
+	// answered holds the latest answers to requests with the part.
+	answered answered
 	// touched is when the evidence last changed or a peer last reported less of it.
 	touched time.Time
-	// unexplained is the number of crashes since lastStart that no other convicted part
-	// explains; for a part, crashes within sameOutageTime count once. convicted says
-	// that the suspect explains them.
-	unexplained int
-	convicted   bool
+	// unexplained is the number of open crashes that no other convicted part explains;
+	// for a part, crashes within sameOutageTime count once. needed is the number that
+	// convicts it, and convicted says that the suspect explains them.
+	unexplained, needed int
+	convicted           bool
 	// twins lists the parts that were convicted with this one, because the evidence
 	// does not tell them apart.
 	twins []string
@@ -110,28 +112,100 @@
 	reported Standing
 }
 
+// crash is a crash of an upstream. begun says that the upstream had begun to answer the
+// request with the suspect.
+type crash struct {
+	at    time.Time
+	begun bool
+}
+
+// answered holds when answers to requests with a part last began, were last written whole by
+// one upstream, and were last ended by another one than had begun them; zero for never.
+type answered struct{ start, end, rest time.Time }
+
 // lastCrash returns when the latest crash was seen.
 func (s *suspect) lastCrash() time.Time {
 	var last time.Time
-	for _, at := range s.crashes {
-		if at.After(last) {
-			last = at
+	for _, c := range s.crashes {
+		if c.at.After(last) {
+			last = c.at
 		}
 	}
 	return last
 }
 
-// open returns the crashes since the last start.
+// cutsOff reports whether one of the crashes since the last whole answer cut off an answer
+// that had begun. Answers that only begin prove nothing then.
+func (s *suspect) cutsOff() bool {
+	for _, c := range s.crashes {
+		if c.begun && c.at.After(s.answered.end) {
+			return true
+		}
+	}
+	return false
+}
+
+// cleared returns when an answer last showed that the suspect is sound; zero for never.
+func (s *suspect) cleared() time.Time {
+	if s.cutsOff() {
+		return s.answered.end
+	}
+	return s.answered.start
+}
+
+// proof is how well answers show that a part is sound.
+type proof int
+
+// Proofs, from the least: no answer has ever begun; answers have begun, but none got further
+// than those that crashes cut off; other upstreams could end some of these; or an answer has
+// cleared the part at some time.
+const (
+	noProof proof = iota
+	startProof
+	partProof
+	wholeProof
+)
+
+// proof returns how well answers show that the suspect is sound.
+func (s *suspect) proof() proof {
+	switch {
+	case !s.cleared().IsZero():
+		return wholeProof
+	case !s.answered.rest.IsZero():
+		return partProof
+	case s.cutsOff():
+		return startProof
+	}
+	return noProof
+}
+
+// open returns the crashes since the suspect was last cleared.
 func (s *suspect) open() []CrashID {
 	var out []CrashID
-	for id, at := range s.crashes {
-		if at.After(s.lastStart) {
+	cleared := s.cleared()
+	for id, c := range s.crashes {
+		if c.at.After(cleared) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
+// weak reports whether there is little evidence against the suspect: at most one crash that
+// cut off an answer. Such a crash makes suspects of all that its upstream ran, and most of
+// them are never heard of again.
+func (s *suspect) weak() bool {
+	if s.unexplained > 1 {
+		return false
+	}
+	for _, c := range s.crashes {
+		if c.begun {
+			return true
+		}
+	}
+	return false
+}
+
 // lifetime returns how long after the latest crash the suspect is kept.
 func (s *suspect) lifetime() time.Duration {
 	if s.convicted {
@@ -140,10 +214,15 @@
 	return suspicionTime
 }
 
-// hold returns how long after the latest crash the conviction lasts.
+// hold returns how long after the latest crash the conviction lasts. One that took more
+// crashes, because they tell little, lasts no longer.
 func (s *suspect) hold() time.Duration {
+	base := convictCrashes
+	if s.needed == convictCrashesUntold {
+		base = convictCrashesUntold
+	}
 	hold := minHold
-	for range s.count(s.open()) - convictCrashes {
+	for range s.count(s.open()) - base {
 		hold *= holdFactor
 	}
 	return hold
@@ -157,7 +236,7 @@
 	}
 	seen := make([]time.Time, 0, len(crashes))
 	for _, id := range crashes {
-		seen = append(seen, s.crashes[id])
+		seen = append(seen, s.crashes[id].at)
 	}
 	slices.SortFunc(seen, time.Time.Compare)
 	n := 0
@@ -175,12 +254,15 @@
 type Table struct {
 	node     string
 	suspects map[string]*suspect
-	// starts holds when an answer last began, by part; order lists the parts, the one
-	// added first at its start.
-	starts map[string]time.Time
-	order  []string
-	claims map[claimKey]*claim
-	stale  bool
+	// answered holds the latest answers, by part; order lists the parts, the one added
+	// first at its start. lastEnd is when any answer last ended whole.
+	answered map[string]answered
+	order    []string
+	lastEnd  time.Time
+	// lastCutOff is when the latest crash was seen that cut off an answer.
+	lastCutOff time.Time
+	claims     map[claimKey]*claim
+	stale      bool
 	// lastReport is when Report was last called; resumed is when it was called first
 	// or for the first time after standstill.
 	lastReport, resumed time.Time
@@ -190,48 +272,90 @@
 
 // NewTable returns an empty table of a node.
 func NewTable(node string) *Table {
-	return &Table{node: node, suspects: map[string]*suspect{}, starts: map[string]time.Time{}, claims: map[claimKey]*claim{}}
+	return &Table{node: node, suspects: map[string]*suspect{}, answered: map[string]answered{}, claims: map[claimKey]*claim{}}
 }
 
 // RecordStart records that an upstream has begun to answer a request with these parts,
 // and reports whether one of them was suspected or convicted.
 func (t *Table) RecordStart(now time.Time, parts []string) bool {
-	cleared := false
+	return t.recordAnswer(now, parts, func(a *answered) { a.start = now })
+}
+
+// RecordEnd records that one upstream has written the whole answer to a request with these
+// parts, and reports whether one of them was suspected or convicted.
+func (t *Table) RecordEnd(now time.Time, parts []string) bool {
+	t.noteEnd(now)
+	return t.recordAnswer(now, parts, func(a *answered) { a.start, a.end = now, now })
+}
+
+// RecordRest records that an upstream has ended an answer to a request with these parts which
+// others had begun. That clears no part, as the beginning may crash upstreams, but makes it
+// less likely that one does.
+func (t *Table) RecordRest(now time.Time, parts []string) {
+	t.recordAnswer(now, parts, func(a *answered) { a.rest = now })
+}
+
+// noteEnd records that an answer has ended whole at a time.
+func (t *Table) noteEnd(at time.Time) {
+	if at.After(t.lastEnd) {
+		// The first end after a crash counts in untold.
+		t.stale = t.stale || t.lastCutOff.After(t.lastEnd)
+		t.lastEnd = at
+	}
+}
+
+// recordAnswer applies a change to what is known of the answers with each of these parts.
+func (t *Table) recordAnswer(now time.Time, parts []string, change func(*answered)) bool {
+	clears := false
 	for _, part := range parts {
 		if !IsContent(part) {
-			t.remember(part, now)
+			t.remember(part, change)
 		}
 		s, ok := t.suspects[part]
 		if !ok {
 			continue
 		}
-		cleared = cleared || t.Standing(now, part) != Sound
-		s.lastStart, s.touched = now, now
-		t.stale = true
+		clears = clears || t.Standing(now, part) != Sound
+		before, proved := len(s.open()), s.proof()
+		change(&s.answered)
+		if len(s.open()) != before || s.proof() != proved {
+			s.touched, t.stale = now, true
+		}
 	}
-	return cleared
+	return clears
 }
 
-// remember records the latest start of a part.
-func (t *Table) remember(part string, now time.Time) {
-	if _, known := t.starts[part]; !known {
+// remember applies a change to the latest answers with a part.
+func (t *Table) remember(part string, change func(*answered)) {
+	a, known := t.answered[part]
+	if !known {
 		t.order = append(t.order, part)
 	}
-	t.starts[part] = now
-	if len(t.order) > maxStarts {
-		delete(t.starts, t.order[0])
+	change(&a)
+	t.answered[part] = a
+	if len(t.order) > maxAnswered {
+		delete(t.answered, t.order[0])
 		t.order = t.order[1:]
 	}
 }
 
-// RecordCrash records that an upstream crashed which had not begun to answer a request
-// with these parts and content.
-func (t *Table) RecordCrash(now time.Time, parts []string, crash CrashID) {
+// RecordCrash records that an upstream crashed while it was to answer a request with these
+// parts and content. begun says whether the answer had begun.
+func (t *Table) RecordCrash(now time.Time, parts []string, id CrashID, begun bool) {
 	for _, part := range parts {
-		t.addCrash(now, t.suspect(now, part), crash, now)
+		t.addCrash(now, t.suspect(now, part), id, crash{at: now, begun: begun})
 	}
 }
 
+// CutsOff reports whether one of these parts is suspected of crashing upstreams after their
+// answers have begun.
+func (t *Table) CutsOff(parts []string) bool {
+	return slices.ContainsFunc(parts, func(part string) bool {
+		s, ok := t.suspects[part]
+		return ok && s.cutsOff()
+	})
+}
+
 // suspect returns the suspect with a part and adds it if there is none. One whose
 // lifetime is over is replaced, so that its crashes don't count together with later ones.
 func (t *Table) suspect(now time.Time, part string) *suspect {
@@ -242,7 +366,7 @@
 	if !ok {
 		t.makeRoom(now)
 	}
-	s = &suspect{content: IsContent(part), crashes: map[CrashID]time.Time{}, lastStart: t.starts[part], touched: now}
+	s = &suspect{content: IsContent(part), crashes: map[CrashID]crash{}, answered: t.answered[part], touched: now}
 	t.suspects[part] = s
 	return s
 }
@@ -253,21 +377,28 @@
 	return len(s.crashes) > 0 && now.Sub(s.lastCrash()) > s.lifetime()
 }
 
-// addCrash adds a crash that was seen at a time.
-func (t *Table) addCrash(now time.Time, s *suspect, crash CrashID, seen time.Time) bool {
-	if _, known := s.crashes[crash]; known {
+// addCrash adds a crash and reports whether it is news.
+func (t *Table) addCrash(now time.Time, s *suspect, id CrashID, c crash) bool {
+	known, ok := s.crashes[id]
+	if ok && (known.begun || !c.begun) {
 		return false
 	}
-	s.crashes[crash] = seen
+	if ok {
+		c.at = known.at
+	}
+	s.crashes[id] = c
 	if len(s.crashes) > maxCrashes {
-		oldest := crash
-		for id, at := range s.crashes {
-			if at.Before(s.crashes[oldest]) {
-				oldest = id
+		oldest := id
+		for other, c := range s.crashes {
+			if c.at.Before(s.crashes[oldest].at) {
+				oldest = other
 			}
 		}
 		delete(s.crashes, oldest)
 	}
+	if c.begun && c.at.After(t.lastCutOff) {
+		t.lastCutOff = c.at
+	}
 	s.touched, t.stale = now, true
 	return true
 }
@@ -295,19 +426,19 @@
 }
 
 // compareStrength orders suspects: those with the most crashes first, then parts that no
-// answer has begun with, other parts and contents, then those touched last.
+// answer has cleared, other parts and contents, then those touched last.
 func (t *Table) compareStrength(a, b string) int {
 	x, y := t.suspects[a], t.suspects[b]
 	return cmp.Or(cmp.Compare(y.unexplained, x.unexplained), cmp.Compare(x.kind(), y.kind()), y.touched.Compare(x.touched), cmp.Compare(a, b))
 }
 
-// kind returns 0 for a part that no answer has begun with, 1 for another part and 2 for a
+// kind returns 0 for a part that no answer has ever cleared, 1 for another part and 2 for a
 // content.
 func (s *suspect) kind() int {
 	switch {
 	case s.content:
 		return 2
-	case s.lastStart.IsZero():
+	case s.proof() <= startProof:
 		return 0
 	}
 	return 1
@@ -327,12 +458,22 @@
 		return Convicted
 	case s.convicted:
 		return Suspected
-	case !s.content && (s.lastStart.IsZero() || s.unexplained >= trialCrashes):
+	case !s.content && s.unexplained >= t.trialCrashes(s):
 		return Suspected
 	}
 	return Sound
 }
 
+// trialCrashes returns the number of crashes from which requests with a part run one at a
+// time: a part that no answer has cleared needs one, if evidence can tell it from the parts
+// beside it.
+func (t *Table) trialCrashes(s *suspect) int {
+	if s.proof() <= startProof && s.needed < convictCrashesUntold {
+		return 1
+	}
+	return max(convictCrashes, s.needed-1)
+}
+
 // Evidence describes the evidence against a part, for logs.
 type Evidence struct {
 	Part    string
@@ -345,8 +486,10 @@
 // is, and otherwise the parts that are suspected. A part that was convicted with others is
 // only suspected in a request without one of these: its outcome tells them apart. While
 // the peers may know more than this node, the suspected parts include each one that no
-// answer is known to have begun with.
-func (t *Table) Judge(now time.Time, parts []string) (Evidence, bool, []string) {
+// answer is known to have begun with. If the request resumes an answer that was cut off, as
+// resumes says, they include each one that a crash has cut off an answer with and that was
+// never in a whole one.
+func (t *Table) Judge(now time.Time, parts []string, resumes bool) (Evidence, bool, []string) {
 	var suspected []string
 	behind := t.behind(now)
 	for _, part := range parts {
@@ -359,7 +502,7 @@
 		case Suspected:
 			suspected = append(suspected, part)
 		case Sound:
-			if behind && !IsContent(part) && t.starts[part].IsZero() {
+			if !IsContent(part) && (behind && t.answered[part].start.IsZero() || resumes && t.uncleared(now, part)) {
 				suspected = append(suspected, part)
 			}
 		}
@@ -367,6 +510,13 @@
 	return Evidence{}, false, suspected
 }
 
+// uncleared reports whether a part has been in an answer that a crash cut off and in no
+// whole one.
+func (t *Table) uncleared(now time.Time, part string) bool {
+	s, ok := t.suspects[part]
+	return ok && s.cutsOff() && s.proof() == startProof && s.unexplained > 0 && !t.expired(now, s)
+}
+
 // tellsApart reports whether the outcome of a request with these parts would tell one of
 // them apart from a part that was convicted with it.
 func (t *Table) tellsApart(parts []string, part string) bool {
@@ -396,8 +546,7 @@
 	return Evidence{Part: part, Crashes: s.unexplained, Age: now.Sub(s.lastCrash())}
 }
 
-// Crashes returns the number of crashes since the last start that are known of a part or
-// content.
+// Crashes returns the number of open crashes that are known of a part or content.
 func (t *Table) Crashes(part string) int {
 	if s, ok := t.suspects[part]; ok {
 		return len(s.open())
--- a/poison/table_test.go
+++ b/poison/table_test.go
@@ -25,7 +25,7 @@
 func (b *bench) crash(requests ...[]string) {
 	b.crashes++
 	for _, parts := range requests {
-		b.RecordCrash(b.now, parts, b.crashes)
+		b.RecordCrash(b.now, parts, b.crashes, false)
 	}
 	b.now = b.now.Add(time.Second)
 }
@@ -106,15 +106,15 @@
 			b.crash([]string{"common", "deadly"})
 		}
 		Expect(b.standing("common")).To(Equal(Convicted))
-		_, convicted, _ := b.Judge(b.now, []string{"common", "deadly", Content("1")})
+		_, convicted, _ := b.Judge(b.now, []string{"common", "deadly", Content("1")}, false)
 		Expect(convicted).To(BeTrue())
-		_, convicted, suspected := b.Judge(b.now, []string{"common", "friend", Content("2")})
+		_, convicted, suspected := b.Judge(b.now, []string{"common", "friend", Content("2")}, false)
 		Expect(convicted).To(BeFalse())
 		Expect(suspected).To(ConsistOf("common"))
 		b.start("common", "friend")
 		Expect(b.standing("common")).To(Equal(Sound))
 		Expect(b.standing("deadly")).To(Equal(Convicted))
-		_, convicted, _ = b.Judge(b.now, []string{"common", "deadly", Content("3")})
+		_, convicted, _ = b.Judge(b.now, []string{"common", "deadly", Content("3")}, false)
 		Expect(convicted).To(BeTrue())
 	})
 
@@ -125,9 +125,9 @@
 		at := b.now
 		for i, after := range []time.Duration{0, 80, 240, 320} {
 			b.now = at.Add(after * time.Millisecond)
-			b.RecordCrash(b.now, []string{"deadly"}, CrashID(i))
+			b.RecordCrash(b.now, []string{"deadly"}, CrashID(i), false)
 			if i%2 == 0 {
-				b.RecordCrash(b.now, []string{"bystander"}, CrashID(i))
+				b.RecordCrash(b.now, []string{"bystander"}, CrashID(i), false)
 			}
 			if i >= 2 {
 				Expect(b.standing("deadly")).To(Equal(Convicted))
@@ -168,7 +168,7 @@
 			for i := range 6 {
 				b.start("common")
 				parts := []string{"common", "deadly", Content(fmt.Sprint(burst, i))}
-				if _, convicted, _ := b.Judge(b.now, parts); !convicted {
+				if _, convicted, _ := b.Judge(b.now, parts, false); !convicted {
 					b.crash(parts)
 				}
 			}
@@ -198,7 +198,7 @@
 	It("convicts nothing if many upstreams end at once", func() {
 		b := newBench("n")
 		for i := range 6 {
-			b.RecordCrash(b.now.Add(time.Duration(i)*sameOutageTime/6), []string{"common", "rare"}, CrashID(i))
+			b.RecordCrash(b.now.Add(time.Duration(i)*sameOutageTime/6), []string{"common", "rare"}, CrashID(i), false)
 		}
 		b.now = b.now.Add(2 * time.Second)
 		Expect(b.standing("common")).To(Equal(Suspected))
@@ -267,7 +267,7 @@
 		a.crash([]string{"common", "deadly"})
 		a.start("common")
 		b.now = a.now
-		b.RecordCrash(b.now, []string{"common", "deadly"}, 77)
+		b.RecordCrash(b.now, []string{"common", "deadly"}, 77, false)
 		b.start("common")
 		a.send(b)
 		Expect(b.standing("deadly")).To(Equal(Convicted))
@@ -279,9 +279,9 @@
 
 	It("counts a crash that two nodes saw once", func() {
 		a, b := newBench("a"), newBench("b")
-		a.RecordCrash(a.now, []string{"rare"}, 5)
+		a.RecordCrash(a.now, []string{"rare"}, 5, false)
 		b.now = b.now.Add(300 * time.Millisecond)
-		b.RecordCrash(b.now, []string{"rare"}, 5)
+		b.RecordCrash(b.now, []string{"rare"}, 5, false)
 		a.send(b)
 		b.send(a)
 		Expect(a.Crashes("rare")).To(Equal(1))
@@ -359,7 +359,7 @@
 // a request with a part that its peers knew to be deadly.
 var _ = Describe("A node that stood still or just started", func() {
 	judge := func(b *bench, part string) []string {
-		_, convicted, suspected := b.Judge(b.now, []string{part, Content("x")})
+		_, convicted, suspected := b.Judge(b.now, []string{part, Content("x")}, false)
 		Expect(convicted).To(BeFalse())
 		return suspected
 	}
@@ -393,18 +393,18 @@
 		b.crash([]string{"deadly"})
 		b.crash([]string{"deadly"})
 		for i := range 4 * maxSuspects {
-			b.RecordCrash(b.now, []string{strings.Repeat("f", maxIDBytes-6) + fmt.Sprint(i), Content(fmt.Sprint(i))}, CrashID(1<<60+i))
+			b.RecordCrash(b.now, []string{strings.Repeat("f", maxIDBytes-6) + fmt.Sprint(i), Content(fmt.Sprint(i))}, CrashID(1<<60+i), false)
 			b.start(fmt.Sprint("s", i))
 		}
 		Expect(len(b.suspects)).To(BeNumerically("<=", maxSuspects))
 		Expect(b.Dropped).To(BeNumerically(">", 0))
 		Expect(b.standing("deadly")).To(Equal(Convicted))
-		for i := range 2 * maxStarts {
+		for i := range 2 * maxAnswered {
 			b.start(fmt.Sprint("s", i))
 		}
-		Expect(len(b.starts)).To(BeNumerically("<=", maxStarts))
+		Expect(len(b.answered)).To(BeNumerically("<=", maxAnswered))
 		r := b.Report(b.now)
-		Expect(r.Suspects).To(HaveLen(maxReported))
+		Expect(len(r.Suspects)).To(And(BeNumerically(">=", 16), BeNumerically("<=", maxReported)))
 		Expect(r.Suspects[0].Part).To(Equal("deadly"))
 	})
 
@@ -412,28 +412,57 @@
 	// bystanders of its crash came after it.
 	It("leave a part that no answer began with in the report", func() {
 		b := newBench("n")
-		b.RecordCrash(b.now, []string{"deadly"}, 1)
+		b.RecordCrash(b.now, []string{"deadly"}, 1, false)
 		for i := range 3 * maxReported {
 			part := fmt.Sprint("common", i)
 			b.start(part)
-			b.RecordCrash(b.now, []string{part, Content(part)}, 1)
+			b.RecordCrash(b.now, []string{part, Content(part)}, 1, false)
 		}
 		Expect(b.Report(b.now).Suspects[0].Part).To(Equal("deadly"))
 	})
 
+	// Guards against a deadly part that peers don't hear of, because all that ran beside it was
+	// new to them too.
+	It("leave room in the report for what one crash makes suspects of", func() {
+		b := newBench("n")
+		for i := range 30 {
+			b.RecordCrash(b.now, []string{fmt.Sprintf("%012d", i)}, 1<<60, true)
+		}
+		Expect(b.Report(b.now).Suspects).To(HaveLen(30))
+	})
+
+	// Guards against messages that carry all that a crash cut off for half a minute.
+	It("leave out of most reports what a single crash cut off", func() {
+		b := newBench("n")
+		b.cutOff([]string{"common", "friend"})
+		b.cutOff([]string{"common"})
+		reported := map[string]int{}
+		for range 100 {
+			b.now = b.now.Add(60 * time.Millisecond)
+			for _, s := range b.Report(b.now).Suspects {
+				reported[s.Part]++
+			}
+		}
+		Expect(reported["common"]).To(Equal(100))
+		Expect(reported["friend"]).To(And(BeNumerically(">=", 6), BeNumerically("<=", 16)))
+	})
+
 	It("keep a report within its size", func() {
 		b := newBench("n")
 		id := func(i int) string { return fmt.Sprint(i) + strings.Repeat("f", maxIDBytes-3) }
 		for i := 100; i < 140; i++ {
 			for c := range 2 * maxCrashes {
-				b.RecordCrash(b.now.Add(time.Duration(c)*time.Second), []string{id(i)}, CrashID(1<<63)+CrashID(i*100+c))
+				b.RecordCrash(b.now.Add(time.Duration(c)*time.Second), []string{id(i)}, CrashID(1<<63)+CrashID(i*100+c), true)
 			}
+			b.RecordEnd(b.now.Add(-24*time.Hour), []string{id(i)})
+			b.RecordRest(b.now.Add(-24*time.Hour), []string{id(i)})
 			for n := 100; n < 110; n++ {
 				b.Merge(b.now, Findings{Claims: []ClaimReport{{Part: id(i), Node: id(n), Running: true}}})
 			}
 		}
 		data, err := json.Marshal(b.Report(b.now))
 		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("bytes", len(data))
 		Expect(len(data)).To(BeNumerically("<=", 9<<10))
 	})
 })
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"path"
 	"strconv"
 	"strings"
 	"sync"
@@ -148,6 +149,8 @@
 	if a.kind == streamKind {
 		req.Header.Set("X-Tamarackcleat-Model", "m")
 		req.Header.Set("X-Tamarackcleat-Token-Count", "200,50")
+		// Crashes make suspects of the parts that prompts share.
+		req.Header.Set("X-Tamarackcleat-Prefix-Hash", fmt.Sprintf("aa11:100,%x:50,%x:50", path.Base(a.path), a.id))
 	}
 	timeout := deadline(a.kind) + deadlineSlack
 	if a.leaveAfter > 0 {
