poison: Two deadly parts that shared a crash are convicted one by one

Requests with two of the parts had run on one engine as it crashed; the parts were then convicted together, and each was tried again about once a second, because a request with it lacks the other.

Parts whose answers were never whole are now convicted together only if they share two crashes or all of them, differ by one at most, and have fewer than five.

--- a/poison/assess.go
+++ b/poison/assess.go
@@ -147,13 +147,17 @@
 // rivals reports whether the evidence doesn't tell which of two candidates caused a crash.
 // A candidate is its own rival. An answer that a crash has cut off may be resumed on the next
 // upstream that the deadly one crashes, so one crash more or less tells nothing of parts that
-// were never in a whole answer.
+// were never in a whole answer and share others, until there are many.
 func (c *candidate) rivals(other *candidate) bool {
-	if !slices.ContainsFunc(c.open, func(id CrashID) bool { return slices.Contains(other.open, id) }) {
-		return false
+	shared := 0
+	for _, id := range c.open {
+		if slices.Contains(other.open, id) {
+			shared++
+		}
 	}
-	if c.proof() == startProof && other.proof() == startProof {
-		return max(len(c.open)-len(other.open), len(other.open)-len(c.open)) <= 1
+	if c.proof() != startProof || other.proof() != startProof {
+		return c.compare(other) == 0 && shared > 0
 	}
-	return c.compare(other) == 0
+	fewer, more := min(len(c.open), len(other.open)), max(len(c.open), len(other.open))
+	return shared == more || shared > 1 && more-fewer <= 1 && more < convictCrashesUntold
 }
--- a/poison/cutoff_test.go
+++ b/poison/cutoff_test.go
@@ -109,6 +109,30 @@
 		Expect(b.standing("deadly")).To(Equal(Convicted))
 	})
 
+	// Guards against trials without an end of two deadly parts that shared a crash.
+	It("is convicted beside another one that it shares crashes with", func() {
+		for shared := range 3 {
+			b := newBench("n")
+			b.end("common")
+			for range shared {
+				b.cutOff([]string{"common", "one"}, []string{"common", "two"})
+				b.end("common")
+			}
+			for range convictCrashesUntold - shared {
+				for _, part := range []string{"one", "two"} {
+					if _, convicted, _ := b.Judge(b.now, []string{"common", part}, false); !convicted {
+						b.cutOff([]string{"common", part})
+						b.end("common")
+					}
+				}
+			}
+			for _, part := range []string{"one", "two"} {
+				_, convicted, _ := b.Judge(b.now, []string{"common", part}, false)
+				Expect(convicted).To(BeTrue(), "%s, %d shared", part, shared)
+			}
+		}
+	})
+
 	It("is convicted alone once it has crashed two upstreams more than a bystander's", func() {
 		b := newBench("n")
 		b.end("common")
