--- a/poison/report.go
+++ b/poison/report.go
@@ -73,7 +73,7 @@
 func (t *Table) Report(now time.Time) Findings {
 	t.recordReport(now)
 	t.assess()
-	parts := slices.DeleteFunc(slices.Collect(maps.Keys(t.suspects)), func(part string) bool { return !t.reports(now, t.suspects[part]) })
+	parts := slices.DeleteFunc(slices.Collect(maps.Keys(t.suspects)), func(part string) bool { return !t.isReported(now, t.suspects[part]) })
 	slices.SortFunc(parts, t.compareStrength)
 	r := Findings{Claims: t.claimReports(now)}
 	size := 0
@@ -95,8 +95,8 @@
 	return r
 }
 
-// reports reports whether peers are told of a suspect now.
-func (t *Table) reports(now time.Time, s *suspect) bool {
+// isReported reports whether peers are told of a suspect now.
+func (t *Table) isReported(now time.Time, s *suspect) bool {
 	switch age := now.Sub(s.touched); {
 	case s.weak():
 		return age <= clearedTime && age%weakInterval <= weakWindow
