platform, gateway: The log's era and the copy's offset are logged

log.era says that a response shows a later era, log.eras counts that, and log.read_failed has the offset from which the node reads on. No logic changes.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -70,6 +70,7 @@
 	PeerReceiveFailed     = "peer.receive_failed"
 	PeerEncode            = "peer.encode"
 	LogReadFailed         = "log.read_failed"
+	LogEra                = "log.era"
 	StreamReadPartly      = "stream.read_partly"
 	StreamStart           = "upstream.stream_start"
 	StreamTruncated       = "stream.truncated"
@@ -161,6 +162,7 @@
 		{PeerReceiveFailed, "Receiving on the socket for peers' messages failed."},
 		{PeerEncode, "This node's registration record could not be encoded."},
 		{LogReadFailed, "A read of a stream of the log failed; the node will retry it."},
+		{LogEra, "A response of the log shows a later era than those before it: both eras. From the second such line of a process on, the log was restored from a backup and has lost its latest records."},
 		{StreamStart, "A stream began with another event than the first stream of its service, and its second event confirmed that: both ids, number of such streams. While there are few, a stream that begins elsewhere is refused if the request can be sent once more."},
 		{StreamReadPartly, "A read of a stream did not reach its end, because a response of the log is limited; it proves nothing about the newest records, and the next read follows at once."},
 		{StreamTruncated, "The log no longer holds the offset from which this node reads a stream; the node reads the newest record of each key instead."},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -119,10 +119,17 @@
 	return keyed.MaxRetryDelay * time.Duration(max(1, n.peers.LiveCount()/retryNodes))
 }
 
+// RecordEra logs and counts that the log shows a later era; before is 0 if it showed none.
+func (n *Node) RecordEra(era, before int64) {
+	n.count("log.eras")
+	n.logger.Info(decisions.LogEra, "era", era, "before", before)
+}
+
 // readFailed logs and counts a failed read of a stream.
 func (n *Node) readFailed(f followedStream, err error) {
 	n.count("log.read_failed")
-	n.logger.Warn(decisions.LogReadFailed, "stream", f.stream.Name, "age_ms", f.stream.Staleness().Milliseconds(), "error", err)
+	next, _ := f.stream.Next()
+	n.logger.Warn(decisions.LogReadFailed, "stream", f.stream.Name, "next", next, "age_ms", f.stream.Staleness().Milliseconds(), "error", err)
 	if f.failed != nil {
 		f.failed()
 	}
