keyed, relay, platform: Positions in the log belong to an era

Cause: a store that is restored from a backup loses its latest records and gives their offsets out again. The nodes took an offset as unique.

Evidence: log.era era=2 on three nodes, then request.refused reason=no_route with config_age_ms under 300, without a failed read of the configuration's stream. Reads that are behind end by themselves and show no era; a peer's copy can't explain nodes that poll no peer; no record was deleted (no stream.truncated).

A position is an era and an offset. Nodes tell each other the era when they poll, so one that is behind reads the log at once. A lower end in the same era is refused as before: it may be a read that is behind. A log without the header has era 0 and is read as before.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -72,6 +72,7 @@
 	LogReadFailed         = "log.read_failed"
 	LogEra                = "log.era"
 	StreamReadPartly      = "stream.read_partly"
+	StreamRestored        = "stream.restored"
 	StreamStart           = "upstream.stream_start"
 	StreamTruncated       = "stream.truncated"
 	StreamSource          = "stream.source"
@@ -166,6 +167,7 @@
 		{StreamStart, "A stream began with another event than the first stream of its service, and its second event confirmed that: both ids, number of such streams. While there are few, a stream that begins elsewhere is refused if the request can be sent once more."},
 		{StreamReadPartly, "A read of a stream did not reach its end, because a response of the log is limited; it proves nothing about the newest records, and the next read follows at once."},
 		{StreamTruncated, "The log no longer holds the offset from which this node reads a stream; the node reads the newest record of each key instead."},
+		{StreamRestored, "The log was restored from a backup, and the node's copy of a stream now goes on from the restored one: both eras, and the offsets at which the copies end. What the node has in force stays until the log has something newer."},
 		{StreamSource, "This node now polls another peer for the streams of the log, or reads the log itself."},
 		{StreamSourceLost, "The peer that this node polls for the streams does not respond; the node reads the log until a peer responds."},
 		{RelayFailed, "This node can't serve peers' polls for the streams; the peers read the log themselves."},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -129,7 +129,7 @@
 func (n *Node) readFailed(f followedStream, err error) {
 	n.count("log.read_failed")
 	next, _ := f.stream.Next()
-	n.logger.Warn(decisions.LogReadFailed, "stream", f.stream.Name, "next", next, "age_ms", f.stream.Staleness().Milliseconds(), "error", err)
+	n.logger.Warn(decisions.LogReadFailed, "stream", f.stream.Name, "next", next.Offset, "era", next.Era, "age_ms", f.stream.Staleness().Milliseconds(), "error", err)
 	if f.failed != nil {
 		f.failed()
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -198,8 +198,8 @@
 // awayLog is a log that can't be reached.
 type awayLog struct{}
 
-func (awayLog) Newest(context.Context, string) ([]keyed.Record, int64, error) {
-	return nil, 0, errors.New("away")
+func (awayLog) Newest(context.Context, string) (keyed.Page, error) {
+	return keyed.Page{}, errors.New("away")
 }
 
 func (awayLog) Read(context.Context, string, int64, time.Duration) (keyed.Page, error) {
--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -25,6 +26,9 @@
 	// relayCheckInterval is the time between two checks whether a stream still
 	// comes from a peer.
 	relayCheckInterval = 100 * time.Millisecond
+	// maxRestoredDelay bounds the random delay before the first read of a restored log, of
+	// which all nodes hear at about the same time.
+	maxRestoredDelay = 200 * time.Millisecond
 )
 
 // Follower keeps a Stream up to date by reading it from the log.
@@ -66,15 +70,18 @@
 		if initialized && !truncated {
 			hasRecords, more, err = f.readFrom(ctx, next)
 		} else {
-			hasRecords, err = f.readSnapshot(ctx)
+			hasRecords, err = f.readSnapshot(ctx, next)
 		}
 		switch {
 		case errors.Is(err, ErrTruncated):
-			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream.Name, "from", next)
+			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream.Name, "from", next.Offset, "era", next.Era)
 			truncated = true
 		case err != nil && ctx.Err() == nil:
 			f.OnError(err)
 			Sleep(ctx, retryDelays.NextBackOff())
+		case errors.Is(err, errRestored):
+			truncated = false
+			Sleep(ctx, rand.N(maxRestoredDelay))
 		case err == nil:
 			f.resetBackoff(retryDelays)
 			truncated = false
@@ -100,44 +107,57 @@
 // local copy, which a peer may have advanced meanwhile.
 var errStale = errors.New("the log returned older records than the local copy has")
 
-// readSnapshot replaces the local copy by the newest record of each key and reports
-// whether there is one.
-func (f *Follower) readSnapshot(ctx context.Context) (bool, error) {
+// errRestored is returned if the log answered in a later era than that of the local copy.
+var errRestored = errors.New("the log was restored from a backup")
+
+// readSnapshot replaces the local copy, which ends at a position, by the newest record of
+// each key and reports whether there is one.
+func (f *Follower) readSnapshot(ctx context.Context, before Position) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readTimeoutMargin)
 	defer cancel()
 	sentAt := bootclock.Now()
-	records, next, err := f.Log.Newest(ctx, f.Stream.Name)
+	page, err := f.Log.Newest(ctx, f.Stream.Name)
 	if err != nil {
 		return false, err
 	}
-	if !f.Stream.Apply(Batch{Records: records, Snapshot: true, Next: next, SentAt: sentAt}) {
-		return false, errors.Wrapf(errStale, "log ends at offset %d", next)
+	if !f.Stream.Apply(Batch{Era: page.Era, Records: page.Records, Snapshot: true, Next: page.Next, SentAt: sentAt}) {
+		return false, errors.Wrapf(errStale, "log ends at offset %d of era %d", page.Next, page.Era)
+	}
+	if before.Era != page.Era && before != (Position{}) {
+		f.Logger.Warn(decisions.StreamRestored, "stream", f.Stream.Name, "era", page.Era, "next", page.Next, "before_era", before.Era, "before_next", before.Offset)
 	}
-	return len(records) > 0, nil
+	return len(page.Records) > 0, nil
 }
 
 // errNoProgress is returned if the log returned none of the records that it says are there.
 var errNoProgress = errors.New("the log returned no records although the stream does not end there")
 
-// readFrom reads and applies the records from an offset. It reports whether there were
+// readFrom reads and applies the records from a position. It reports whether there were
 // records, and whether the stream has more of them.
-func (f *Follower) readFrom(ctx context.Context, from int64) (hasRecords, more bool, err error) {
+func (f *Follower) readFrom(ctx context.Context, from Position) (hasRecords, more bool, err error) {
 	wait := f.ReadWait()
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
 	defer cancel()
 	sentAt := bootclock.Now()
-	page, err := f.Log.Read(ctx, f.Stream.Name, from, wait)
+	page, err := f.Log.Read(ctx, f.Stream.Name, from.Offset, wait)
 	if err != nil {
 		return false, false, err
 	}
+	if page.Era > from.Era {
+		// The records from this offset may follow others that this node has not read.
+		f.Stream.RecordEra(page.Era)
+		return false, false, errRestored
+	}
 	hasRecords = len(page.Records) > 0
 	if page.More {
 		if !hasRecords {
-			return false, false, errors.Wrapf(errNoProgress, "from offset %d", from)
+			return false, false, errors.Wrapf(errNoProgress, "from offset %d", from.Offset)
 		}
-		f.Logger.Info(decisions.StreamReadPartly, "stream", f.Stream.Name, "from", from, "next", page.Next)
+		f.Logger.Info(decisions.StreamReadPartly, "stream", f.Stream.Name, "from", from.Offset, "next", page.Next)
+	}
+	if !f.Stream.Apply(Batch{Era: page.Era, Records: page.Records, From: from.Offset, Next: page.Next, SentAt: sentAt, More: page.More}) {
+		return false, false, errors.Wrapf(errStale, "log answered in era %d", page.Era)
 	}
-	f.Stream.Apply(Batch{Records: page.Records, From: from, Next: page.Next, SentAt: sentAt, More: page.More})
 	return hasRecords, page.More, nil
 }
 
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -26,6 +26,8 @@
 	snapshots int
 	// failedReads counts the failed calls of Read.
 	failedReads int
+	// era is the era of the log, which restore raises.
+	era int64
 	// pageSize is the largest number of records that Read returns; 0 for no limit, and a
 	// negative number for none, which emptyReads counts.
 	pageSize, emptyReads int
@@ -56,7 +58,7 @@
 		l.emptyReads++
 	}
 	next := from + int64(len(out))
-	return keyed.Page{Records: out, Next: next, More: next < int64(len(l.records))}
+	return keyed.Page{Era: l.era, Records: out, Next: next, More: next < int64(len(l.records))}
 }
 
 func (l *fakeLog) addRecord(key, value string) {
@@ -73,17 +75,25 @@
 	l.first = int64(len(l.records))
 }
 
+// restore drops the records from an offset and begins the next era.
+func (l *fakeLog) restore(end int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = l.records[:end:end]
+	l.era++
+}
+
 func (l *fakeLog) setUnreachable(unreachable bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.unreachable = unreachable
 }
 
-func (l *fakeLog) Newest(context.Context, string) ([]keyed.Record, int64, error) {
+func (l *fakeLog) Newest(context.Context, string) (keyed.Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.unreachable {
-		return nil, 0, errors.New("away")
+		return keyed.Page{}, errors.New("away")
 	}
 	l.snapshots++
 	newest := map[string]keyed.Record{}
@@ -96,7 +106,7 @@
 			out = append(out, r)
 		}
 	}
-	return out, int64(len(l.records)), nil
+	return keyed.Page{Era: l.era, Records: out, Next: int64(len(l.records))}, nil
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from int64, wait time.Duration) (keyed.Page, error) {
@@ -107,7 +117,7 @@
 			l.failedReads++
 			l.mu.Unlock()
 			return keyed.Page{}, errors.New("away")
-		case from < l.first:
+		case from < l.first || from > int64(len(l.records)):
 			l.mu.Unlock()
 			return keyed.Page{}, keyed.ErrTruncated
 		case from < int64(len(l.records)) || time.Now().After(end):
@@ -248,6 +258,44 @@
 		Eventually(value("a"), "2s").Should(Equal("0"))
 	})
 
+	// Guards against records that are never read because the log was restored from a backup
+	// and gave their offsets out again.
+	DescribeTable("reads the newest records of a restored log",
+		func(lost, written int) {
+			log.addRecords("a", 6)
+			Eventually(value("a")).Should(Equal("5"))
+			log.setUnreachable(true)
+			log.restore(7 - lost)
+			log.addRecord("b", "new")
+			for range written - 1 {
+				log.addRecord("c", "new")
+			}
+			log.setUnreachable(false)
+			Eventually(value("b"), "2s").Should(Equal("new"))
+			log.addRecord("a", "last")
+			Eventually(value("a"), "2s").Should(Equal("last"))
+		},
+		Entry("that ends before the copy", 4, 2),
+		Entry("that ends where the copy does", 4, 4),
+		Entry("that has passed the copy's end", 4, 9),
+		Entry("that has lost nothing of the stream", 0, 1),
+	)
+
+	It("reads a log on that ends before the copy in the same era only once it has caught up", func() {
+		log.addRecords("a", 6)
+		Eventually(value("a")).Should(Equal("5"))
+		log.mu.Lock()
+		behind := log.records
+		log.records = behind[:3:3]
+		log.mu.Unlock()
+		Consistently(value("a"), "300ms").Should(Equal("5"))
+		log.mu.Lock()
+		log.records = behind
+		log.mu.Unlock()
+		log.addRecord("a", "last")
+		Eventually(value("a"), "3s").Should(Equal("last"))
+	})
+
 	It("passes on the time of a read that returned no records", func() {
 		sent := func() time.Duration { mu.Lock(); defer mu.Unlock(); return lastBatch.SentAt }
 		before := sent()
--- a/keyed/stream.go
+++ b/keyed/stream.go
@@ -23,8 +23,11 @@
 	mu sync.Mutex
 	// initialized says that a snapshot was applied.
 	initialized bool
-	// next is the offset after the last record applied.
-	next int64
+	// next is the offset after the last record applied, era the era in which it counts.
+	next, era int64
+	// latestEra is the latest era of the log that this node has heard of. The copy is
+	// replaced by a snapshot if it is of an earlier one.
+	latestEra int64
 	// freshAt is the latest time of the boot clock at which the copy was known
 	// to be complete.
 	freshAt time.Duration
@@ -43,13 +46,20 @@
 	return &Stream{Name: name, apply: apply, changed: make(chan struct{})}
 }
 
-// Apply applies the new records of a batch. It returns false and changes nothing
-// if the batch leaves a gap, if it is a snapshot and older than the copy, or if
-// it is not a snapshot and no snapshot came before it.
+// Apply applies the new records of a batch. It returns false and leaves the copy as it is
+// if the batch leaves a gap, if it is a snapshot and older than the copy, if it is not a
+// snapshot and no snapshot of its era came before it, or if it is of an earlier era than
+// the latest one.
 func (s *Stream) Apply(b Batch) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.latestEra = max(s.latestEra, b.Era)
+	b.Restored = s.initialized && b.Era > s.era
 	switch {
+	case b.Era < s.latestEra, b.Restored && !b.Snapshot:
+		return false
+	case b.Restored:
+		s.tail, s.tailFrom, s.next = nil, b.Next, b.Next
 	case b.Snapshot && s.initialized && b.Next < s.next, !b.Snapshot && (!s.initialized || b.From > s.next):
 		return false
 	case b.Snapshot:
@@ -62,7 +72,7 @@
 		b.Records = b.Records[min(int64(len(b.Records)), s.next-b.From):]
 		s.appendTail(b.Records)
 	}
-	s.initialized = true
+	s.initialized, s.era = true, b.Era
 	if !b.More {
 		s.freshAt = max(s.freshAt, b.SentAt)
 	}
@@ -87,24 +97,39 @@
 	}
 }
 
-// Next returns the offset after the last record applied, or false if no batch was
-// applied yet.
-func (s *Stream) Next() (int64, bool) {
+// Next returns the position after the last record applied. It returns false if no batch was
+// applied yet, or if the log has begun a later era since: a snapshot must come first.
+func (s *Stream) Next() (Position, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Position{s.era, s.next}, s.initialized && s.era == s.latestEra
+}
+
+// RecordEra records that the log has reached an era, so that a copy of an earlier one counts
+// for nothing that needs the log's offsets.
+func (s *Stream) RecordEra(era int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latestEra = max(s.latestEra, era)
+}
+
+// LatestEra returns the latest era of the log that this node has heard of.
+func (s *Stream) LatestEra() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.next, s.initialized
+	return s.latestEra
 }
 
-// Tail returns the records from an offset. The batch's SentAt is the latest time of
+// Tail returns the records from a position. The batch's SentAt is the latest time of
 // the boot clock at which they were known to reach the end of the stream. Tail
-// returns false if the records from the offset are not kept.
-func (s *Stream) Tail(from int64) (Batch, bool) {
+// returns false if the records from the position are not kept.
+func (s *Stream) Tail(from Position) (Batch, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.initialized || from < s.tailFrom || from > s.next {
+	if !s.initialized || from.Era != s.era || from.Offset < s.tailFrom || from.Offset > s.next {
 		return Batch{}, false
 	}
-	return Batch{Records: s.tail[from-s.tailFrom:], From: from, Next: s.next, SentAt: s.freshAt}, true
+	return Batch{Era: s.era, Records: s.tail[from.Offset-s.tailFrom:], From: from.Offset, Next: s.next, SentAt: s.freshAt}, true
 }
 
 // Changed returns a channel that is closed when the next records arrive.
--- a/keyed/stream_test.go
+++ b/keyed/stream_test.go
@@ -78,19 +78,65 @@
 		Expect(freshTimes).To(Equal([]time.Duration{10, 10, 21}))
 	})
 
+	Describe("of a log that was restored from a backup", func() {
+		var restored []bool
+		// ofEra returns a batch with the era.
+		ofEra := func(era int64, b keyed.Batch) keyed.Batch { b.Era = era; return b }
+		BeforeEach(func() {
+			restored = nil
+			stream = keyed.NewStream("s", func(b keyed.Batch) {
+				restored = append(restored, b.Restored)
+				applied = append(applied, b.Records...)
+			})
+			Expect(stream.Apply(keyed.Batch{Era: 1, Snapshot: true, Next: 5, SentAt: 10})).To(BeTrue())
+		})
+
+		It("goes on from a snapshot of the later era, whatever its offset", func() {
+			Expect(stream.Apply(ofEra(2, batch(20, 5, "a")))).To(BeFalse())
+			_, ok := stream.Next()
+			Expect(ok).To(BeFalse())
+			Expect(stream.Apply(keyed.Batch{Era: 2, Snapshot: true, Next: 3, SentAt: 30})).To(BeTrue())
+			Expect(stream.Apply(ofEra(2, batch(40, 3, "b")))).To(BeTrue())
+			next, ok := stream.Next()
+			Expect(ok).To(BeTrue())
+			Expect(next).To(Equal(keyed.Position{Era: 2, Offset: 4}))
+			Expect(keys()).To(Equal([]string{"b"}))
+			Expect(restored).To(Equal([]bool{false, true, false}))
+		})
+
+		It("applies nothing of an earlier era that comes late", func() {
+			stream.RecordEra(2)
+			Expect(stream.Apply(ofEra(1, batch(20, 5, "a")))).To(BeFalse())
+			Expect(stream.Apply(keyed.Batch{Era: 1, Snapshot: true, Next: 9, SentAt: 20})).To(BeFalse())
+			Expect(stream.Apply(keyed.Batch{Era: 2, Snapshot: true, Next: 5, SentAt: 30})).To(BeTrue())
+			Expect(stream.Apply(ofEra(1, batch(40, 5, "b")))).To(BeFalse())
+			Expect(keys()).To(BeEmpty())
+		})
+
+		It("returns no records for a position of another era", func() {
+			Expect(stream.Apply(keyed.Batch{Era: 2, Snapshot: true, Next: 5, SentAt: 30})).To(BeTrue())
+			Expect(stream.Apply(ofEra(2, batch(40, 5, "a")))).To(BeTrue())
+			_, ok := stream.Tail(keyed.Position{Era: 1, Offset: 5})
+			Expect(ok).To(BeFalse())
+			b, ok := stream.Tail(keyed.Position{Era: 2, Offset: 5})
+			Expect(ok).To(BeTrue())
+			Expect(b.Era).To(Equal(int64(2)))
+		})
+	})
+
 	It("returns its newest records, and false for records that it does not keep", func() {
 		changed := stream.Changed()
 		for i := range int64(300) {
 			Expect(stream.Apply(batch(bootclock.Now(), 5+i, "k"))).To(BeTrue())
 		}
 		Expect(changed).To(BeClosed())
-		b, ok := stream.Tail(303)
+		b, ok := stream.Tail(keyed.Position{Offset: 303})
 		Expect(ok).To(BeTrue())
 		Expect(b.Records).To(HaveLen(2))
 		Expect(b.Next).To(Equal(int64(305)))
-		_, ok = stream.Tail(6)
+		_, ok = stream.Tail(keyed.Position{Offset: 6})
 		Expect(ok).To(BeFalse())
-		_, ok = stream.Tail(306)
+		_, ok = stream.Tail(keyed.Position{Offset: 306})
 		Expect(ok).To(BeFalse())
 	})
 })
--- a/relay/largevalue_test.go
+++ b/relay/largevalue_test.go
@@ -66,7 +66,7 @@
 // put adds a record with a value to a stream, as if it was read from the log.
 func put(s *keyed.Stream, value []byte) {
 	next, _ := s.Next()
-	s.Apply(keyed.Batch{From: next, Next: next + 1, Records: []keyed.Record{{Key: "k", Value: value, Offset: next}}, SentAt: bootclock.Now()})
+	s.Apply(keyed.Batch{From: next.Offset, Next: next.Offset + 1, Records: []keyed.Record{{Key: "k", Value: value, Offset: next.Offset}}, SentAt: bootclock.Now()})
 }
 
 // poll asks a handler for the records from the start and returns the response's body.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,7 +10,9 @@
 // long ago the serving node's copy of the stream was last known to be complete.
 // The receiver subtracts that age from the time at which it sent the poll, so
 // neither a frozen node nor a late response makes a stream look fresher than it
-// is. A node whose copy is older than maxStaleness reads the log itself.
+// is. A node whose copy is older than maxStaleness reads the log itself. Records pass only
+// between copies of the same era of the log; otherwise the two nodes tell each other the later
+// era, and the one that is behind reads the log.
 package relay
 
 import (
@@ -107,6 +109,8 @@
 type pollRequest struct {
 	// After holds, by stream, the offset of the first record to return.
 	After map[string]int64 `json:"after"`
+	// Eras holds, by stream, the log's era in which the offset counts; none stands for 0.
+	Eras map[string]int64 `json:"eras,omitempty"`
 	// Gzip says that the response may hold compressed values.
 	Gzip bool `json:"gzip,omitempty"`
 }
@@ -118,6 +122,9 @@
 
 // streamResponse is the part of a pollResponse for one stream.
 type streamResponse struct {
+	// Era is the log's era in which the offsets count. If it is another one than in the
+	// request, there are no records.
+	Era     int64    `json:"era,omitempty"`
 	Records []record `json:"records,omitempty"`
 	// Next is the offset after the last record.
 	Next int64 `json:"next"`
@@ -139,7 +146,7 @@
 // time of the boot clock. AgeMillis is rounded up. compress returns the compressed form
 // of a value, nil to send it as it is.
 func encodeStreamResponse(b keyed.Batch, now time.Duration, compress func([]byte) []byte) streamResponse {
-	p := streamResponse{Next: b.Next, AgeMillis: (now - b.SentAt).Milliseconds() + 1}
+	p := streamResponse{Era: b.Era, Next: b.Next, AgeMillis: (now - b.SentAt).Milliseconds() + 1}
 	for _, r := range b.Records {
 		out := record{Key: r.Key, Compressed: compress(r.Value)}
 		if out.Compressed == nil {
@@ -151,14 +158,14 @@
 }
 
 // decodeStreamResponse returns the batch in the response to a poll that asked for
-// the offset from and was sent at sentAt. It fails if the response is inconsistent or
+// the offset from, of the same era, and was sent at sentAt. It fails if the response is inconsistent or
 // its values can't be decompressed.
 func decodeStreamResponse(p streamResponse, from int64, sentAt time.Duration) (keyed.Batch, error) {
 	if p.AgeMillis < 0 || p.Next != from+int64(len(p.Records)) {
 		return keyed.Batch{}, errors.Newf("inconsistent response: %d records, next offset %d", len(p.Records), p.Next)
 	}
 	left := int64(maxValueBytes)
-	b := keyed.Batch{From: from, Next: p.Next, SentAt: sentAt - time.Duration(p.AgeMillis)*time.Millisecond}
+	b := keyed.Batch{Era: p.Era, From: from, Next: p.Next, SentAt: sentAt - time.Duration(p.AgeMillis)*time.Millisecond}
 	for i, r := range p.Records {
 		if len(r.Compressed) > 0 {
 			value, err := decompress(r.Compressed, left)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -99,7 +99,7 @@
 // put adds a record to the first node's stream, as if it was read from the log.
 func (c *chain) put(key string) {
 	next, _ := c.first.Next()
-	c.first.Apply(keyed.Batch{From: next, Next: next + 1, Records: []keyed.Record{{Key: key, Offset: next}}, SentAt: bootclock.Now()})
+	c.first.Apply(keyed.Batch{Era: next.Era, From: next.Offset, Next: next.Offset + 1, Records: []keyed.Record{{Key: key, Offset: next.Offset}}, SentAt: bootclock.Now()})
 }
 
 func (c *chain) relayed() bool { return c.subscriber.Relayed("s") }
@@ -154,6 +154,37 @@
 		Eventually(c.subscriber.Connected, "5s").Should(BeTrue())
 	})
 
+	// Guards against records of a restored log that are taken for those after the copy,
+	// because their offsets fit.
+	It("passes no record between copies of different eras of the log", func() {
+		c := newChain()
+		Eventually(c.relayed).Should(BeTrue())
+		c.put("a")
+		Eventually(c.keys).Should(Receive(Equal("a")))
+		restored := keyed.Batch{Era: 1, Snapshot: true, Next: 0, SentAt: bootclock.Now()}
+		knows := func(s *keyed.Stream) func() bool { return func() bool { _, ok := s.Next(); return !ok } }
+
+		Expect(c.first.Apply(restored)).To(BeTrue())
+		for _, k := range []string{"b", "c", "d"} {
+			c.put(k)
+		}
+		Consistently(c.keys, "300ms").ShouldNot(Receive())
+		Expect(c.second.Apply(restored)).To(BeTrue())
+		for _, k := range []string{"b", "c", "d"} {
+			Eventually(c.keys, "1s").Should(Receive(Equal(k)))
+		}
+
+		restored.Era = 2
+		Expect(c.first.Apply(restored)).To(BeTrue())
+		Eventually(knows(c.second), "1s").Should(BeTrue())
+		Expect(c.second.Apply(restored)).To(BeTrue())
+		restored.Era = 3
+		Expect(c.second.Apply(restored)).To(BeTrue())
+		c.put("e")
+		Eventually(knows(c.first), "1s").Should(BeTrue())
+		Consistently(c.keys, "300ms").ShouldNot(Receive())
+	})
+
 	It("does not serve a stream while the peer answers with errors", func() {
 		c := newChain()
 		Eventually(c.relayed).Should(BeTrue())
--- a/relay/server.go
+++ b/relay/server.go
@@ -57,8 +57,8 @@
 }
 
 // collect returns the records that the streams hold from the requested offsets,
-// and whether there are any. It leaves out unknown streams and offsets that are no
-// longer held.
+// and whether there are any or the log has begun a later era. It leaves out unknown
+// streams and offsets that are no longer held.
 func (h *server) collect(q pollRequest) (pollResponse, bool) {
 	a, hasRecords := pollResponse{Streams: map[string]streamResponse{}}, false
 	compress := h.values.compress
@@ -70,9 +70,14 @@
 		if !ok {
 			continue
 		}
-		if b, ok := s.Tail(from); ok {
+		era := q.Eras[name]
+		s.RecordEra(era)
+		if b, ok := s.Tail(keyed.Position{Era: era, Offset: from}); ok {
 			a.Streams[name] = encodeStreamResponse(b, bootclock.Now(), compress)
 			hasRecords = hasRecords || len(b.Records) > 0
+		} else if latest := s.LatestEra(); latest > era && era > 0 {
+			a.Streams[name] = streamResponse{Era: latest}
+			hasRecords = true
 		}
 	}
 	return a, hasRecords
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -155,10 +155,13 @@
 // poll sends one poll and applies the response. It reports whether the response
 // held records.
 func (s *Subscriber) poll(ctx context.Context, peer Peer) (bool, error) {
-	q := pollRequest{After: map[string]int64{}, Gzip: true}
+	q := pollRequest{After: map[string]int64{}, Eras: map[string]int64{}, Gzip: true}
 	for _, st := range s.streams {
 		if next, based := st.Next(); based {
-			q.After[st.Name] = next
+			q.After[st.Name] = next.Offset
+			if next.Era > 0 {
+				q.Eras[st.Name] = next.Era
+			}
 		}
 	}
 	if len(q.After) == 0 {
@@ -175,6 +178,10 @@
 		if !ok {
 			continue
 		}
+		if p.Era != q.Eras[st.Name] {
+			st.RecordEra(p.Era)
+			continue
+		}
 		b, err := decodeStreamResponse(p, q.After[st.Name], sentAt)
 		if err != nil {
 			return hasRecords, errors.Wrapf(err, "stream %s", st.Name)
