gateway: What a node knows outlasts the older records of a restored log

Cause: a record that is read later was taken for one that was written later. After a restoration it may be one that the node had seen replaced.

A report that is older than the removal of its upstream is held back until the upstream reports again, at most for 10 s. Upstreams and evacuations that the log lacks stay until they are written again, at most 2 s and 10 s, and the holder of the lease takes its reports for current only after 2 s, so that it orders nothing by records from before the restoration. The configuration in force was safe already: versions never go back.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -25,6 +25,7 @@
 	UpstreamUnreadable    = "upstream.unreadable"
 	UpstreamLapsed        = "upstream.lapsed"
 	UpstreamGone          = "upstream.gone"
+	UpstreamHeldBack      = "upstream.held_back"
 	UpstreamSilent        = "upstream.silent"
 	UpstreamSuspected     = "upstream.suspected"
 	UpstreamPaused        = "upstream.paused"
@@ -118,6 +119,7 @@
 		{UpstreamUnreadable, "An upstream's record in the log or its answer to a probe could not be decoded; such a record is ignored."},
 		{UpstreamLapsed, "The record of a replica's member is no longer in the log; the node keeps the member in its view for some seconds."},
 		{UpstreamGone, "The record of an upstream is no longer in the log, and the node has removed the upstream from its view."},
+		{UpstreamHeldBack, "A log that was restored from a backup lists an upstream again that was known to be gone; it gets no request unless it reports again or no later record removes it for some seconds: boot and number of the report, number of the latest one known."},
 		{UpstreamSilent, "A replica sent nothing for longer than its limit; the requests that could be are being moved to other replicas: their number."},
 		{UpstreamSuspected, "A request failed in a way that shows that the upstream can't take other requests either; it gets none for a while unless no other can take them."},
 		{UpstreamPaused, "An upstream refused a request and wants none from this node for a time: its boot, the time."},
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -50,10 +50,13 @@
 type VM struct {
 	ID string
 	// Boot identifies a run of the VM's process; it changes with each start.
-	Boot    int64
-	Address string
-	Zone    string
-	Service string
+	Boot int64
+	// Revision is the number of the report among those of this run of the process; a later
+	// one has a higher number. 0 if the VM doesn't number its reports.
+	Revision int64
+	Address  string
+	Zone     string
+	Service  string
 	// Slots is the number of requests that the VM runs concurrently.
 	Slots int
 	// Leaving says that the VM is shutting down and takes no new requests.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -22,9 +22,10 @@
 )
 
 // applyEvacuations applies a batch of the configuration's stream to the evacuated zones. A
-// snapshot replaces them: a zone whose key it lacks is not evacuated. It reports whether
-// they have changed.
+// snapshot replaces them: a zone whose key it lacks is not evacuated, unless the log was
+// restored from a backup just now. It reports whether they have changed.
 func (s *state) applyEvacuations(b keyed.Batch) bool {
+	now := bootclock.Now()
 	zones := maps.Clone(s.evacuated)
 	if b.Snapshot || zones == nil {
 		zones = map[string]bool{}
@@ -37,15 +38,18 @@
 			s.logger.Warn(decisions.ConfigUnreadable, "offset", r.Offset, "error", "a key that names no zone")
 		case len(r.Value) == 0:
 			delete(zones, zone)
+			delete(s.unconfirmed, zone)
 		default:
 			zones[zone] = true
+			delete(s.unconfirmed, zone)
 		}
 	}
+	s.keepUnconfirmed(zones, b.Restored, now)
 	if maps.Equal(zones, s.evacuated) {
 		return false
 	}
 	s.logEvacuations(zones, b)
-	s.returnedAt = returnTimes(s.returnedAt, s.evacuated, zones, bootclock.Now())
+	s.returnedAt = returnTimes(s.returnedAt, s.evacuated, zones, now)
 	s.evacuated = zones
 	s.builder.SetEvacuated(zones, s.returnedAt)
 	return true
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -56,6 +56,7 @@
 // expireNotices drops what ended incarnations of upstreams have said.
 func (n *Node) expireNotices(now time.Time) {
 	n.state.expireLeaving(bootclock.Now())
+	n.state.expireGone(bootclock.Now())
 	n.expireCold()
 	v := n.View()
 	n.balancer.RetainPauses(now, func(i fleet.Incarnation) bool {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -23,6 +23,13 @@
 	// without a record: a little longer than a leaving member stays in a replica
 	// whose head has requests in progress.
 	unlistedRetention = 12 * time.Second
+	// restoredGrace is how long after the log was restored from a backup the node goes by
+	// what it knew before where the log holds something older. Operators and upstreams write
+	// again within seconds what was lost.
+	restoredGrace = 10 * time.Second
+	// goneRetention is how long an upstream is remembered that is no longer in the view, in
+	// case a restored log lists it again. A backup is some seconds old.
+	goneRetention = 5 * time.Minute
 )
 
 // Decoder decodes the records of the configuration and of the upstreams.
@@ -88,6 +95,15 @@
 	// upstreams that lost their record around an outage of the log, and members
 	// of replicas.
 	goneAt map[string]time.Duration
+	// gone holds the upstreams that were removed, by id; heldBack holds reports of
+	// a restored log that are older than that.
+	gone     map[string]goneVM
+	heldBack map[string]heldReport
+	// restoredAt is when the log was last seen to be restored from a backup, by the boot
+	// clock; 0 if it never was.
+	restoredAt time.Duration
+	// unconfirmed holds until when zones stay evacuated whose keys a restored log lacks.
+	unconfirmed map[string]time.Duration
 	// leaving holds what upstreams said in answers.
 	leaving leavingMarks
 }
@@ -102,6 +118,9 @@
 		digests:      map[string]uint64{},
 		unchanged:    map[string]fleet.VM{},
 		goneAt:       map[string]time.Duration{},
+		gone:         map[string]goneVM{},
+		heldBack:     map[string]heldReport{},
+		unconfirmed:  map[string]time.Duration{},
 		leaving:      leavingMarks{},
 		cold:         slowstart.Marks{},
 		readsFailing: true,
@@ -165,9 +184,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
-	if s.readsFailing {
+	if s.readsFailing || b.Restored {
 		s.readsFailing, s.readableSince = false, now
 	}
+	if b.Restored {
+		s.restoredAt = now
+	}
+	if b.Snapshot {
+		clear(s.heldBack)
+	}
+	// A later snapshot holds the same records as long as nobody has written others.
+	restored := b.Snapshot && s.justRestored(now, restoredGrace)
 	missing := map[string]bool{}
 	if b.Snapshot {
 		for _, id := range s.builder.IDs() {
@@ -180,10 +207,14 @@
 	changes := reportChanges{}
 	for _, r := range b.Records {
 		delete(missing, r.Key)
+		delete(s.heldBack, r.Key)
 		if len(r.Value) == 0 {
 			missing[r.Key] = true
 			continue
 		}
+		if restored && s.outdated(r, now) {
+			continue
+		}
 		dirty = s.applyReport(r, now, &changes) || dirty
 	}
 	changes.log(s.logger)
@@ -191,10 +222,14 @@
 		dirty = s.handleMissing(id, now) || dirty
 	}
 	dirty = s.expireLapsed(now) || dirty
+	dirty = s.releaseHeldBack(now) || dirty
 	if dirty {
 		s.publish()
 	}
-	s.vmsVerifiedAt.Store(int64(b.SentAt))
+	if !s.justRestored(now, reappearGrace) {
+		// Before that, upstreams may not have written again what a restored log has lost.
+		s.vmsVerifiedAt.Store(int64(b.SentAt))
+	}
 }
 
 // readFailed records that a read of the upstreams' stream failed.
@@ -255,6 +290,7 @@
 	vm.ColdUntil, vm.ColdRemaining = s.cold.Record(now, vm.Incarnation(), vm.ColdRemaining), 0
 	vm.LastSeen = now
 	delete(s.goneAt, vm.ID)
+	delete(s.gone, vm.ID)
 	was, known := s.builder.VM(vm.ID)
 	if known && was.Boot != vm.Boot {
 		s.logLeavingEnded(was)
@@ -376,6 +412,7 @@
 	delete(s.digests, id)
 	s.builder.Remove(id)
 	if known {
+		s.gone[id] = goneVM{vm, bootclock.Now()}
 		s.logger.Info(decisions.UpstreamGone, "upstream", id, "replica", vm.Member.Replica,
 			"silent_ms", (bootclock.Now() - vm.LastSeen).Milliseconds())
 	}
