lease: A lease and its terms belong to an era of the log

After a restoration the log could lack the claim of a holder, which went on until its lease expired while another node claimed the lease at the same offset: the same term twice, so that an order of the former holder passed an upstream's check of its fencing number, or a lower term, whose orders upstreams refuse for ever.

Cause: a term is the offset of a claim, and an acknowledged append was taken for lasting.

A record of the lease bears the era that its writer knew and counts in no other one, so a claim of the former era that the log executes late gains nothing. Terms begin with the era. When a node sees a later era, its own lease ends at once; if it had not expired, nobody else can have claimed it, and the node claims it again. Other nodes wait until any lease of the former era has expired, and so does a process that starts then.

Logs without an era have the terms that they had.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -57,6 +57,8 @@
 	LeaseHeld             = "lease.held"
 	LeaseHolderEnded      = "lease.holder_ended"
 	LeaseHandedOver       = "lease.handed_over"
+	LeaseEra              = "lease.era"
+	LeaseVoid             = "lease.void"
 	LeaseAppendFailed     = "lease.append_failed"
 	LeaseUnreadable       = "lease.unreadable"
 	LeaseEncode           = "lease.encode"
@@ -151,6 +153,8 @@
 		{LeaseHeld, "This node acquired or lost the control lease."},
 		{LeaseHolderEnded, "A new process has registered the address of the lease's holder, so the holder's process has ended; the lease may be claimed before it expires."},
 		{LeaseHandedOver, "This node gave up the control lease because nodes with more processor cores are reachable."},
+		{LeaseEra, "The log was restored from a backup, so the control lease must be claimed anew: both eras, whether this node held the lease and claims it at once, its latest term."},
+		{LeaseVoid, "A record of the control lease was appended by a node that did not know the log's present era, and counts for nothing: its holder and term, both eras."},
 		{LeaseAppendFailed, "The log did not confirm a claim or renewal of the control lease; reading the log will show whether it was appended."},
 		{LeaseUnreadable, "A record of the control lease could not be decoded and is skipped."},
 		{LeaseEncode, "A record of the control lease could not be encoded."},
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -6,6 +6,11 @@
 // holder's term is higher than all earlier terms, so that the term can serve as
 // a fencing number. Which claim wins is decided by its position in the log;
 // clocks only decide when a node tries.
+//
+// Both hold if the log is restored from a backup, as long as the log shows that by its era.
+// A record counts only in the era in which its writer appended it, and terms begin with the
+// era. A holder whose lease has not expired claims it again at once, because nobody else can
+// have claimed it; other nodes wait until any lease of the former era has expired.
 package lease
 
 import (
@@ -66,6 +71,9 @@
 	maxClaimStaleness = 2 * time.Second
 	// checkInterval is the time between two checks for a due claim or renewal.
 	checkInterval = 100 * time.Millisecond
+	// termsPerEra times the log's era is added to the terms of the era. It is more than the
+	// number of records of the stream that a log can lose, which were written within seconds.
+	termsPerEra = 1 << 20
 )
 
 // ErrOffsetConflict marks an append that was rejected because another record
@@ -85,8 +93,11 @@
 type recordValue struct {
 	// Holder is the unique id of the holder; empty after a release.
 	Holder string `json:"holder"`
-	// Term is the offset after the record of the holder's claim; 0 in the claim
-	// itself, whose offset is not known before it is appended.
+	// Era is the log's era that the writer knew when it appended the record. The record is
+	// void in any other era.
+	Era int64 `json:"era,omitempty"`
+	// Term is the offset after the record of the holder's claim, and termsPerEra for each
+	// era; 0 in the claim itself, whose offset is not known before it is appended.
 	Term int64 `json:"term,omitempty"`
 	// TTLMillis is how long the lease lasts, in milliseconds.
 	TTLMillis int64 `json:"ttl_ms"`
@@ -109,6 +120,8 @@
 	current     recordValue
 	streamEnd   int64
 	streamKnown bool
+	// era is the log's era of the batches that were applied.
+	era int64
 	// caughtUpAt is the latest time at which this node is known to have read the
 	// stream to its end.
 	caughtUpAt time.Duration
@@ -155,7 +168,10 @@
 func (l *Lease) Apply(b keyed.Batch) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.streamKnown = true
+	if l.streamKnown && b.Era != l.era {
+		l.beginEra(b.Era)
+	}
+	l.streamKnown, l.era = true, b.Era
 	l.streamEnd = b.Next
 	l.caughtUpAt = max(l.caughtUpAt, b.SentAt)
 	for _, r := range b.Records {
@@ -165,6 +181,20 @@
 	}
 }
 
+// beginEra drops what this node knows by its own records of the former era. The lock must be
+// held.
+func (l *Lease) beginEra(era int64) {
+	now := bootclock.Now()
+	held := l.isHolder(now)
+	clear(l.pending)
+	l.validUntil = 0
+	l.claimAfter = now + TTL + l.jitter()
+	if held {
+		l.claimAfter = now
+	}
+	l.logger.Info(decisions.LeaseEra, "era", era, "before", l.era, "held", held, "term", l.term)
+}
+
 // applyRecord applies a record of the lease. The lock must be held.
 func (l *Lease) applyRecord(r keyed.Record) {
 	var e recordValue
@@ -173,8 +203,16 @@
 		return
 	}
 	now := bootclock.Now()
+	if e.Era != l.era {
+		l.logger.Info(decisions.LeaseVoid, "holder", e.Holder, "term", e.Term, "record_era", e.Era, "era", l.era, "offset", r.Offset)
+		if l.claimAfter == 0 {
+			// The holder of the former era may not have noticed that it has ended.
+			l.claimAfter = now + TTL + l.jitter()
+		}
+		return
+	}
 	if e.Term == 0 {
-		e.Term = r.Offset + 1
+		e.Term = e.Era*termsPerEra + r.Offset + 1
 	}
 	if e.Holder != l.current.Holder || e.Term != l.current.Term {
 		l.logger.Info(decisions.LeaseChanged, "holder", e.Holder, "term", e.Term, "before", l.current.Holder, "offset", r.Offset)
@@ -262,7 +300,7 @@
 	l.mu.Lock()
 	holds := l.isHolder(bootclock.Now())
 	l.stopped = true
-	at, e := l.streamEnd, recordValue{Term: l.term, TTLMillis: TTL.Milliseconds(), Nonce: rand.Uint64()}
+	at, e := l.streamEnd, recordValue{Era: l.era, Term: l.term, TTLMillis: TTL.Milliseconds(), Nonce: rand.Uint64()}
 	l.mu.Unlock()
 	if holds {
 		l.appendRecord(ctx, at, e)
@@ -283,7 +321,7 @@
 		l.wasHolder = held
 		l.logger.Info(decisions.LeaseHeld, "held", held, "term", l.term)
 	}
-	e := recordValue{Holder: l.id, TTLMillis: TTL.Milliseconds(), Nonce: rand.Uint64()}
+	e := recordValue{Era: l.era, Holder: l.id, TTLMillis: TTL.Milliseconds(), Nonce: rand.Uint64()}
 	due := false
 	switch {
 	case !l.streamKnown || l.stopped:
@@ -297,7 +335,7 @@
 		due = now-l.lastAppendAt >= renewInterval
 	default:
 		if l.claimAfter == 0 {
-			l.claimAfter = now + firstClaimDelay + l.jitter()
+			l.claimAfter = now + l.firstClaimDelay() + l.jitter()
 		}
 		after := l.claimAfter
 		if l.yielding {
@@ -317,6 +355,16 @@
 	}
 }
 
+// firstClaimDelay returns how long this node waits before it claims a lease of which it has
+// read no record. The lock must be held.
+func (l *Lease) firstClaimDelay() time.Duration {
+	if l.era > 1 {
+		// The records of a holder may have been lost when the era began.
+		return TTL
+	}
+	return firstClaimDelay
+}
+
 // shouldHandOver reports whether this node, as the holder, should hand the lease
 // over to a larger node. The lock must be held.
 func (l *Lease) shouldHandOver(now time.Duration) bool {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,31 @@
 	down, dropAnswers bool
 	// attempts counts appends, refused ones included.
 	attempts int
+	// era rises with each restoration.
+	era int64
+	// late holds the appends of a node that get no answer and are executed later; lateFrom
+	// is the first byte of the node's id, 0 for none.
+	late     []func()
+	lateFrom byte
+}
+
+// restore drops the records from an offset and begins the next era.
+func (s *stream) restore(end int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records = s.records[:end:end]
+	s.era++
+	for _, n := range s.nodes {
+		n.Apply(s.snapshot(true))
+	}
+}
+
+// snapshot returns the newest record of the stream. The lock must be held.
+func (s *stream) snapshot(restored bool) keyed.Batch {
+	return keyed.Batch{
+		Era: s.era, Snapshot: true, Restored: restored, Records: s.records[max(0, len(s.records)-1):],
+		Next: int64(len(s.records)), SentAt: bootclock.Now(),
+	}
 }
 
 // sendEmptyBatch tells all nodes that they have read the stream to its end.
@@ -37,7 +64,7 @@
 		return
 	}
 	for _, n := range s.nodes {
-		n.Apply(keyed.Batch{Next: int64(len(s.records)), SentAt: bootclock.Now()})
+		n.Apply(keyed.Batch{Era: s.era, Next: int64(len(s.records)), SentAt: bootclock.Now()})
 	}
 }
 
@@ -48,12 +75,12 @@
 	if s.down {
 		return 0, errors.New("away")
 	}
-	if at != int64(len(s.records)) {
-		return 0, lease.ErrOffsetConflict
+	if s.lateFrom != 0 && strings.Contains(string(value), `"holder":"`+string(s.lateFrom)) {
+		s.late = append(s.late, func() { _ = s.append(key, at, value) })
+		return 0, errors.New("no answer")
 	}
-	s.records = append(s.records, keyed.Record{Key: key, Value: value, Offset: at})
-	for _, n := range s.nodes {
-		n.Apply(keyed.Batch{Records: s.records[at:], Next: at + 1, SentAt: bootclock.Now()})
+	if err := s.append(key, at, value); err != nil {
+		return 0, err
 	}
 	if s.dropAnswers {
 		return 0, errors.New("no answer")
@@ -61,6 +88,18 @@
 	return at + 1, nil
 }
 
+// append appends a record if the stream ends at an offset. The lock must be held.
+func (s *stream) append(key string, at int64, value []byte) error {
+	if at != int64(len(s.records)) {
+		return lease.ErrOffsetConflict
+	}
+	s.records = append(s.records, keyed.Record{Key: key, Value: value, Offset: at})
+	for _, n := range s.nodes {
+		n.Apply(keyed.Batch{Era: s.era, Records: s.records[at:], Next: at + 1, SentAt: bootclock.Now()})
+	}
+	return nil
+}
+
 func (s *stream) setFaults(down, dropAnswers bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,6 +156,91 @@
 		Consistently(holderCount, "1s").Should(Equal(1))
 	})
 
+	// Guards against two holders, and against a term that is given out twice, because the log
+	// was restored from a backup that lacks the claim of the holder.
+	Describe("in a log that is restored from a backup", func() {
+		BeforeEach(func() { log.era = 1 })
+		// holder returns the only holder and its term.
+		holder := func() (int, int64) {
+			Eventually(holderCount, "4s", "20ms").Should(Equal(1))
+			i := holders()[0]
+			term, _ := log.nodes[i].Held()
+			return i, term
+		}
+
+		It("is claimed again by its holder, under a higher term", func() {
+			start(3)
+			before, term := holder()
+			for range 3 {
+				log.restore(0)
+				Expect(holders()).To(BeEmpty())
+				Eventually(holderCount, "1s", "20ms").Should(Equal(1))
+				after, next := holder()
+				Expect(after).To(Equal(before))
+				Expect(next).To(BeNumerically(">", term))
+				term = next
+			}
+			Consistently(holderCount, "3s", "20ms").Should(Equal(1))
+		})
+
+		It("is claimed by another node only after the lease of the former era has expired", func() {
+			start(3)
+			before, term := holder()
+			log.setFaults(true, false)
+			cut := log.nodes[before]
+			log.mu.Lock()
+			log.nodes = slices.Delete(slices.Clone(log.nodes), before, before+1)
+			log.mu.Unlock()
+			log.restore(0)
+			log.setFaults(false, false)
+			Eventually(func() bool {
+				_, old := cut.Held()
+				Expect(old && holderCount() > 0).To(BeFalse(), "two holders")
+				return holderCount() == 1
+			}, "5s", "5ms").Should(BeTrue())
+			_, next := holder()
+			Expect(next).To(BeNumerically(">", term))
+		})
+
+		It("is not gained by a claim of the former era that is executed late", func() {
+			start(2)
+			before, _ := holder()
+			other := 1 - before
+			log.mu.Lock()
+			end := len(log.records)
+			log.lateFrom = "ab"[other]
+			log.mu.Unlock()
+			log.nodes[other].ProcessEnded(string("ab"[before]))
+			Eventually(func() int { log.mu.Lock(); defer log.mu.Unlock(); return len(log.late) }, "2s", "10ms").Should(BeNumerically(">", 0))
+			log.restore(end)
+			log.mu.Lock()
+			for _, execute := range log.late {
+				execute()
+			}
+			log.mu.Unlock()
+			Expect(holders()).NotTo(ContainElement(other))
+			Consistently(func() bool { _, held := log.nodes[other].Held(); return held }, "1500ms", "20ms").Should(BeFalse())
+		})
+
+		It("is not claimed by a process that starts then before a lease of the former era has expired", func() {
+			start(1)
+			holder()
+			log.setFaults(true, false)
+			log.mu.Lock()
+			log.era++
+			late := lease.New("z", "control", "lease", log, slog.New(slog.DiscardHandler))
+			late.Apply(log.snapshot(false))
+			log.nodes = []*lease.Lease{late}
+			log.mu.Unlock()
+			log.setFaults(false, false)
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			go late.Run(ctx)
+			Consistently(holderCount, lease.TTL-200*time.Millisecond, "50ms").Should(BeZero())
+			Eventually(holderCount, "2s").Should(Equal(1))
+		})
+	})
+
 	It("tells when its claim was sent, which renewals do not change", func() {
 		before := bootclock.Now()
 		l := start(1)[0]
