directory: A node registers again if a restored log lacks its record

A node appended its record until it had read it back once, and took that for lasting: after a restoration without the record, nodes that start later never find it and count one node less. The offset of a record told which of two processes at an address came first, also against an offset of the former era, so a restored record of a process that had been replaced reported the living one as ended: its lease could be claimed before it expired.

The record is appended again whenever a restored log lacks it, once a second until it is read back, and offsets are compared within an era only.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,6 +1,7 @@
 // Package directory lets the nodes of a deployment find each other's addresses:
 // each node registers itself by a record in a stream of the log and reads the
-// records of the others.
+// records of the others. A node whose record is lost, because the log was restored
+// from a backup, registers itself again.
 package directory
 
 import (
@@ -20,8 +21,8 @@
 const (
 	// keyPrefix is the prefix of the keys of node records.
 	keyPrefix = "node/"
-	// registerInterval is the time between two attempts to register this node.
-	// Attempts end once its record was read back.
+	// registerInterval is the time between two attempts to register this node, as
+	// long as its record was not read back.
 	registerInterval = time.Second
 	// appendTimeout bounds one append to the log.
 	appendTimeout = 700 * time.Millisecond
@@ -75,6 +76,12 @@
 // Apply applies a batch of records read from the log stream that holds the node
 // records. It must not be called concurrently.
 func (d *Directory) Apply(b keyed.Batch) {
+	if b.Restored {
+		// The records may be older than those that were lost, so they don't show
+		// which of two processes came first.
+		d.registered.Store(false)
+		clear(d.processes)
+	}
 	for _, r := range b.Records {
 		if !strings.HasPrefix(r.Key, keyPrefix) || len(r.Value) == 0 {
 			continue
@@ -129,8 +136,8 @@
 	}
 }
 
-// Run tries to register this node until its record was read back or the context
-// ends.
+// Run registers this node, and registers it again whenever the log has lost its record,
+// until the context ends.
 func (d *Directory) Run(ctx context.Context) {
 	value, err := json.Marshal(nodeRecord{ID: d.Self.ID, Address: d.Self.Address, Zone: d.Self.Zone, Cores: d.Self.Cores})
 	if err != nil {
@@ -139,12 +146,10 @@
 	}
 	t := time.NewTicker(registerInterval)
 	defer t.Stop()
-	for !d.registered.Load() {
-		appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		if err := d.Log.Append(appendCtx, d.Stream, keyPrefix+d.Name, value); err != nil {
-			d.Logger.Warn(decisions.PeerRegisterFailed, "error", err)
+	for {
+		if !d.registered.Load() {
+			d.register(ctx, value)
 		}
-		cancel()
 		select {
 		case <-ctx.Done():
 			return
@@ -152,3 +157,13 @@
 		}
 	}
 }
+
+// register tries one append of this node's record. Whether the log took it is learnt by reading
+// the record back.
+func (d *Directory) register(ctx context.Context, record []byte) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if err := d.Log.Append(ctx, d.Stream, keyPrefix+d.Name, record); err != nil {
+		d.Logger.Warn(decisions.PeerRegisterFailed, "error", err)
+	}
+}
