--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -119,8 +119,12 @@
 	return keyed.MaxRetryDelay * time.Duration(max(1, n.peers.LiveCount()/retryNodes))
 }
 
-// RecordEra logs and counts that the log shows a later era; before is 0 if it showed none.
+// RecordEra logs and counts that the log shows a later era, and makes the node read all streams
+// anew; before is 0 if the log showed none before.
 func (n *Node) RecordEra(era, before int64) {
+	for _, f := range n.followedStreams {
+		f.stream.RecordEra(era)
+	}
 	n.count("log.eras")
 	n.logger.Info(decisions.LogEra, "era", era, "before", before)
 }
