--- a/lease/lease.go
+++ b/lease/lease.go
@@ -73,7 +73,7 @@
 	checkInterval = 100 * time.Millisecond
 	// termsPerEra times the log's era is added to the terms of the era. It is more than the
 	// number of records of the stream that a log can lose, which were written within seconds.
-	termsPerEra = 1 << 20
+	termsPerEra = 1 << 14
 )
 
 // ErrOffsetConflict marks an append that was rejected because another record
