--- a/gateway/restored.go
+++ b/gateway/restored.go
@@ -29,13 +29,17 @@
 
 // outdated reports whether a record of a restored log is older than what the node knows of
 // the upstream. A record that lists an upstream which is known to be gone is held back: if
-// nothing newer comes in time, the upstream has been there all along.
-func (s *state) outdated(r keyed.Record, now time.Duration) bool {
+// nothing newer comes in time, the upstream has been there all along. snapshot says that the
+// record comes from a snapshot; otherwise one without a number is the newest one.
+func (s *state) outdated(r keyed.Record, now time.Duration, snapshot bool) bool {
 	vm, err := s.decoder.VM(r.Key, r.Value)
 	if err != nil {
 		// applyReport logs the error.
 		return false
 	}
+	if vm.Revision == 0 && !snapshot {
+		return false
+	}
 	was := s.latest(vm.ID)
 	if was.ID == "" {
 		was = s.gone[vm.ID].vm
--- a/gateway/restored_test.go
+++ b/gateway/restored_test.go
@@ -52,6 +52,23 @@
 		Expect(usable()).To(Equal([]string{"a", "b"}))
 	})
 
+	It("keeps a report that is newer than those that are written again, and a removal", func() {
+		read(record("a", fleet.VM{Boot: 5, Revision: 3, Leaving: true}), record("b", fleet.VM{Boot: 5, Revision: 2}), keyed.Record{Key: "b"})
+		restore(record("a", fleet.VM{Boot: 5, Revision: 1}), record("b", fleet.VM{Boot: 5, Revision: 1}))
+		read(record("a", fleet.VM{Boot: 5, Revision: 2}), record("b", fleet.VM{Boot: 5, Revision: 2}))
+		Expect(usable()).To(BeEmpty())
+		read(record("b", fleet.VM{Boot: 5, Revision: 3}))
+		Expect(usable()).To(Equal([]string{"b"}))
+	})
+
+	It("keeps an upstream that a later snapshot lists by an older report", func() {
+		read(record("a", fleet.VM{Boot: 5, Revision: 9}))
+		restore(record("b", fleet.VM{Boot: 5, Revision: 1}))
+		Expect(s.goneAt).To(HaveKey("a"))
+		s.applyVMs(keyed.Batch{Snapshot: true, Records: []keyed.Record{record("a", fleet.VM{Boot: 5, Revision: 2}), record("b", fleet.VM{Boot: 5, Revision: 1})}})
+		Expect(s.goneAt).NotTo(HaveKey("a"))
+	})
+
 	It("takes what was written after the restoration", func() {
 		restore(record("a", fleet.VM{Boot: 5, Revision: 2, Leaving: true}), record("b", fleet.VM{Boot: 5, Revision: 1}), record("c", fleet.VM{Boot: 5, Revision: 1}))
 		Expect(usable()).To(Equal([]string{"b", "c"}))
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -193,8 +193,8 @@
 	if b.Snapshot {
 		clear(s.heldBack)
 	}
-	// A later snapshot holds the same records as long as nobody has written others.
-	restored := b.Snapshot && s.justRestored(now, restoredGrace)
+	// Lost reports may also be written again, in their order.
+	restored := s.justRestored(now, restoredGrace)
 	missing := map[string]bool{}
 	if b.Snapshot {
 		for _, id := range s.builder.IDs() {
@@ -212,7 +212,8 @@
 			missing[r.Key] = true
 			continue
 		}
-		if restored && s.outdated(r, now) {
+		if restored && s.outdated(r, now, b.Snapshot) {
+			delete(s.goneAt, r.Key)
 			continue
 		}
 		dirty = s.applyReport(r, now, &changes) || dirty
