lease: The end of a former era's holder permits no early claim

ProcessEnded lowered the delay that a node observes after a restoration, by the holder that it knew of the former era.

The end of a process counts only if it held the lease in the present era. Terms take the era modulo 2^22: the users say that it rises by one, not where it begins, and with a Unix time generations overflowed.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -73,7 +73,10 @@
 	checkInterval = 100 * time.Millisecond
 	// termsPerEra times the log's era is added to the terms of the era. It is more than the
 	// number of records of the stream that a log can lose, which were written within seconds.
+	// Of an era of erasOfTerms or more the remainder counts, so that numbers that follow from
+	// terms stay exact in JSON wherever eras begin.
 	termsPerEra = 1 << 14
+	erasOfTerms = 1 << 22
 )
 
 // ErrOffsetConflict marks an append that was rejected because another record
@@ -212,7 +215,7 @@
 		return
 	}
 	if e.Term == 0 {
-		e.Term = e.Era*termsPerEra + r.Offset + 1
+		e.Term = e.Era%erasOfTerms*termsPerEra + r.Offset + 1
 	}
 	if e.Holder != l.current.Holder || e.Term != l.current.Term {
 		l.logger.Info(decisions.LeaseChanged, "holder", e.Holder, "term", e.Term, "before", l.current.Holder, "offset", r.Offset)
@@ -258,7 +261,9 @@
 func (l *Lease) ProcessEnded(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if id != l.current.Holder || id == l.id {
+	if id != l.current.Holder || id == l.id || l.current.Era != l.era {
+		// Of a former era another node may have claimed the lease since, by a record
+		// that is lost.
 		return
 	}
 	now := bootclock.Now()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -222,6 +222,37 @@
 			Consistently(func() bool { _, held := log.nodes[other].Held(); return held }, "1500ms", "20ms").Should(BeFalse())
 		})
 
+		It("is not claimed early because the holder of the former era has ended: another node may hold it", func() {
+			start(1)
+			holder()
+			log.mu.Lock()
+			late := lease.New("z", "control", "lease", log, slog.New(slog.DiscardHandler))
+			late.Apply(log.snapshot(false))
+			log.nodes = []*lease.Lease{late}
+			log.mu.Unlock()
+			log.setFaults(true, false)
+			log.restore(1)
+			late.ProcessEnded("a")
+			log.setFaults(false, false)
+			ctx, cancel := context.WithCancel(context.Background())
+			DeferCleanup(cancel)
+			go late.Run(ctx)
+			Consistently(holderCount, lease.TTL-200*time.Millisecond, "50ms").Should(BeZero())
+			Eventually(holderCount, "2s").Should(Equal(1))
+		})
+
+		It("has terms that stay exact wherever eras begin", func() {
+			log.era = 1_800_000_000
+			start(1)
+			_, term := holder()
+			log.restore(0)
+			Eventually(holderCount, "1s", "20ms").Should(Equal(1))
+			_, next := holder()
+			Expect(next).To(BeNumerically(">", term))
+			const generationsPerTerm = 100_000
+			Expect(next * generationsPerTerm).To(And(BeNumerically(">", 0), BeNumerically("<", 1<<53)))
+		})
+
 		It("is not claimed by a process that starts then before a lease of the former era has expired", func() {
 			start(1)
 			holder()
