keyed: The first read of a restored log doesn't wait behind a long retry delay

A node that is connected to a peer waits longer after a failed read of the log, by the number of nodes: at 195 nodes 2.4 to 12 s, as the peer relays what comes. A peer can't relay what follows a restoration, so such a node could miss changes for as long.

The new spec fails without the change.

--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -44,8 +44,8 @@
 	// Relayed reports whether a peer keeps the stream up to date, so that the
 	// log need not be read; nil means never.
 	Relayed func() bool
-	// MaxRetryDelay returns the longest delay after a failed read; nil means
-	// the constant MaxRetryDelay.
+	// MaxRetryDelay returns the longest delay after a failed read while the stream has a
+	// copy to go on from; nil means the constant MaxRetryDelay.
 	MaxRetryDelay func() time.Duration
 	// OnError is called with the error of each failed read.
 	OnError func(error)
@@ -78,7 +78,7 @@
 			truncated = true
 		case err != nil && ctx.Err() == nil:
 			f.OnError(err)
-			Sleep(ctx, retryDelays.NextBackOff())
+			f.waitToRetry(ctx, retryDelays.NextBackOff())
 		case errors.Is(err, errRestored):
 			truncated = false
 			Sleep(ctx, rand.N(maxRestoredDelay))
@@ -92,6 +92,18 @@
 	}
 }
 
+// waitToRetry waits for a delay after a failed read. The wait ends after the constant
+// MaxRetryDelay at the latest while a snapshot must come first, because no peer relays one.
+func (f *Follower) waitToRetry(ctx context.Context, delay time.Duration) {
+	Sleep(ctx, min(delay, MaxRetryDelay))
+	for rest := delay - MaxRetryDelay; rest > 0 && ctx.Err() == nil; rest -= relayCheckInterval {
+		if _, current := f.Stream.Next(); !current {
+			return
+		}
+		Sleep(ctx, min(rest, relayCheckInterval))
+	}
+}
+
 // resetBackoff restarts the backoff at the initial delay and applies the current
 // longest delay.
 func (f *Follower) resetBackoff(retryDelays *backoff.ExponentialBackOff) {
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -132,6 +132,7 @@
 var _ = Describe("Follower", func() {
 	var (
 		log       *fakeLog
+		stream    *keyed.Stream
 		mu        sync.Mutex
 		state     map[string]string
 		lastBatch keyed.Batch
@@ -151,7 +152,7 @@
 		state = map[string]string{}
 		ctx, cancel := context.WithCancel(context.Background())
 		DeferCleanup(cancel)
-		stream := keyed.NewStream("s", func(b keyed.Batch) {
+		stream = keyed.NewStream("s", func(b keyed.Batch) {
 			mu.Lock()
 			defer mu.Unlock()
 			lastBatch = b
@@ -281,6 +282,23 @@
 		Entry("that has lost nothing of the stream", 0, 1),
 	)
 
+	// Guards against nodes that wait for many seconds after an outage, because peers relay the
+	// log, although peers can't relay what follows a restoration.
+	It("does not wait long with the first read of a restored log", func() {
+		mu.Lock()
+		maxDelay = 20 * time.Second
+		mu.Unlock()
+		log.addRecord("a", "2")
+		Eventually(value("a")).Should(Equal("2"))
+		log.setUnreachable(true)
+		Eventually(func() int { log.mu.Lock(); defer log.mu.Unlock(); return log.failedReads }).Should(BeNumerically(">=", 1))
+		log.restore(0)
+		log.addRecord("a", "restored")
+		log.setUnreachable(false)
+		stream.RecordEra(1)
+		Eventually(value("a"), "1500ms").Should(Equal("restored"))
+	})
+
 	It("reads a log on that ends before the copy in the same era only once it has caught up", func() {
 		log.addRecords("a", 6)
 		Eventually(value("a")).Should(Equal("5"))
