gateway, gossip, relay: A node takes a newer configuration from its peers

Cause: the log was the only source of the configuration. Nodes that were up keep the later version in force, but none told it to one that starts.

Ruled out: handing it on with the stream, because positions of two eras are never compared and the copies of all nodes go over to the restored log; writing it again in the operator's place, because the log is the operator's.

Messages between nodes name the version that the sender itself has in force. A node that hears of a later one asks that peer for the record over the peer port, only if its copy of the log was proved complete after it first heard of it, so a log that has the record brings it first. There is one fetch at a time, after a random delay, with a timeout, a bounded body and a backoff from 0.25 to 16 s; in a tree only neighbours ask. The record goes through the same decoder and version check as one from the log, so versions only go forward. config.in_force says where each came from, config.from_peer and config.fetch_failed count.

A node that starts with a restored log (an era above 1) asks at once, and does not count the log as a proof that its configuration is current before a peer has confirmed it, for 1.5 s at most. By the existing rules it is meanwhile not ready, honours no key and answers config_stale in place of 404 and 401. Nodes that were up, and logs that were never restored, wait for nothing.

Evacuations that a restored log lacks are not told to nodes that start.

--- a/decisions/events.go
+++ b/decisions/events.go
@@ -18,6 +18,7 @@
 	PartCleared           = "part.cleared"
 	ConfigInForce         = "config.in_force"
 	ConfigUnreadable      = "config.unreadable"
+	ConfigFetchFailed     = "config.fetch_failed"
 	ZoneEvacuated         = "zone.evacuated"
 	ZoneReturned          = "zone.returned"
 	UpstreamChanged       = "upstream.changed"
@@ -112,8 +113,9 @@
 		{PartSuspected, "Requests with a part of a prompt run one at a time on all nodes: crashes that no other part explains, time since the last one."},
 		{PartQuarantined, "Requests with a part of a prompt are refused: crashes that no other part explains, time since the last one."},
 		{PartCleared, "Requests with a part of a prompt run freely again: an answer began, or ended whole if crashes cut off answers that had begun, another part explains the crashes, or they are long past."},
-		{ConfigInForce, "A configuration took effect: version, offset in the log, routes, services, keys."},
+		{ConfigInForce, "A configuration took effect: version, routes, services, keys, and whether it came from the log, with its offset, or from a peer, because a restored log lacks it."},
 		{ConfigUnreadable, "A configuration record could not be decoded; the previous configuration stays in force."},
+		{ConfigFetchFailed, "A peer that says that it has a later configuration in force than this node did not give it, or gave one that is not later or can't be decoded; the previous configuration stays in force, and a peer is asked again later."},
 		{ZoneEvacuated, "The operator evacuates an availability zone: its upstreams get no new requests, and no replica is formed there while another zone can be used."},
 		{ZoneReturned, "The evacuation of an availability zone has ended: whether only a snapshot showed it, in which the zone's key is missing."},
 		{UpstreamChanged, "An upstream's report of itself changed: boot, replica, rank, state, models, for how long it is cold."},
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -158,7 +158,7 @@
 		return
 	}
 	server := &http.Server{
-		Handler: relay.Handler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
+		Handler: relay.Handler(streams, n.state.configInForce), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	context.AfterFunc(ctx, func() {
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -40,6 +40,7 @@
 	"github.com/tamarackcleat/tamarackcleat/gossip"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/quorum"
+	"github.com/tamarackcleat/tamarackcleat/relay"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/slowstart"
 )
@@ -111,6 +112,9 @@
 	deadVMs         func() []string
 	closingHeads    func() []string
 	peers           *gossip.Gossip
+	// configFetch governs the fetches of a configuration from peers.
+	configFetch  configFetch
+	configClient *relay.ConfigurationClient
 	// followedStreams holds the streams of the log that the node keeps up to
 	// date. holder returns the id of the node that holds the control lease and
 	// reads the streams for the other nodes.
@@ -164,6 +168,7 @@
 		retryBudgets:    map[string]*retry.Window{},
 		toldCold:        map[fleet.Incarnation]time.Duration{},
 		durations:       map[string]*hdrhistogram.Histogram{},
+		configClient:    relay.NewConfigurationClient(),
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
 	}
 	n.quorum = &quorum.Quorum{}
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -47,6 +47,7 @@
 		return err
 	}
 	n.peers = g
+	n.state.peersConsulted.Store(false)
 	n.balancer.SetReportDelay(g.ChangeDelay)
 	return nil
 }
@@ -71,7 +72,7 @@
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
 		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
+		ConfigVersion: n.state.confirmedVersion(), Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
 	}
 }
 
@@ -86,6 +87,7 @@
 	if len(m.Loads) > 0 {
 		n.requestSeen.Store(true)
 	}
+	n.noteConfigVersion(m.Node, m.ConfigVersion)
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
 	n.mergeParts(now, m.Parts)
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -54,6 +54,10 @@
 	// configVerifiedAt is when the last read was sent that proved the
 	// configuration to be current, in nanoseconds by the boot clock.
 	configVerifiedAt atomic.Int64
+	// peersConsulted says that the log alone proves the configuration to be current. A node
+	// that starts does not know yet whether a restored log has lost a later one; see
+	// holdsProof.
+	peersConsulted atomic.Bool
 	// vmsVerifiedAt is when the last read was sent that proved the upstreams' reports
 	// in the view to be current.
 	vmsVerifiedAt atomic.Int64
@@ -104,6 +108,11 @@
 	restoredAt time.Duration
 	// unconfirmed holds until when zones stay evacuated whose keys a restored log lacks.
 	unconfirmed map[string]time.Duration
+	// configRecord is the record of the configuration in force, as it was read.
+	configRecord []byte
+	// logProvedAt is configVerifiedAt as far as the log alone shows, configReadAt when the
+	// configuration's stream was first read, both by the boot clock.
+	logProvedAt, configReadAt time.Duration
 	// leaving holds what upstreams said in answers.
 	leaving leavingMarks
 }
@@ -129,6 +138,7 @@
 		inUse:        func(string) bool { return false },
 	}
 	s.evacuationPrefix = streams.EvacuationPrefix
+	s.peersConsulted.Store(true)
 	s.view.Store(s.builder.View(0))
 	return s
 }
@@ -156,7 +166,10 @@
 	if dirty {
 		s.publish()
 	}
-	s.configVerifiedAt.Store(int64(b.SentAt))
+	s.logProvedAt = b.SentAt
+	if !s.holdsProof(b.Era, bootclock.Now()) {
+		s.configVerifiedAt.Store(int64(b.SentAt))
+	}
 }
 
 // applyConfigRecord applies a record if it is a configuration that is newer than the one in
@@ -170,12 +183,20 @@
 		s.logger.Error(decisions.ConfigUnreadable, "offset", r.Offset, "error", err)
 		return false
 	}
+	return s.replaceConfig(c, r.Value, "from", "log", "offset", r.Offset)
+}
+
+// replaceConfig puts a configuration in force, given as its record too, if it is newer than the
+// present one. It reports whether it is. origin holds the fields for the log line that say where
+// the configuration comes from.
+func (s *state) replaceConfig(c *fleet.Config, record []byte, origin ...any) bool {
 	if current := s.builder.Config(); current != nil && c.Version <= current.Version {
 		return false
 	}
-	s.logger.Info(decisions.ConfigInForce, "version", c.Version, "offset", r.Offset, "routes", c.Routes(),
-		"services", len(c.Services), "keys", len(c.Teams))
+	s.logger.Info(decisions.ConfigInForce, append([]any{"version", c.Version, "routes", c.Routes(),
+		"services", len(c.Services), "keys", len(c.Teams)}, origin...)...)
 	s.builder.SetConfig(c)
+	s.configRecord = record
 	return true
 }
 
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -44,6 +44,9 @@
 	// thus a sender encodes Loads once for all of its children.
 	Loads  loadMap `json:"loads,omitempty"`
 	Excess loadMap `json:"excess,omitempty"`
+	// ConfigVersion is the version of the configuration that the sender itself has in force;
+	// 0 for none, or if a later one may be known to its peers.
+	ConfigVersion int64 `json:"config,omitempty"`
 	// Silent lists the ids of the head VMs of replicas that have requests but send
 	// nothing.
 	Silent []string `json:"silent,omitempty"`
@@ -94,6 +97,7 @@
 		m.Cold[i].RemainingMs = min(max(0, m.Cold[i].RemainingMs), maxColdMs)
 	}
 	m.Nodes = clampCount(m.Nodes)
+	m.ConfigVersion = max(0, m.ConfigVersion)
 	for _, loads := range []loadMap{m.Loads, m.Excess} {
 		for vm, l := range loads {
 			loads[vm] = dispatch.Load{InFlight: clampCount(l.InFlight), PendingPromptTokens: clampCount(l.PendingPromptTokens)}
--- a/relay/largevalue_test.go
+++ b/relay/largevalue_test.go
@@ -97,7 +97,7 @@
 		plain, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		l := &link{Listener: plain, bytesPerSecond: linkBytesPerSecond}
-		server := httptest.NewUnstartedServer(relay.Handler([]*keyed.Stream{source}))
+		server := httptest.NewUnstartedServer(relay.Handler([]*keyed.Stream{source}, noConfiguration))
 		server.Listener = l
 		server.Start()
 		DeferCleanup(server.Close)
@@ -129,7 +129,7 @@
 		value := configuration(routes)
 		put(source, value)
 		put(source, []byte("small"))
-		h := relay.Handler([]*keyed.Stream{source})
+		h := relay.Handler([]*keyed.Stream{source}, noConfiguration)
 		type response struct {
 			Streams map[string]struct {
 				Records []struct{ V, Z []byte }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,7 +12,8 @@
 // neither a frozen node nor a late response makes a stream look fresher than it
 // is. A node whose copy is older than maxStaleness reads the log itself. Records pass only
 // between copies of the same era of the log; otherwise the two nodes tell each other the later
-// era, and the one that is behind reads the log.
+// era, and the one that is behind reads the log. The newest configuration alone also passes
+// between copies of different eras, for a log that has lost it.
 package relay
 
 import (
@@ -142,17 +143,31 @@
 	Compressed []byte `json:"z,omitempty"`
 }
 
+// encodeRecord returns a record as sent. compress returns the compressed form of a value, nil to
+// send it as it is.
+func encodeRecord(key string, value []byte, compress func([]byte) []byte) record {
+	if compressed := compress(value); compressed != nil {
+		return record{Key: key, Compressed: compressed}
+	}
+	return record{Key: key, Value: value}
+}
+
+// value returns the value of a received record, which has at most limit bytes if it comes
+// compressed.
+func (r *record) value(limit int64) ([]byte, error) {
+	if len(r.Compressed) == 0 {
+		return r.Value, nil
+	}
+	return decompress(r.Compressed, limit)
+}
+
 // encodeStreamResponse returns the response that carries a batch sent at now, a
 // time of the boot clock. AgeMillis is rounded up. compress returns the compressed form
 // of a value, nil to send it as it is.
 func encodeStreamResponse(b keyed.Batch, now time.Duration, compress func([]byte) []byte) streamResponse {
 	p := streamResponse{Era: b.Era, Next: b.Next, AgeMillis: (now - b.SentAt).Milliseconds() + 1}
 	for _, r := range b.Records {
-		out := record{Key: r.Key, Compressed: compress(r.Value)}
-		if out.Compressed == nil {
-			out.Value = r.Value
-		}
-		p.Records = append(p.Records, out)
+		p.Records = append(p.Records, encodeRecord(r.Key, r.Value, compress))
 	}
 	return p
 }
@@ -167,15 +182,14 @@
 	left := int64(maxValueBytes)
 	b := keyed.Batch{Era: p.Era, From: from, Next: p.Next, SentAt: sentAt - time.Duration(p.AgeMillis)*time.Millisecond}
 	for i, r := range p.Records {
+		value, err := r.value(left)
+		if err != nil {
+			return keyed.Batch{}, err
+		}
 		if len(r.Compressed) > 0 {
-			value, err := decompress(r.Compressed, left)
-			if err != nil {
-				return keyed.Batch{}, err
-			}
-			r.Value = value
 			left -= int64(len(value))
 		}
-		b.Records = append(b.Records, keyed.Record{Key: r.Key, Value: r.Value, Offset: from + int64(i)})
+		b.Records = append(b.Records, keyed.Record{Key: r.Key, Value: value, Offset: from + int64(i)})
 	}
 	return b, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -70,7 +70,7 @@
 			c.keys <- r.Key
 		}
 	})
-	handler := relay.Handler([]*keyed.Stream{c.first})
+	handler := relay.Handler([]*keyed.Stream{c.first}, noConfiguration)
 	c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.polls.Add(1)
 		if raw := c.raw.Load(); raw != nil {
@@ -201,7 +201,7 @@
 var _ = Describe("Handler", func() {
 	It("states the error when it cannot decode a poll", func() {
 		w := httptest.NewRecorder()
-		relay.Handler(nil).ServeHTTP(w, httptest.NewRequest(http.MethodPost, relay.PollPath, strings.NewReader("{")))
+		relay.Handler(nil, noConfiguration).ServeHTTP(w, httptest.NewRequest(http.MethodPost, relay.PollPath, strings.NewReader("{")))
 		Expect(w.Code).To(Equal(http.StatusBadRequest))
 		Expect(w.Body.String()).To(ContainSubstring("decoding the poll"))
 	})
--- a/relay/server.go
+++ b/relay/server.go
@@ -17,14 +17,16 @@
 // each stream.
 const maxRequestBytes = 4 << 10
 
-// Handler returns the HTTP handler that serves peers' polls of the streams.
-func Handler(streams []*keyed.Stream) http.Handler {
+// Handler returns the HTTP handler that serves peers' polls of the streams, and the record of the
+// configuration in force, which configuration returns; it must not be changed.
+func Handler(streams []*keyed.Stream, configuration func() []byte) http.Handler {
 	h := &server{streams: map[string]*keyed.Stream{}}
 	for _, s := range streams {
 		h.streams[s.Name] = s
 	}
 	r := mux.NewRouter()
 	r.HandleFunc(PollPath, h.poll).Methods(http.MethodPost)
+	r.HandleFunc(ConfigurationPath, h.serveConfiguration(configuration)).Methods(http.MethodGet)
 	return r
 }
 
--- a/relay/subscriber.go
+++ b/relay/subscriber.go
@@ -13,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/bootclock"
-	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/wirecheck"
@@ -55,22 +54,27 @@
 // NewSubscriber returns a Subscriber for the streams. Before each poll it calls
 // source for the peer to poll; source returns false if there is none.
 func NewSubscriber(streams []*keyed.Stream, source func() (Peer, bool), logger *slog.Logger) *Subscriber {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Subscriber{
 		streams: sortByName(streams),
 		source:  source,
 		logger:  logger,
 		freshAt: map[string]time.Duration{},
-		client: &http.Client{
-			Timeout: pollWait + pollTimeoutMargin,
-			Transport: &http.Transport{
-				DialContext:            wirecheck.Dial(dialer.DialContext),
-				DisableCompression:     true,
-				MaxResponseHeaderBytes: maxResponseHeadBytes,
-				IdleConnTimeout:        idleConnTimeout,
-				ReadBufferSize:         4 << 10,
-				WriteBufferSize:        1 << 10,
-			},
+		client:  newClient(pollWait + pollTimeoutMargin),
+	}
+}
+
+// newClient returns an HTTP client for requests to peers with a timeout.
+func newClient(timeout time.Duration) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Timeout: timeout,
+		Transport: &http.Transport{
+			DialContext:            wirecheck.Dial(dialer.DialContext),
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxResponseHeadBytes,
+			IdleConnTimeout:        idleConnTimeout,
+			ReadBufferSize:         4 << 10,
+			WriteBufferSize:        1 << 10,
 		},
 	}
 }
@@ -214,17 +218,9 @@
 		return a, errors.Wrap(err, "polling a peer")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.client.Do(req)
+	data, err := do(s.client, req, limitPollResponse)
 	if err != nil {
 		return a, errors.Wrap(err, "polling a peer")
 	}
-	defer resp.Body.Close()
-	data, err := bounded.ReadAll(resp.Body, limitPollResponse, maxResponseBytes)
-	if err != nil {
-		return a, errors.Wrap(err, "reading the peer's response")
-	}
-	if resp.StatusCode != http.StatusOK {
-		return a, errors.Newf("the peer responded with HTTP status %d", resp.StatusCode)
-	}
 	return a, errors.Wrap(json.Unmarshal(data, &a), "decoding the peer's response")
 }
