--- a/callerlimit/conn.go
+++ b/callerlimit/conn.go
@@ -56,6 +56,9 @@
 	writeAt time.Time
 }
 
+// NetConn returns the connection that is counted.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // holds returns the bytes that the connection counts. The account must be locked.
 func (c *Conn) holds() int64 { return ConnectionBytes + c.headBytes + c.bodyBytes }
 
--- a/decisions/events.go
+++ b/decisions/events.go
@@ -78,6 +78,9 @@
 	StreamRestored        = "stream.restored"
 	StreamStart           = "upstream.stream_start"
 	StreamTruncated       = "stream.truncated"
+	UpstreamsUnreachable  = "upstreams.unreachable"
+	UpstreamsReachable    = "upstreams.reachable"
+	TunnelRefused         = "tunnel.refused"
 	StreamSource          = "stream.source"
 	StreamSourceLost      = "stream.source_lost"
 	RelayFailed           = "relay.failed"
@@ -135,6 +138,9 @@
 		{UpstreamDead, "A VM did not answer several probes; its replica is repaired without it."},
 		{UpstreamEvicted, "A slow VM is removed from its replica, which is formed again without it: the VM's pace and the age of that measurement."},
 		{UpstreamBack, "A VM that was considered dead answers probes again."},
+		{UpstreamsUnreachable, "This node can connect to no upstream, so its requests go through other nodes until it can: number of upstreams that failed and of those that it tried to connect to in vain, time since the first failure, whether open connections still work."},
+		{UpstreamsReachable, "This node can connect to upstreams again: how long it could not, number of tunnels through other nodes meanwhile."},
+		{TunnelRefused, "Another node did not open a tunnel to an upstream for this one, and another was asked or the attempt failed: that node, reason."},
 		{UpstreamRestarted, "A member of a replica no longer reports the membership that it reported before, as after a restart, so the replica is dissolved: both reports, how long ago the VM gave them and the nodes that probed it."},
 		{UpstreamOutdated, "A report that contradicts a VM's membership of its replica is ignored, because it may be older than the report of the membership: both reports, how long ago the VM gave them and the nodes that probed it."},
 		{ReplicaFormed, "VMs were ordered to join a new replica or standby replica: model, members, number of model loads, expected time."},
@@ -152,7 +158,7 @@
 		{LeaseChanged, "The control lease has a new holder or a new term."},
 		{LeaseHeld, "This node acquired or lost the control lease."},
 		{LeaseHolderEnded, "A new process has registered the address of the lease's holder, so the holder's process has ended; the lease may be claimed before it expires."},
-		{LeaseHandedOver, "This node gave up the control lease because nodes with more processor cores are reachable."},
+		{LeaseHandedOver, "This node gave up the control lease because nodes with more processor cores are reachable, or because it can't connect to upstreams."},
 		{LeaseEra, "The log was restored from a backup, so the control lease must be claimed anew: both eras, whether this node held the lease and claims it at once, its latest term."},
 		{LeaseVoid, "A record of the control lease was appended by a node that did not know the log's present era, and counts for nothing: its holder and term, both eras."},
 		{LeaseAppendFailed, "The log did not confirm a claim or renewal of the control lease; reading the log will show whether it was appended."},
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -378,6 +378,17 @@
 	b.loadOf(t).suspectedUntil = now.Add(suspectDuration)
 }
 
+// ForgetSuspects takes back that upstreams failed at a time or later.
+func (b *Balancer) ForgetSuspects(since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, l := range b.loads {
+		if !l.suspectedUntil.Before(since.Add(suspectDuration)) {
+			l.suspectedUntil = time.Time{}
+		}
+	}
+}
+
 // StallTimeouts holds the times without progress after which an upstream counts as
 // stalled: Decode applies if it has begun to answer a request of this node, Prefill
 // if it has not begun to answer any.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -115,16 +116,23 @@
 	// earlier one, so it is accepted only on a connection's first request.
 	Identifies func(h http.Header) bool
 	// Admit, if it is not nil, is called when a connection is there, right before the
-	// first byte is written. If it returns an error, nothing is sent.
+	// first byte is written. If it returns an error, nothing is sent. It may change the
+	// header.
 	Admit func() error
+	// Dial, if it is not nil, opens a connection for the request in place of Pool.Dial. A
+	// connection with oneUse is closed after the request.
+	Dial func(ctx context.Context) (c net.Conn, oneUse bool, err error)
 }
 
-// admit returns the error for which the request must not be sent now; nil if there is none.
-func (r *Request) admit() error {
-	if r.Admit == nil {
-		return nil
+// admitAndEncode returns what encode returns, and an error if the request must not be sent
+// now.
+func (r *Request) admitAndEncode() ([]byte, Body, error) {
+	if r.Admit != nil {
+		if err := r.Admit(); err != nil {
+			return nil, nil, err
+		}
 	}
-	return r.Admit()
+	return r.encode()
 }
 
 // encode returns the head of the request in wire format, followed by the body if that is
@@ -193,15 +201,12 @@
 // ends, the connection is closed, which upstreams take as a cancellation. An error
 // that is marked as ErrNotSent guarantees that no byte of the request was written.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	head, body, err := r.encode()
+	c, reused, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	c, reused, err := p.get(ctx, address, r.ID)
+	head, body, err := r.admitAndEncode()
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
-	}
-	if err := r.admit(); err != nil {
 		p.put(c, true)
 		return nil, errors.Mark(err, ErrNotSent)
 	}
--- a/exchange/pool.go
+++ b/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -50,12 +51,17 @@
 	MaxOpen func() int
 	// OnOpen is called after each new connection was opened; it may be nil.
 	OnOpen func()
+	// OnRead is called whenever bytes of an upstream were read from a connection that the
+	// pool has opened itself; it may be nil.
+	OnRead func()
+	// DialContext opens a connection; nil for a net.Dialer.
+	DialContext wirecheck.DialFunc
 }
 
 // Pool keeps persistent connections to upstreams. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
+	dial    wirecheck.DialFunc
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -86,13 +92,32 @@
 	// closeAfterResponse is whether the upstream announced that it closes the
 	// connection after the latest response.
 	closeAfterResponse bool
+	// oneUse says that the connection is closed after its first request.
+	oneUse bool
 	// carried holds the hashes of the ids of the requests that were sent on the
 	// connection.
 	carried []uint64
 }
 
-func newConn(n net.Conn, address string) *conn {
-	source := bounded.NewReader(n)
+// observedReader calls a function after each read that brought bytes.
+type observedReader struct {
+	io.Reader
+	onRead func()
+}
+
+func (o observedReader) Read(p []byte) (int, error) {
+	n, err := o.Reader.Read(p)
+	if n > 0 {
+		o.onRead()
+	}
+	return n, err
+}
+
+func newConn(n net.Conn, address string) *conn { return newConnReading(n, n, address) }
+
+// newConnReading returns a connection whose bytes are read from r.
+func newConnReading(r io.Reader, n net.Conn, address string) *conn {
+	source := bounded.NewReader(r)
 	responses := wirecheck.NewReader(source)
 	return &conn{
 		net: n, address: address, reader: bufio.NewReaderSize(responses, readBufferSize), responses: responses, source: source,
@@ -132,12 +157,23 @@
 // NewPool returns a pool without connections.
 func NewPool(o Options) *Pool {
 	p := &Pool{options: o, hosts: map[string]*host{}}
-	p.dialer = net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1, Control: p.setUserTimeout}
+	p.dial = o.DialContext
+	if p.dial == nil {
+		dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: -1, Control: p.ControlSocket}
+		p.dial = dialer.DialContext
+	}
 	return p
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT on a new socket.
-func (p *Pool) setUserTimeout(_, _ string, raw syscall.RawConn) error {
+// Dial opens a connection with the options of the pool, which does not keep or count it.
+func (p *Pool) Dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
+	defer cancel()
+	return p.dial(ctx, "tcp", address)
+}
+
+// ControlSocket sets the options of a new socket, for net.Dialer.Control.
+func (p *Pool) ControlSocket(_, _ string, raw syscall.RawConn) error {
 	var sockErr error
 	err := raw.Control(func(fd uintptr) {
 		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.options.UserTimeout.Milliseconds()))
@@ -145,11 +181,11 @@
 	return errors.CombineErrors(err, sockErr)
 }
 
-// get returns a usable idle connection that has not carried the request with the given
-// id, or else opens one. It reports whether the connection was idle before.
-func (p *Pool) get(ctx context.Context, address, id string) (*conn, bool, error) {
+// get returns a usable idle connection that has not carried the request, or else opens
+// one. It reports whether the connection was idle before.
+func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, bool, error) {
 	for {
-		c, ok, err := p.takeIdleOrReserve(address, id)
+		c, ok, err := p.takeIdleOrReserve(address, r.ID)
 		if err != nil {
 			return nil, false, err
 		}
@@ -161,15 +197,45 @@
 		}
 		p.put(c, false)
 	}
-	n, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.connect(ctx, address, r)
 	if err != nil {
 		p.releaseSlot(address)
 		return nil, false, errors.Wrap(err, "connecting")
 	}
+	return c, false, nil
+}
+
+// connect opens a connection for a request.
+func (p *Pool) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	var n net.Conn
+	var err error
+	oneUse := false
+	if r.Dial != nil {
+		n, oneUse, err = r.Dial(ctx)
+	} else {
+		n, err = p.Dial(ctx, address)
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case oneUse:
+		c := newConn(n, address)
+		c.oneUse = true
+		return c, nil
+	}
+	return p.newObservedConn(n, address), nil
+}
+
+// newObservedConn returns a connection to an upstream, of which the options' functions are
+// told.
+func (p *Pool) newObservedConn(n net.Conn, address string) *conn {
 	if p.options.OnOpen != nil {
 		p.options.OnOpen()
 	}
-	return newConn(n, address), false, nil
+	if p.options.OnRead == nil {
+		return newConn(n, address)
+	}
+	return newConnReading(observedReader{n, p.options.OnRead}, n, address)
 }
 
 // takeIdleOrReserve takes the most recently used idle connection to an address that has
@@ -243,7 +309,7 @@
 
 // put returns a connection to the pool if keep is set, and closes it otherwise.
 func (p *Pool) put(c *conn, keep bool) {
-	if !keep {
+	if !keep || c.oneUse {
 		c.abort()
 		p.releaseSlot(c.address)
 		return
@@ -310,6 +376,20 @@
 	}
 }
 
+// CloseAllIdle closes all idle connections.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		for len(h.idle) > 0 {
+			p.closeOldest(h)
+		}
+		if h.open == 0 {
+			delete(p.hosts, address)
+		}
+	}
+}
+
 // expired reports whether a connection has been idle for too long to be used.
 func (c *conn) expired() bool {
 	return time.Since(c.lastUsedAt) > time.Duration(float64(c.idleTimeout)*idleTimeoutFraction)
--- a/formation/driver.go
+++ b/formation/driver.go
@@ -58,6 +58,10 @@
 	// ReportsVerifiedAt returns the time, by the boot clock, at which the read was sent
 	// that proved the reports in the view to be current.
 	ReportsVerifiedAt func() time.Duration
+	// OnProbe is told whether the VM at an address has answered a probe. It returns false
+	// if this node may be unable to reach any VM, so that a missing answer shows nothing.
+	// nil stands for a function that returns true.
+	OnProbe func(address string, answered bool) bool
 
 	// changed signals that the view has changed since the last planning round.
 	changed  chan struct{}
@@ -227,6 +231,9 @@
 	started := time.Now()
 	res := d.Sender.Send(bounded, o, term, permitted)
 	res.ProcessDelayed = time.Since(started) > limit+delayMargin
+	if o.Kind == Probe && d.OnProbe != nil {
+		res.NodeUnreachable = !d.OnProbe(o.Address, res.Answered)
+	}
 	select {
 	case d.results <- outcome{o, res}:
 	case <-ctx.Done():
--- a/formation/planner.go
+++ b/formation/planner.go
@@ -75,6 +75,9 @@
 	// answer, so that a missing answer does not show that the VM is
 	// unreachable.
 	ProcessDelayed bool
+	// NodeUnreachable says that this node may be unable to reach any VM, so that a missing
+	// answer does not show that the VM is unreachable.
+	NodeUnreachable bool
 	// Problem says why the VM's answer could not be decoded; empty if it could.
 	Problem string
 	// Status is the HTTP status or the error, for log lines only.
--- a/formation/probes.go
+++ b/formation/probes.go
@@ -81,7 +81,7 @@
 		p.replan = p.replan || p.awaitingProbes
 		return nil
 	}
-	if s.deadAt > 0 || res.ProcessDelayed {
+	if s.deadAt > 0 || res.ProcessDelayed || res.NodeUnreachable {
 		return nil
 	}
 	s.unanswered++
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +16,7 @@
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/exchange"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/reach"
 	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
@@ -248,7 +250,7 @@
 		return
 	}
 	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
-	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil {
+	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil && f.node.path.state() == reach.Reachable {
 		f.countCrash(t.assignment.Target, begun)
 	}
 }
@@ -298,6 +300,9 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if e.Reason == verdict.ReasonUpstreamLost {
+		f.node.pathFailed(t.Address, reach.NoAnswer)
+	}
 	switch e.Reason {
 	case verdict.ReasonConnect, verdict.ReasonUpstreamRefused, verdict.ReasonUpstreamLost:
 		f.node.balancer.MarkSuspect(time.Now(), t)
@@ -334,14 +339,15 @@
 	p := f.node.deps.Protocol
 	target := t.assignment.Target
 	t.lastEvent = lastEvent
-	r := p.Encode(f.req, Attempt{
-		Target:    target,
-		Remaining: time.Until(f.deadline),
-		Team:      f.team.Name,
-		Priority:  f.priority(),
-		LastEvent: lastEvent,
-	})
-	r.Admit = func() error { return f.node.mayWrite(t) }
+	r := f.encode(target, lastEvent)
+	encodedAt := time.Now()
+	r.Admit = func() error {
+		if time.Since(encodedAt) > maxEncodedAge {
+			r.Header = f.encode(target, lastEvent).Header
+		}
+		return f.node.mayWrite(t)
+	}
+	r.Dial = func(ctx context.Context) (net.Conn, bool, error) { return f.node.dialUpstream(ctx, target, f.deadline) }
 	resp, err := f.node.pool.Do(t.ctx, target.Address, r)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
@@ -360,6 +366,21 @@
 	return nil
 }
 
+// maxEncodedAge is the time after which the header of a request that waited for its
+// connection is encoded again, because it says how much time is left.
+const maxEncodedAge = 100 * time.Millisecond
+
+// encode returns the request as it is sent to an upstream now.
+func (f *forwarder) encode(target fleet.Target, lastEvent string) *exchange.Request {
+	return f.node.deps.Protocol.Encode(f.req, Attempt{
+		Target:    target,
+		Remaining: time.Until(f.deadline),
+		Team:      f.team.Name,
+		Priority:  f.priority(),
+		LastEvent: lastEvent,
+	})
+}
+
 // readFailed returns the failure for an error while an upstream's answer was read. An
 // answer that is malformed or belongs to another request is logged and counted. If the
 // upstream sent more than a limit allows, the limit is logged and counted, and the
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -55,7 +55,7 @@
 // ended. A process that still accepts connections has not crashed; only its answer
 // was lost. begun says that the answer had begun.
 func (f *forwarder) countCrash(t fleet.Target, begun bool) {
-	conn, err := net.DialTimeout("tcp", t.Address, crashProbeTimeout)
+	conn, err := f.node.dialWithin(t.Address, crashProbeTimeout)
 	switch {
 	case err == nil:
 		go f.awaitCrash(t, conn, begun)
@@ -74,7 +74,7 @@
 	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	again, err := net.DialTimeout("tcp", t.Address, crashProbeTimeout)
+	again, err := f.node.dialWithin(t.Address, crashProbeTimeout)
 	if err == nil {
 		_ = again.Close()
 		return
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/relay"
+	"github.com/tamarackcleat/tamarackcleat/tunnel"
 )
 
 const (
@@ -154,7 +157,7 @@
 		return
 	}
 	server := &http.Server{
-		Handler: relay.Handler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
+		Handler: n.peerHandler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	context.AfterFunc(ctx, func() {
@@ -167,6 +170,14 @@
 	}
 }
 
+// peerHandler returns the handler of what peers ask this node for.
+func (n *Node) peerHandler(streams []*keyed.Stream) http.Handler {
+	r := mux.NewRouter()
+	r.Handle(tunnel.Path, n.tunnelServer).Methods(http.MethodGet)
+	r.PathPrefix("/").Handler(relay.Handler(streams))
+	return r
+}
+
 // isHolder reports whether this node holds the control lease, and so reads the log for
 // the other nodes.
 func (n *Node) isHolder() bool { return n.holder() == n.id }
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -42,6 +42,7 @@
 	"github.com/tamarackcleat/tamarackcleat/quorum"
 	"github.com/tamarackcleat/tamarackcleat/retry"
 	"github.com/tamarackcleat/tamarackcleat/slowstart"
+	"github.com/tamarackcleat/tamarackcleat/tunnel"
 )
 
 const (
@@ -111,6 +112,9 @@
 	deadVMs         func() []string
 	closingHeads    func() []string
 	peers           *gossip.Gossip
+	path            *upstreamPath
+	tunnels         *tunnelChoice
+	tunnelServer    *tunnel.Server
 	// followedStreams holds the streams of the log that the node keeps up to
 	// date. holder returns the id of the node that holds the control lease and
 	// reads the streams for the other nodes.
@@ -165,6 +169,8 @@
 		toldCold:        map[fleet.Incarnation]time.Duration{},
 		durations:       map[string]*hdrhistogram.Histogram{},
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
+		path:            newUpstreamPath(),
+		tunnels:         newTunnelChoice(),
 	}
 	n.quorum = &quorum.Quorum{}
 	n.coldStart = slowstart.New(s.Node, n.quorum)
@@ -186,7 +192,10 @@
 		UserTimeout: tcpUserTimeout,
 		MaxOpen:     func() int { return maxUpstreamConnections(*n.Settings()) },
 		OnOpen:      func() { n.count("upstream.connections") },
+		OnRead:      n.path.alive,
+		DialContext: s.DialUpstream,
 	})
+	n.tunnelServer = n.newTunnelServer()
 	return n
 }
 
@@ -363,6 +372,7 @@
 			return
 		case now := <-t.C:
 			n.moveFromSilent(now)
+			n.recheckPath()
 			if now.Sub(lastSweep) >= poolSweepInterval {
 				lastSweep = now
 				n.observeNodes()
@@ -418,7 +428,8 @@
 	n.drainStart.Store(&started)
 	endRequests := time.AfterFunc(n.drainLimit(), n.endRequests)
 	defer endRequests.Stop()
-	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || n.inFlight.Load() > 0 && !n.cannotFinish(time.Now().Add(streamAnswerTime)) {
+	busy := func() bool { return n.inFlight.Load()+n.tunnelServer.Open() > 0 }
+	for time.Since(started) < min(drainNoticeTime, n.drainLimit()) || busy() && !n.cannotFinish(time.Now().Add(streamAnswerTime)) {
 		time.Sleep(drainPollInterval)
 	}
 	n.callers.Load().Stop()
@@ -427,5 +438,8 @@
 	if err := server.Shutdown(ctx, firstRequestWait); err != nil {
 		n.logger.Warn(decisions.NodeCutRequests, "in_flight", n.inFlight.Load(), "error", err)
 	}
+	for n.tunnelServer.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPollInterval)
+	}
 	n.logger.Info(decisions.NodeStopped, "in_flight", n.inFlight.Load(), "after_ms", millisSince(started))
 }
--- a/gateway/notices.go
+++ b/gateway/notices.go
@@ -106,8 +106,10 @@
 		reason = verdict.ReasonUpstreamCold
 	case errors.Is(err, errCutOff):
 		reason = verdict.ReasonConfigStale
+	case errors.Is(err, errNoTunnel):
+		reason = verdict.ReasonNoPath
 	}
-	t.withheld = reason != verdict.ReasonConnect
+	t.withheld = reason != verdict.ReasonConnect && reason != verdict.ReasonNoPath
 	return verdict.Refuse(reason, "%v", err).WithRetryAfter(retryAfterFailure)
 }
 
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
+	"github.com/tamarackcleat/tamarackcleat/reach"
 	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
@@ -65,13 +66,21 @@
 // localMessage returns the message of this node to its peers. It also applies
 // avoidDead and avoidClosing on this node, as handleMessage does on the peers.
 func (n *Node) localMessage() gossip.Message {
-	dead := n.deadVMs()
+	dead, silent := n.deadVMs(), n.silence.recent(time.Now())
+	var unreaching []string
+	if n.path.state() != reach.Reachable {
+		// What this node sees of upstreams may be the fault of its own path to them.
+		dead, silent = nil, nil
+	}
+	if n.path.lost() {
+		unreaching = []string{n.id}
+	}
 	n.avoidDead(time.Now(), dead)
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
-		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
+		Loads: n.balancer.LocalLoads(), Silent: silent, Dead: dead, Closing: closing,
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(), Unreaching: unreaching,
 	}
 }
 
@@ -86,6 +95,7 @@
 	if len(m.Loads) > 0 {
 		n.requestSeen.Store(true)
 	}
+	n.tunnels.noteUnreaching(now, m.Node, m.Unreaching)
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
 	n.mergeParts(now, m.Parts)
--- a/gateway/settings.go
+++ b/gateway/settings.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 // Settings are the settings of a node's process.
@@ -34,6 +36,8 @@
 	CallerBytes       int64
 	// Bounds holds the time and retry bounds that the deployment promises.
 	Bounds Bounds
+	// DialUpstream opens connections to upstreams; nil for a net.Dialer.
+	DialUpstream wirecheck.DialFunc
 }
 
 // Bounds are the bounds that the deployment promises. Timeouts are derived from them.
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -7,6 +7,7 @@
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/reach"
 )
 
 // silenceRecord holds when this node last found that the upstreams of VMs send nothing.
@@ -86,6 +87,7 @@
 		n.logger.Warn(decisions.UpstreamSilent, "upstream", t.ID, "replica", t.Replica, "limit_ms", attempts[0].limits.Decode.Milliseconds(), "moved", len(attempts))
 	}
 	for _, a := range n.runningAttempts.find(func(a *movableAttempt) bool { return !a.slowAt.IsZero() && now.After(a.slowAt) }) {
+		n.pathFailed(a.try.assignment.Target.Address, reach.NoAnswer)
 		n.runningAttempts.move(a, errSlow)
 	}
 }
@@ -100,6 +102,7 @@
 func (n *Node) probeEarly(now time.Time, targets []fleet.Target, limits dispatch.StallTimeouts) {
 	quiet := dispatch.StallTimeouts{Decode: time.Duration(earlyProbeFraction * float64(limits.Decode)), Prefill: limits.Prefill}
 	for _, t := range n.balancer.Silent(now, targets, quiet) {
+		n.pathFailed(t.Address, reach.NoAnswer)
 		if n.silence.add(now, t.ID) {
 			n.onSilent(t.ID)
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -62,6 +62,9 @@
 	// Cold lists the upstreams that said in an answer that they are cold, with the time
 	// for which they still are; at most maxCold.
 	Cold []ColdUpstream `json:"cold,omitempty"`
+	// Unreaching lists the ids of nodes that can't connect to any upstream; at most
+	// maxUnreaching.
+	Unreaching []string `json:"unreaching,omitempty"`
 }
 
 // ColdUpstream is an upstream that is cold for a time in milliseconds.
@@ -85,11 +88,16 @@
 // out is named in a later message.
 const maxLeaving = 200
 
+// maxUnreaching bounds Message.Unreaching. A node that is left out refuses what peers ask of
+// it.
+const maxUnreaching = 300
+
 // clampCounts replaces counts that no sound node sends by the nearest possible ones, and
 // shortens lists that are too long.
 func (m *Message) clampCounts() {
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 	m.Cold = m.Cold[:min(maxCold, len(m.Cold))]
+	m.Unreaching = m.Unreaching[:min(maxUnreaching, len(m.Unreaching))]
 	for i := range m.Cold {
 		m.Cold[i].RemainingMs = min(max(0, m.Cold[i].RemainingMs), maxColdMs)
 	}
@@ -120,7 +128,7 @@
 
 // hasLists reports whether any of the message's lists that are merged has an entry.
 func (m *Message) hasLists() bool {
-	return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving)+len(m.Cold) > 0
+	return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving)+len(m.Cold)+len(m.Unreaching) > 0
 }
 
 // mergeLists adds the lists in another message to the message.
@@ -131,6 +139,8 @@
 	m.Leaving = unionFunc(m.Leaving, other.Leaving, compareIncarnations)
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 	m.Cold = mergeCold(m.Cold, other.Cold)
+	m.Unreaching = union(m.Unreaching, other.Unreaching)
+	m.Unreaching = m.Unreaching[:min(maxUnreaching, len(m.Unreaching))]
 }
 
 // mergeCold returns the upstreams in either of two lists, sorted, each with the longer of
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -147,6 +147,8 @@
 	// handed the lease over because of that.
 	yieldingSince time.Duration
 	handedOverAt  time.Duration
+	// unfit reports whether this node must leave the lease to others.
+	unfit func() bool
 	// stopped is set by Release.
 	stopped bool
 	// wasHolder is whether this node was the holder at the last check.
@@ -156,13 +158,17 @@
 // New returns this node's view of the lease whose records have a given key in a
 // stream. The id must be unique to this process.
 func New(id, stream, key string, log Log, logger *slog.Logger) *Lease {
-	return &Lease{id: id, stream: stream, key: key, log: log, logger: logger, pending: map[uint64]time.Duration{}, shouldYield: func() bool { return false }}
+	return &Lease{id: id, stream: stream, key: key, log: log, logger: logger, pending: map[uint64]time.Duration{}, shouldYield: func() bool { return false }, unfit: func() bool { return false }}
 }
 
 // YieldWhile makes this node claim the lease later than other nodes, and hand it
 // over if it holds it, while f returns true. It must be called before Run.
 func (l *Lease) YieldWhile(f func() bool) { l.shouldYield = f }
 
+// LeaveWhile makes this node hand the lease over at once, and keeps it from claiming the
+// lease, while f returns true. It must be called before Run.
+func (l *Lease) LeaveWhile(f func() bool) { l.unfit = f }
+
 // Apply applies a batch of records read from the log stream that holds the lease's
 // records. Records with another key are ignored.
 func (l *Lease) Apply(b keyed.Batch) {
@@ -310,7 +316,7 @@
 // claimOrRenew appends a claim, a renewal or a hand-over if one is due.
 func (l *Lease) claimOrRenew(ctx context.Context) {
 	now := bootclock.Now()
-	yielding := l.shouldYield()
+	yielding, unfit := l.shouldYield(), l.unfit()
 	l.mu.Lock()
 	if yielding && !l.yielding {
 		l.yieldingSince = now
@@ -325,14 +331,15 @@
 	due := false
 	switch {
 	case !l.streamKnown || l.stopped:
-	case held && l.shouldHandOver(now):
+	case held && (unfit || l.shouldHandOver(now)):
 		// This node must stop acting before other nodes can read the record.
 		l.handedOverAt, l.validUntil, l.wasHolder = now, 0, false
 		e.Holder, e.Term, due = "", l.term, true
-		l.logger.Info(decisions.LeaseHandedOver, "term", l.term, "yielding_ms", (now - l.yieldingSince).Milliseconds())
+		l.logger.Info(decisions.LeaseHandedOver, "term", l.term, "unfit", unfit, "yielding", l.yielding)
 	case held:
 		e.Term = l.term
 		due = now-l.lastAppendAt >= renewInterval
+	case unfit:
 	default:
 		if l.claimAfter == 0 {
 			l.claimAfter = now + l.firstClaimDelay() + l.jitter()
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -106,6 +106,9 @@
 	ReasonUpstreamCold Reason = "upstream_cold"
 	// ReasonConnect marks a connection that could not be established.
 	ReasonConnect Reason = "connect_failed"
+	// ReasonNoPath marks a node that can connect neither to upstreams nor to another node
+	// that could for it.
+	ReasonNoPath Reason = "no_path_to_upstreams"
 	// ReasonUpstreamLost marks a connection that was lost after bytes of the
 	// request were sent.
 	ReasonUpstreamLost Reason = "upstream_lost"
