--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -67,20 +67,20 @@
 // avoidDead and avoidClosing on this node, as handleMessage does on the peers.
 func (n *Node) localMessage() gossip.Message {
 	dead, silent := n.deadVMs(), n.silence.recent(time.Now())
-	var unreaching []string
+	var noTunnels []string
 	if n.path.state() != reach.Reachable {
 		// What this node sees of upstreams may be the fault of its own path to them.
 		dead, silent = nil, nil
 	}
-	if n.path.lost() {
-		unreaching = []string{n.id}
+	if n.path.lost() || n.draining.Load() {
+		noTunnels = []string{n.id}
 	}
 	n.avoidDead(time.Now(), dead)
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
 		Loads: n.balancer.LocalLoads(), Silent: silent, Dead: dead, Closing: closing,
-		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(), Unreaching: unreaching,
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(), NoTunnels: noTunnels,
 	}
 }
 
@@ -95,7 +95,7 @@
 	if len(m.Loads) > 0 {
 		n.requestSeen.Store(true)
 	}
-	n.tunnels.noteUnreaching(now, m.Node, m.Unreaching)
+	n.tunnels.noteWithout(now, m.Node, m.NoTunnels)
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
 	n.mergeParts(now, m.Parts)
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -24,12 +24,12 @@
 	// peerDialTimeout bounds the time to connect to another node.
 	peerDialTimeout = 300 * time.Millisecond
 	// tunnelTries is the number of nodes that are asked for a tunnel for one attempt.
-	tunnelTries = 2
+	tunnelTries = 3
 	// avoidPeerTime is how long a node gets no tunnel that could not open one.
 	avoidPeerTime = 500 * time.Millisecond
-	// unreachingTTL is how long a node counts as unable to reach upstreams after a message
-	// has said so.
-	unreachingTTL = time.Second
+	// withoutTTL is how long a node counts as one that serves no tunnels after a message has
+	// said so.
+	withoutTTL = time.Second
 	// tunnelDescriptorShare and tunnelMemoryShare are the parts of a node's descriptors and
 	// memory that the tunnels that it serves may hold. Each takes two descriptors.
 	tunnelDescriptorShare = 0.1
@@ -52,74 +52,74 @@
 	open map[string]int
 	// avoidUntil holds until when nodes are not asked.
 	avoidUntil map[string]time.Time
-	// unreaching holds, by sender, the nodes that a message named as unable to reach
-	// upstreams.
-	unreaching map[string]unreachingNodes
+	// without holds, by sender, the nodes that a message named as serving no tunnels.
+	without map[string]nodesWithout
 }
 
-// unreachingNodes are nodes that can't reach upstreams, as a message said.
-type unreachingNodes struct {
+// nodesWithout are nodes that serve no tunnels, as a message said.
+type nodesWithout struct {
 	at  time.Time
 	ids []string
 }
 
 func newTunnelChoice() *tunnelChoice {
-	return &tunnelChoice{open: map[string]int{}, avoidUntil: map[string]time.Time{}, unreaching: map[string]unreachingNodes{}}
+	return &tunnelChoice{open: map[string]int{}, avoidUntil: map[string]time.Time{}, without: map[string]nodesWithout{}}
 }
 
-// noteUnreaching records which nodes a message names as unable to reach upstreams.
-func (c *tunnelChoice) noteUnreaching(now time.Time, sender string, ids []string) {
+// noteWithout records which nodes a message names as serving no tunnels.
+func (c *tunnelChoice) noteWithout(now time.Time, sender string, ids []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(ids) == 0 {
-		delete(c.unreaching, sender)
+		delete(c.without, sender)
 		return
 	}
-	c.unreaching[sender] = unreachingNodes{now, ids}
+	c.without[sender] = nodesWithout{now, ids}
 }
 
-// usable returns those of the peers that are not known to be unable to reach upstreams.
+// usable returns those of the peers that are not known to serve no tunnels.
 func (c *tunnelChoice) usable(now time.Time, peers []relay.Peer) []relay.Peer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unable := map[string]bool{}
-	for sender, u := range c.unreaching {
-		if now.Sub(u.at) > unreachingTTL {
-			delete(c.unreaching, sender)
+	without := map[string]bool{}
+	for sender, u := range c.without {
+		if now.Sub(u.at) > withoutTTL {
+			delete(c.without, sender)
 			continue
 		}
 		for _, id := range u.ids {
-			unable[id] = true
+			without[id] = true
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(peers), func(p relay.Peer) bool { return unable[p.ID] })
+	return slices.DeleteFunc(slices.Clone(peers), func(p relay.Peer) bool { return without[p.ID] })
 }
 
-// choose returns the node to open a tunnel through, of all peers of a node of a zone, and
-// counts a tunnel there; false if there is none. It prefers the node's own zone unless more
-// than half of that zone's nodes can't reach upstreams.
+// choose returns the node to open a tunnel through, of all peers of a node of a zone that
+// were not tried, and counts a tunnel there; false if there is none. It prefers the node's
+// own zone unless at most half of that zone's nodes serve tunnels.
 func (c *tunnelChoice) choose(now time.Time, zone string, peers []relay.Peer, tried []string) (relay.Peer, bool) {
 	usable := c.usable(now, peers)
 	inZone := func(p relay.Peer) bool { return p.Zone == zone }
 	near := filterPeers(usable, inZone)
-	if 2*len(near) > len(filterPeers(peers, inZone)) {
-		usable = near
+	if 2*len(near) <= len(filterPeers(peers, inZone)) {
+		near = nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	open := filterPeers(usable, func(p relay.Peer) bool { return !slices.Contains(tried, p.ID) && !now.Before(c.avoidUntil[p.ID]) })
-	if len(open) == 0 {
-		open = filterPeers(peers, func(p relay.Peer) bool { return !slices.Contains(tried, p.ID) })
-	}
-	if len(open) == 0 {
-		return relay.Peer{}, false
-	}
-	a, b := open[rand.N(len(open))], open[rand.N(len(open))]
-	if c.loadOf(b) < c.loadOf(a) {
-		a = b
+	untried := func(p relay.Peer) bool { return !slices.Contains(tried, p.ID) }
+	welcome := func(p relay.Peer) bool { return untried(p) && !now.Before(c.avoidUntil[p.ID]) }
+	for _, open := range [][]relay.Peer{filterPeers(near, welcome), filterPeers(usable, welcome), filterPeers(usable, untried), filterPeers(peers, welcome), filterPeers(peers, untried)} {
+		if len(open) == 0 {
+			continue
+		}
+		a, b := open[rand.N(len(open))], open[rand.N(len(open))]
+		if c.loadOf(b) < c.loadOf(a) {
+			a = b
+		}
+		c.open[a.ID]++
+		return a, true
 	}
-	c.open[a.ID]++
-	return a, true
+	return relay.Peer{}, false
 }
 
 func filterPeers(peers []relay.Peer, keep func(relay.Peer) bool) []relay.Peer {
@@ -262,7 +262,7 @@
 // newTunnelServer returns the server of tunnels for other nodes.
 func (n *Node) newTunnelServer() *tunnel.Server {
 	return &tunnel.Server{
-		Admit: n.admitTunnel, Dial: n.dialDirect, Max: func() int { return maxTunnels(*n.Settings()) }, Done: n.requestsEnd,
+		Admit: n.admitTunnel, Dial: n.dialForPeer, Max: func() int { return maxTunnels(*n.Settings()) }, Done: n.requestsEnd,
 		Observe: func(refused tunnel.Reason) {
 			if refused == "" {
 				n.count("tunnel.served")
@@ -273,6 +273,15 @@
 	}
 }
 
+// dialForPeer opens a connection to an upstream for another node.
+func (n *Node) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	c, err := n.dialDirect(ctx, address)
+	if err != nil {
+		n.path.settled(ctx)
+	}
+	return c, err
+}
+
 // maxTunnels returns the largest number of tunnels that a node serves.
 func maxTunnels(s Settings) int {
 	out := defaultMaxTunnels
@@ -294,7 +303,7 @@
 	switch {
 	case n.path.lost():
 		return &tunnel.Refusal{Reason: tunnel.Unreachable}
-	case n.draining.Load():
+	case n.cannotFinish(time.Now().Add(min(q.Lifetime, streamAnswerTime))):
 		return &tunnel.Refusal{Reason: tunnel.Stopping}
 	case n.cutOff():
 		return &tunnel.Refusal{Reason: tunnel.Stale}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -62,9 +62,9 @@
 	// Cold lists the upstreams that said in an answer that they are cold, with the time
 	// for which they still are; at most maxCold.
 	Cold []ColdUpstream `json:"cold,omitempty"`
-	// Unreaching lists the ids of nodes that can't connect to any upstream; at most
-	// maxUnreaching.
-	Unreaching []string `json:"unreaching,omitempty"`
+	// NoTunnels lists the ids of nodes that open no connections to upstreams for others,
+	// because they can't or because they stop; at most maxNoTunnels.
+	NoTunnels []string `json:"no_tunnels,omitempty"`
 }
 
 // ColdUpstream is an upstream that is cold for a time in milliseconds.
@@ -88,16 +88,15 @@
 // out is named in a later message.
 const maxLeaving = 200
 
-// maxUnreaching bounds Message.Unreaching. A node that is left out refuses what peers ask of
-// it.
-const maxUnreaching = 300
+// maxNoTunnels bounds Message.NoTunnels. A node that is left out refuses what peers ask of it.
+const maxNoTunnels = 300
 
 // clampCounts replaces counts that no sound node sends by the nearest possible ones, and
 // shortens lists that are too long.
 func (m *Message) clampCounts() {
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 	m.Cold = m.Cold[:min(maxCold, len(m.Cold))]
-	m.Unreaching = m.Unreaching[:min(maxUnreaching, len(m.Unreaching))]
+	m.NoTunnels = m.NoTunnels[:min(maxNoTunnels, len(m.NoTunnels))]
 	for i := range m.Cold {
 		m.Cold[i].RemainingMs = min(max(0, m.Cold[i].RemainingMs), maxColdMs)
 	}
@@ -128,7 +127,7 @@
 
 // hasLists reports whether any of the message's lists that are merged has an entry.
 func (m *Message) hasLists() bool {
-	return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving)+len(m.Cold)+len(m.Unreaching) > 0
+	return len(m.Silent)+len(m.Dead)+len(m.Closing)+len(m.Leaving)+len(m.Cold)+len(m.NoTunnels) > 0
 }
 
 // mergeLists adds the lists in another message to the message.
@@ -139,8 +138,8 @@
 	m.Leaving = unionFunc(m.Leaving, other.Leaving, compareIncarnations)
 	m.Leaving = m.Leaving[:min(maxLeaving, len(m.Leaving))]
 	m.Cold = mergeCold(m.Cold, other.Cold)
-	m.Unreaching = union(m.Unreaching, other.Unreaching)
-	m.Unreaching = m.Unreaching[:min(maxUnreaching, len(m.Unreaching))]
+	m.NoTunnels = union(m.NoTunnels, other.NoTunnels)
+	m.NoTunnels = m.NoTunnels[:min(maxNoTunnels, len(m.NoTunnels))]
 }
 
 // mergeCold returns the upstreams in either of two lists, sorted, each with the longer of
--- a/gossip/table.go
+++ b/gossip/table.go
@@ -237,7 +237,7 @@
 		return m
 	}
 	m.Silent, m.Dead, m.Closing, m.Leaving, m.Cold = local.Silent, local.Dead, local.Closing, local.Leaving, local.Cold
-	m.Unreaching = local.Unreaching
+	m.NoTunnels = local.NoTunnels
 	for _, p := range t.peers {
 		if p != child && t.isCurrent(now, p) && p.lastMessage.Direction != Direct {
 			m.mergeLists(p.lastMessage)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -30,7 +30,8 @@
 	// Admit returns why a tunnel must not be opened or used; nil if it may. It is called
 	// before the upstream is connected and once more afterwards.
 	Admit func(Request) *Refusal
-	// Dial connects to an upstream.
+	// Dial connects to an upstream. It returns an error only once the node knows whether it
+	// can reach upstreams itself, which Admit then says.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Max returns the largest number of tunnels.
 	Max func() int
@@ -82,15 +83,16 @@
 		return nil, refusal
 	}
 	c, err := s.Dial(ctx, q.Address)
-	if err != nil {
-		return nil, &Refusal{Reason: NotConnected, Detail: err.Error()}
-	}
 	// Connecting takes time.
-	if refusal := s.Admit(q); refusal != nil {
+	refusal := s.Admit(q)
+	switch {
+	case refusal != nil && err == nil:
+		// Nothing was written to the connection.
 		_ = c.Close()
-		return nil, refusal
+	case refusal == nil && err != nil:
+		refusal = &Refusal{Reason: NotConnected, Detail: err.Error()}
 	}
-	return c, nil
+	return c, refusal
 }
 
 func (s *Server) refuse(w http.ResponseWriter, r *Refusal) {
