--- a/decisions/events.go
+++ b/decisions/events.go
@@ -81,6 +81,7 @@
 	UpstreamsUnreachable  = "upstreams.unreachable"
 	UpstreamsReachable    = "upstreams.reachable"
 	TunnelRefused         = "tunnel.refused"
+	TunnelPauseUntold     = "tunnel.pause_untold"
 	StreamSource          = "stream.source"
 	StreamSourceLost      = "stream.source_lost"
 	RelayFailed           = "relay.failed"
@@ -141,6 +142,7 @@
 		{UpstreamsUnreachable, "This node can connect to no upstream, so its requests go through other nodes until it can: number of upstreams that failed and of those that it tried to connect to in vain, time since the first failure, whether open connections still work."},
 		{UpstreamsReachable, "This node can connect to upstreams again: how long it could not, number of tunnels through other nodes meanwhile."},
 		{TunnelRefused, "Another node did not open a tunnel to an upstream for this one, and another was asked or the attempt failed: that node, reason."},
+		{TunnelPauseUntold, "The node that serves a tunnel could not be told that the upstream wants no requests from it for a while: the time, error."},
 		{UpstreamRestarted, "A member of a replica no longer reports the membership that it reported before, as after a restart, so the replica is dissolved: both reports, how long ago the VM gave them and the nodes that probed it."},
 		{UpstreamOutdated, "A report that contradicts a VM's membership of its replica is ignored, because it may be older than the report of the membership: both reports, how long ago the VM gave them and the nodes that probed it."},
 		{ReplicaFormed, "VMs were ordered to join a new replica or standby replica: model, members, number of model loads, expected time."},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -347,7 +347,11 @@
 		}
 		return f.node.mayWrite(t)
 	}
-	r.Dial = func(ctx context.Context) (net.Conn, bool, error) { return f.node.dialUpstream(ctx, target, f.deadline) }
+	r.Dial = func(ctx context.Context) (net.Conn, bool, error) {
+		c, via, err := f.node.dialUpstream(ctx, target, f.deadline)
+		t.via = via
+		return c, via != "", err
+	}
 	resp, err := f.node.pool.Do(t.ctx, target.Address, r)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
@@ -359,6 +363,7 @@
 	f.node.balancer.RecordProgress(time.Now(), &t.assignment)
 	if !t.info.Misdirected {
 		f.node.heed(target.Incarnation(), t.info.Notice, f.req.ID)
+		f.node.tellPause(t)
 	}
 	if t.info.NotRun {
 		return f.refusedByUpstream(resp, t.info, target)
--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -174,6 +174,7 @@
 func (n *Node) peerHandler(streams []*keyed.Stream) http.Handler {
 	r := mux.NewRouter()
 	r.Handle(tunnel.Path, n.tunnelServer).Methods(http.MethodGet)
+	r.Handle(tunnel.PausePath, tunnel.PauseHandler(n.pausedForPeer)).Methods(http.MethodPost)
 	r.PathPrefix("/").Handler(relay.Handler(streams))
 	return r
 }
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -42,6 +42,9 @@
 	// withheld says that the request was not written, because the upstream had said
 	// meanwhile that it is leaving or wants no requests.
 	withheld bool
+	// via is the address of the node through which the request was sent; empty if it was sent
+	// directly.
+	via string
 }
 
 // end closes the response and stops counting the request at the upstream.
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -251,16 +251,16 @@
 }
 
 // dialUpstream opens a connection for a request that ends at a deadline: to its upstream, or
-// through another node if this one can connect to none. The latter serves one request.
-func (n *Node) dialUpstream(ctx context.Context, t fleet.Target, deadline time.Time) (net.Conn, bool, error) {
+// through another node if this one can connect to none. It returns that node's address, or
+// an empty one. A connection through another node serves one request.
+func (n *Node) dialUpstream(ctx context.Context, t fleet.Target, deadline time.Time) (c net.Conn, via string, err error) {
 	if !n.path.lost() {
-		c, err := n.dialDirect(ctx, t.Address)
+		c, err = n.dialDirect(ctx, t.Address)
 		if err == nil || ctx.Err() != nil || n.path.settled(ctx) != reach.Unreachable {
-			return c, false, err
+			return c, "", err
 		}
 	}
-	c, err := n.openTunnel(ctx, t, deadline)
-	return c, true, err
+	return n.openTunnel(ctx, t, deadline)
 }
 
 // dialDirect opens a connection to an upstream. It gives up when the node turns out to be
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -13,6 +13,7 @@
 
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/notice"
 	"github.com/tamarackcleat/tamarackcleat/relay"
 	"github.com/tamarackcleat/tamarackcleat/tunnel"
 )
@@ -170,10 +171,10 @@
 }
 
 // openTunnel opens a connection to an upstream through another node, for a request that ends
-// at a deadline.
-func (n *Node) openTunnel(ctx context.Context, t fleet.Target, deadline time.Time) (net.Conn, error) {
+// at a deadline. It returns the address of that node.
+func (n *Node) openTunnel(ctx context.Context, t fleet.Target, deadline time.Time) (net.Conn, string, error) {
 	if n.peers == nil {
-		return nil, errNoTunnel
+		return nil, "", errNoTunnel
 	}
 	q := tunnel.Request{Upstream: t.Incarnation(), Address: t.Address, Lifetime: time.Until(deadline) + writeGrace}
 	var tried []string
@@ -186,14 +187,14 @@
 		tried = append(tried, p.ID)
 		c, err := n.openTunnelThrough(ctx, p, q)
 		if err == nil {
-			return c, nil
+			return c, p.Address.String(), nil
 		}
 		last = err
 		if !n.noteTunnelFailure(ctx, p, t, err) {
 			break
 		}
 	}
-	return nil, n.tunnelError(t, last)
+	return nil, "", n.tunnelError(t, last)
 }
 
 // openTunnelThrough opens a tunnel through a peer that was chosen.
@@ -259,6 +260,28 @@
 	return errors.Mark(last, errNoTunnel)
 }
 
+// tellPause tells the node through which a request was sent that the upstream wants no
+// requests from it for a while.
+func (n *Node) tellPause(t *try) {
+	pause := t.info.Notice.Pause
+	if t.via == "" || pause <= 0 {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerDialTimeout)
+		defer cancel()
+		if err := tunnel.TellPause(ctx, t.via, t.assignment.Target.Incarnation(), pause); err != nil {
+			n.count("tunnel.pause_untold")
+			n.logger.Warn(decisions.TunnelPauseUntold, "peer", t.via, "upstream", t.assignment.Target.ID, "pause_ms", pause.Milliseconds(), "error", err)
+		}
+	}()
+}
+
+// pausedForPeer heeds a pause that an upstream asked this node for in an answer to a peer.
+func (n *Node) pausedForPeer(i fleet.Incarnation, pause time.Duration) {
+	n.heed(i, notice.Notice{Pause: pause}, "tunnel")
+}
+
 // newTunnelServer returns the server of tunnels for other nodes.
 func (n *Node) newTunnelServer() *tunnel.Server {
 	return &tunnel.Server{
