--- a/gateway/callerlimits.go
+++ b/gateway/callerlimits.go
@@ -49,6 +49,16 @@
 	return int(upstreamDescriptorShare * float64(s.MaxDescriptors))
 }
 
+// maxOwnConnections is maxUpstreamConnections without the connections that the node has
+// opened for others.
+func (n *Node) maxOwnConnections() int {
+	limit := maxUpstreamConnections(*n.Settings())
+	if limit == 0 {
+		return 0
+	}
+	return max(1, limit-int(n.tunnelServer.Open()))
+}
+
 // callerLimits returns the limits on what callers hold together.
 func callerLimits(s Settings) callerlimit.Limits {
 	l := callerlimit.Limits{Connections: s.CallerConnections, Bytes: s.CallerBytes}
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -190,7 +190,7 @@
 	n.pool = exchange.NewPool(exchange.Options{
 		DialTimeout: upstreamDialTimeout,
 		UserTimeout: tcpUserTimeout,
-		MaxOpen:     func() int { return maxUpstreamConnections(*n.Settings()) },
+		MaxOpen:     n.maxOwnConnections,
 		OnOpen:      func() { n.count("upstream.connections") },
 		OnRead:      n.path.alive,
 		DialContext: s.DialUpstream,
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -32,8 +32,9 @@
 	// said so.
 	withoutTTL = time.Second
 	// tunnelDescriptorShare and tunnelMemoryShare are the parts of a node's descriptors and
-	// memory that the tunnels that it serves may hold. Each takes two descriptors.
-	tunnelDescriptorShare = 0.1
+	// memory that the tunnels that it serves may hold. Each takes one descriptor of the part
+	// for peers and one of that for upstreams.
+	tunnelDescriptorShare = upstreamDescriptorShare / 2
 	tunnelMemoryShare     = 0.05
 	// defaultMaxTunnels applies without a limit on descriptors and memory.
 	defaultMaxTunnels = 1024
@@ -309,7 +310,7 @@
 func maxTunnels(s Settings) int {
 	out := defaultMaxTunnels
 	if s.MaxDescriptors > 0 {
-		out = min(out, int(tunnelDescriptorShare*float64(s.MaxDescriptors))/2)
+		out = min(out, int(tunnelDescriptorShare*float64(s.MaxDescriptors)))
 	}
 	if s.MemoryBytes > 0 {
 		out = min(out, int(tunnelMemoryShare*float64(s.MemoryBytes)/tunnel.BytesPerTunnel))
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -15,8 +15,10 @@
 	// minFailed is the number of upstreams at which something must have failed before the
 	// node checks its connections.
 	minFailed = 2
-	// backUpstreams is the number of upstreams that must accept connections again.
-	backUpstreams = 2
+	// backConnections is the number of connections that upstreams must have accepted, in one
+	// check or in several without a fruitless one between them, until the node is reachable
+	// again.
+	backConnections = 2
 	// checkPause is the least time between two checks.
 	checkPause = 500 * time.Millisecond
 	// CheckTargets is the number of upstreams that a check connects to.
@@ -60,6 +62,9 @@
 	// checkedAt is when the last check began; checked says that there was one.
 	checkedAt time.Duration
 	checked   bool
+	// accepted counts the connections that upstreams accepted since the last fruitless check
+	// of an unreachable node.
+	accepted int
 }
 
 // State returns the state of the node.
@@ -129,8 +134,12 @@
 // the node became unreachable or is so no longer.
 func (m *Monitor) Checked(tried, accepted int) bool {
 	before := m.state
+	m.accepted += accepted
+	if accepted == 0 {
+		m.accepted = 0
+	}
 	switch {
-	case before == Unreachable && accepted >= min(backUpstreams, max(1, tried)), before == Doubtful && (accepted > 0 || tried == 0):
+	case before == Unreachable && m.accepted >= min(backConnections, max(1, tried)), before == Doubtful && (accepted > 0 || tried == 0):
 		m.state = Reachable
 		clear(m.silent)
 		clear(m.unconnected)
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -54,6 +54,16 @@
 		Expect(m.Failed(checkPause, "b", NoAnswer, known)).To(BeTrue())
 	})
 
+	It("is reachable again if one of many upstreams accepts in two checks in a row", func() {
+		m.Failed(0, "a", NoAnswer, known)
+		m.Failed(0, "b", NoAnswer, known)
+		m.Checked(CheckTargets, 0)
+		for _, accepted := range []int{1, 0, 1} {
+			Expect(m.Checked(CheckTargets, accepted)).To(BeFalse())
+		}
+		Expect(m.Checked(CheckTargets, 1)).To(BeTrue())
+	})
+
 	It("is reachable again once two upstreams accept, or the only one", func() {
 		for _, only := range []int{CheckTargets, 1} {
 			m = &Monitor{}
--- a/tunnel/pause.go
+++ b/tunnel/pause.go
@@ -21,6 +21,9 @@
 // paramPause names the parameter of a pause in milliseconds.
 const paramPause = "pause_ms"
 
+// pauseClient sends what TellPause sends. Pauses are rare, so it keeps no connections.
+var pauseClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 // TellPause tells the serving node at host:port of a pause.
 func TellPause(ctx context.Context, address string, upstream fleet.Incarnation, pause time.Duration) error {
 	query := url.Values{
@@ -30,8 +33,7 @@
 	if err != nil {
 		return err
 	}
-	req.Close = true
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := pauseClient.Do(req)
 	if err != nil {
 		return err
 	}
