--- a/gateway/follow.go
+++ b/gateway/follow.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"github.com/tamarackcleat/tamarackcleat/decisions"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
 	"github.com/tamarackcleat/tamarackcleat/relay"
+	"github.com/tamarackcleat/tamarackcleat/tunnel"
 )
 
 const (
@@ -158,7 +161,7 @@
 		return
 	}
 	server := &http.Server{
-		Handler: relay.Handler(streams, n.state.configInForce), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
+		Handler: n.peerHandler(streams), ReadHeaderTimeout: relayHeaderTimeout, IdleTimeout: relayIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: n.httpErrorLog(),
 	}
 	context.AfterFunc(ctx, func() {
@@ -171,6 +174,15 @@
 	}
 }
 
+// peerHandler returns the handler of what peers ask this node for.
+func (n *Node) peerHandler(streams []*keyed.Stream) http.Handler {
+	r := mux.NewRouter()
+	r.Handle(tunnel.Path, n.tunnelServer).Methods(http.MethodGet)
+	r.Handle(tunnel.PausePath, tunnel.PauseHandler(n.pausedForPeer)).Methods(http.MethodPost)
+	r.PathPrefix("/").Handler(relay.Handler(streams, n.state.configInForce))
+	return r
+}
+
 // isHolder reports whether this node holds the control lease, and so reads the log for
 // the other nodes.
 func (n *Node) isHolder() bool { return n.holder() == n.id }
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -7,6 +7,7 @@
 	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/gossip"
+	"github.com/tamarackcleat/tamarackcleat/reach"
 	"github.com/tamarackcleat/tamarackcleat/relay"
 )
 
@@ -66,13 +67,21 @@
 // localMessage returns the message of this node to its peers. It also applies
 // avoidDead and avoidClosing on this node, as handleMessage does on the peers.
 func (n *Node) localMessage() gossip.Message {
-	dead := n.deadVMs()
+	dead, silent := n.deadVMs(), n.silence.recent(time.Now())
+	var noTunnels []string
+	if n.path.state() != reach.Reachable {
+		// What this node sees of upstreams may be the fault of its own path to them.
+		dead, silent = nil, nil
+	}
+	if n.path.lost() || n.draining.Load() {
+		noTunnels = []string{n.id}
+	}
 	n.avoidDead(time.Now(), dead)
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
 	return gossip.Message{
-		Loads: n.balancer.LocalLoads(), Silent: n.silence.recent(time.Now()), Dead: dead, Closing: closing,
-		ConfigVersion: n.state.confirmedVersion(), Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(),
+		Loads: n.balancer.LocalLoads(), Silent: silent, Dead: dead, Closing: closing, ConfigVersion: n.state.confirmedVersion(),
+		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(), NoTunnels: noTunnels,
 	}
 }
 
@@ -88,6 +97,7 @@
 		n.requestSeen.Store(true)
 	}
 	n.noteConfigVersion(m.Node, m.ConfigVersion)
+	n.tunnels.noteWithout(now, m.Node, m.NoTunnels)
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
 	n.mergeParts(now, m.Parts)
