--- a/keyed/follower.go
+++ b/keyed/follower.go
@@ -76,12 +76,12 @@
 		case errors.Is(err, ErrTruncated):
 			f.Logger.Warn(decisions.StreamTruncated, "stream", f.Stream.Name, "from", next.Offset, "era", next.Era)
 			truncated = true
-		case err != nil && ctx.Err() == nil:
-			f.OnError(err)
-			f.waitToRetry(ctx, retryDelays.NextBackOff())
 		case errors.Is(err, errRestored):
 			truncated = false
 			Sleep(ctx, rand.N(maxRestoredDelay))
+		case err != nil && ctx.Err() == nil:
+			f.OnError(err)
+			f.waitToRetry(ctx, retryDelays.NextBackOff())
 		case err == nil:
 			f.resetBackoff(retryDelays)
 			truncated = false
--- a/keyed/follower_test.go
+++ b/keyed/follower_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -131,8 +132,10 @@
 
 var _ = Describe("Follower", func() {
 	var (
-		log       *fakeLog
-		stream    *keyed.Stream
+		log    *fakeLog
+		stream *keyed.Stream
+		// failures counts the calls of OnError.
+		failures  atomic.Int64
 		mu        sync.Mutex
 		state     map[string]string
 		lastBatch keyed.Batch
@@ -148,6 +151,7 @@
 		}
 	}
 	BeforeEach(func() {
+		failures.Store(0)
 		log, maxDelay, batchDelay, batches = &fakeLog{}, keyed.MaxRetryDelay, 0, nil
 		state = map[string]string{}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -165,7 +169,7 @@
 			}
 		})
 		f := &keyed.Follower{
-			Log: log, Stream: stream, ReadWait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), OnError: func(error) {},
+			Log: log, Stream: stream, ReadWait: func() time.Duration { return 20 * time.Millisecond }, Logger: slog.New(slog.DiscardHandler), OnError: func(error) { failures.Add(1) },
 			MaxRetryDelay: func() time.Duration { mu.Lock(); defer mu.Unlock(); return maxDelay },
 			BatchDelay:    func() time.Duration { mu.Lock(); defer mu.Unlock(); return batchDelay },
 		}
@@ -299,6 +303,15 @@
 		Eventually(value("a"), "1500ms").Should(Equal("restored"))
 	})
 
+	// Guards against a restoration that counts as an outage of the log, after which upstreams
+	// without a record get time to come back.
+	It("does not count a read that shows a restoration as a failed one", func() {
+		log.restore(0)
+		log.addRecord("a", "restored")
+		Eventually(value("a"), "2s").Should(Equal("restored"))
+		Expect(failures.Load()).To(BeZero())
+	})
+
 	It("reads a log on that ends before the copy in the same era only once it has caught up", func() {
 		log.addRecords("a", 6)
 		Eventually(value("a")).Should(Equal("5"))
