tunnel: A peer's response is bounded, and "too long" is told apart

The refusal of a tunnel was cut at its limit without a trace, so that one that is too long counted as malformed, and its head had no limit at all: a peer that sends without end would have filled the memory of a node that is without a path. The message about a pause was read by a client without the checks that other clients of peers have.

The response to the request for a tunnel has one limit for head and body, named tunnel_refusal in errors; it is lifted once the tunnel is open. The client of pauses checks heads and bounds them. The new table fails without the change in the body's entry; the head's was not played there.

--- a/tunnel/pause.go
+++ b/tunnel/pause.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/tamarackcleat/tamarackcleat/fleet"
+	"github.com/tamarackcleat/tamarackcleat/wirecheck"
 )
 
 // PausePath is the HTTP path at which the user of a tunnel tells the serving node that the
@@ -22,7 +23,9 @@
 const paramPause = "pause_ms"
 
 // pauseClient sends what TellPause sends. Pauses are rare, so it keeps no connections.
-var pauseClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var pauseClient = &http.Client{Transport: &http.Transport{
+	DialContext: wirecheck.Dial((&net.Dialer{}).DialContext), DisableKeepAlives: true, MaxResponseHeaderBytes: maxRefusalBytes,
+}}
 
 // TellPause tells the serving node at host:port of a pause.
 func TellPause(ctx context.Context, address string, upstream fleet.Incarnation, pause time.Duration) error {
@@ -41,8 +44,7 @@
 	if resp.StatusCode != http.StatusNoContent {
 		return errors.Newf("status %d", resp.StatusCode)
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxRefusalBytes))
-	return err
+	return nil
 }
 
 // PauseHandler returns the handler of what TellPause sends.
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -21,6 +21,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
@@ -104,8 +105,12 @@
 	return q, errors.CombineErrors(bootErr, lifetimeErr)
 }
 
-// maxRefusalBytes bounds the body of a refusal.
-const maxRefusalBytes = 4 << 10
+// maxRefusalBytes bounds a peer's response that opens no tunnel, in bytes; limitRefusal names the
+// limit.
+const (
+	maxRefusalBytes = 4 << 10
+	limitRefusal    = "tunnel_refusal"
+)
 
 // Open opens a tunnel on a new connection to the serving node. The context bounds the
 // opening. Open closes the connection if it fails.
@@ -128,17 +133,24 @@
 	if _, err := io.WriteString(conn, head); err != nil {
 		return nil, errors.Wrap(err, "asking for a tunnel")
 	}
-	r := bufio.NewReader(conn)
+	source := bounded.NewReader(conn)
+	source.SetLimit(limitRefusal, maxRefusalBytes)
+	r := bufio.NewReader(source)
 	resp, err := http.ReadResponse(r, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "asking for a tunnel")
+		return nil, errors.Wrap(source.Cause(err), "asking for a tunnel")
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusSwitchingProtocols {
+		source.RemoveLimit()
 		return &buffered{Conn: conn, r: r}, nil
 	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(source.Cause(err), "reading the refusal of a tunnel, status %d", resp.StatusCode)
+	}
 	refusal := &Refusal{}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusalBytes)).Decode(refusal); err != nil {
+	if err := json.Unmarshal(body, refusal); err != nil {
 		return nil, errors.Wrapf(err, "decoding the refusal of a tunnel, status %d", resp.StatusCode)
 	}
 	return nil, refusal
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/bounded"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 )
 
@@ -125,6 +126,30 @@
 		Expect(r.Reason).To(Equal(Full))
 	})
 
+	// Guards against memory for a peer's response without end, and against a long one that
+	// counts as malformed.
+	DescribeTable("is refused by its limit if the response has no end", func(begin string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			c, err := l.Accept()
+			for err == nil {
+				_, err = io.WriteString(c, begin)
+				begin = "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+			}
+		}()
+		conn, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = Open(context.Background(), conn, Request{Lifetime: time.Second})
+		limit, exceeded := bounded.Exceeded(err)
+		Expect(exceeded).To(BeTrue(), "%v", err)
+		Expect(limit).To(Equal("tunnel_refusal"))
+	},
+		Entry("in its head", "HTTP/1.1 101 Switching Protocols\r\nX: "),
+		Entry("in its body", "HTTP/1.1 503 Service Unavailable\r\n\r\n{\"reason\":\""),
+	)
+
 	It("is not used if the upstream may get no request once it is connected", func() {
 		server.Dial = func(_ context.Context, address string) (net.Conn, error) {
 			refusal.Store(&Refusal{Reason: Leaving})
