--- a/gateway/state.go
+++ b/gateway/state.go
@@ -205,6 +205,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := bootclock.Now()
+	s.recordRead(b, now)
+	detailed := s.detailed()
+	dirty := detailed && !s.wasDetailed
+	s.wasDetailed = detailed
+	dirty = s.applyReports(b, now) || dirty
+	dirty = s.expireLapsed(now) || dirty
+	dirty = s.releaseHeldBack(now) || dirty
+	if dirty {
+		s.publish()
+	}
+	if !s.justRestored(now, reappearGrace) {
+		// Before that, upstreams may not have written again what a restored log has lost.
+		s.vmsVerifiedAt.Store(int64(b.SentAt))
+	}
+}
+
+// recordRead records what a batch of the upstreams' stream shows about the log.
+func (s *state) recordRead(b keyed.Batch, now time.Duration) {
 	if s.readsFailing || b.Restored {
 		s.readsFailing, s.readableSince = false, now
 	}
@@ -214,6 +232,11 @@
 	if b.Snapshot {
 		clear(s.heldBack)
 	}
+}
+
+// applyReports applies the reports of a batch, and handles the upstreams that have none any
+// more. It reports whether the view changes.
+func (s *state) applyReports(b keyed.Batch, now time.Duration) bool {
 	// Lost reports may also be written again, in their order.
 	restored := s.justRestored(now, restoredGrace)
 	missing := map[string]bool{}
@@ -222,36 +245,24 @@
 			missing[id] = true
 		}
 	}
-	detailed := s.detailed()
-	dirty := detailed && !s.wasDetailed
-	s.wasDetailed = detailed
-	changes := reportChanges{}
+	dirty, changes := false, reportChanges{}
 	for _, r := range b.Records {
 		delete(missing, r.Key)
 		delete(s.heldBack, r.Key)
-		if len(r.Value) == 0 {
+		switch {
+		case len(r.Value) == 0:
 			missing[r.Key] = true
-			continue
-		}
-		if restored && s.outdated(r, now, b.Snapshot) {
+		case restored && s.outdated(r, now, b.Snapshot):
 			delete(s.goneAt, r.Key)
-			continue
+		default:
+			dirty = s.applyReport(r, now, &changes) || dirty
 		}
-		dirty = s.applyReport(r, now, &changes) || dirty
 	}
 	changes.log(s.logger)
 	for id := range missing {
 		dirty = s.handleMissing(id, now) || dirty
 	}
-	dirty = s.expireLapsed(now) || dirty
-	dirty = s.releaseHeldBack(now) || dirty
-	if dirty {
-		s.publish()
-	}
-	if !s.justRestored(now, reappearGrace) {
-		// Before that, upstreams may not have written again what a restored log has lost.
-		s.vmsVerifiedAt.Store(int64(b.SentAt))
-	}
+	return dirty
 }
 
 // readFailed records that a read of the upstreams' stream failed.
