standin: Tests take ports below the range of outgoing connections

Cause: freeAddress asked the kernel for a free port, closed the listener and gave the port to a node that starts later. The kernel takes such ports from the range of outgoing connections, of which the specs open thousands, so that one of them, or another test process, could have the port by then.

Fix: process.FreeAddress takes ports below that range, in turn from a random start.

--- a/callertest/target_test.go
+++ b/callertest/target_test.go
@@ -220,8 +220,8 @@
 
 // freeAddress returns an address on ip whose port was free when it was checked.
 func freeAddress(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
+	GinkgoHelper()
+	address, err := process.FreeAddress(ip)
 	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return address.String()
 }
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -24,6 +23,7 @@
 	"github.com/tamarackcleat/tamarackcleat/standin/engine"
 	"github.com/tamarackcleat/tamarackcleat/standin/logservice"
 	"github.com/tamarackcleat/tamarackcleat/standin/plainservice"
+	"github.com/tamarackcleat/tamarackcleat/standin/process"
 	"github.com/tamarackcleat/tamarackcleat/standin/vmlist"
 	"github.com/tamarackcleat/tamarackcleat/standin/weightstore"
 )
@@ -140,10 +140,10 @@
 
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	GinkgoHelper()
+	address, err := process.FreeAddress("127.0.0.1")
 	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return address.String()
 }
 
 // addNode starts an entry node and adds it to the VM list.
--- a/processtest/process_test.go
+++ b/processtest/process_test.go
@@ -1,10 +1,6 @@
 package processtest_test
 
 import (
-	"fmt"
-	"net"
-	"os"
-	"sync/atomic"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,31 +10,12 @@
 	"github.com/tamarackcleat/tamarackcleat/standin/process"
 )
 
-// The ports lie below the range from which the kernel takes the ports of outgoing
-// connections, so that a process can be started again on its former port. Each test
-// process takes ports from one of portRanges ranges of portsPerRange ports.
-const (
-	firstPort     = 20000
-	portsPerRange = 1500
-	portRanges    = 8
-)
-
-// portsTried counts the ports that freeAddress has tried.
-var portsTried atomic.Int64
-
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() string {
-	start := int64((os.Getpid() + GinkgoParallelProcess()) % portRanges * portsPerRange)
-	for range portsPerRange {
-		port := firstPort + start + portsTried.Add(1)%portsPerRange
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if l, err := net.Listen("tcp", address); err == nil {
-			Expect(l.Close()).To(Succeed())
-			return address
-		}
-	}
-	Fail("no free port")
-	return ""
+	GinkgoHelper()
+	address, err := process.FreeAddress("127.0.0.1")
+	Expect(err).NotTo(HaveOccurred())
+	return address.String()
 }
 
 // proc is a process that a spec starts; it is killed at the end of the spec.
