soak: The store comes back from a backup

Seeds that are odd have a series of their own, with its own random numbers, so that a seed's other faults stay the same: a backup; 0.2 to 4.2 s in which the rest of the soak goes on writing and the zone of an additional engine is evacuated or the engine leaves; an outage of 0.2 to 1.2 s; the restoration, at times twice from one backup. Engines write their entries again within 0.8 s, the operator publishes a further version and writes version and evacuation again within 3 s, a quarter of these before any node reads the store. Records of others let the log end around its former end. The series overlaps with all other faults.

What is checked. A restoration is no excuse in any check but four, which ask dueAt: - removed keys, added routes, leaving engines and (new) evacuated zones. A node keeps what had to be in force before the outage, so nothing is excused there, unless another fault kept the process from being informed, or it began after that (for keys and routes: and no other node ran all the time that could tell it). What was not in force yet must be 3 s after the store's return; the bound of a change that was lost counts again from the operator's new write, because nobody may know it (docs/design/restored-log.md, "Left"). - Stricter than before in all seeds: a planned stop of a node no longer excuses a route that is missing, faults of engines no longer excuse requests to a leaving engine, and at the end each node must have the newest version in force and one node must hold the lease, within recoveryTimeout. - New in all seeds: by the nodes' logs, terms of the lease rise and have one holder, and no holder goes on beside a later one. Engines' entries are excused by the return alone, because engines write within 0.8 s. Requests while the store is away don't count for the share of those that are served, as in its other outages.

A node that no fault but planned operations affected since a request was sent must know of leaving engines as before; that bound is kept beside the new one.

--- a/soak/config_test.go
+++ b/soak/config_test.go
@@ -24,8 +24,13 @@
 	routeAddedAt map[int]time.Time
 	keyRemovedAt map[string]time.Time
 	activeKeys   []string
+	// evacuations are the evacuations of awayZone; the end of the present one is zero.
+	evacuations []evacuation
 }
 
+// evacuation is the period for which a zone was evacuated, as the store acknowledged it.
+type evacuation struct{ from, to time.Time }
+
 func newConfigPublisher(f *standin.Fleet) *configPublisher {
 	return &configPublisher{fleet: f, routeAddedAt: map[int]time.Time{}, keyRemovedAt: map[string]time.Time{}}
 }
@@ -48,6 +53,53 @@
 	}
 }
 
+// evacuate writes to the store that awayZone is evacuated.
+func (c *configPublisher) evacuate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.Evacuate(awayZone)
+	c.evacuations = append(c.evacuations, evacuation{from: time.Now()})
+}
+
+// endEvacuation writes to the store that awayZone is not evacuated any more.
+func (c *configPublisher) endEvacuation() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evacuations[len(c.evacuations)-1].to = time.Now()
+	c.fleet.EndEvacuation(awayZone)
+}
+
+// backup returns a backup of the store, and the time before it was taken.
+func (c *configPublisher) backup() (*standin.Backup, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.fleet.Store.Backup(), now
+}
+
+// restore restores the store from a backup and returns the time after that.
+func (c *configPublisher) restore(b *standin.Backup) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.Store.Restore(b)
+	return time.Now()
+}
+
+// writeAgain writes the present version and evacuation to the store once more. It returns
+// when the store acknowledged the version.
+func (c *configPublisher) writeAgain() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet.PutConfig(c.document())
+	now := time.Now()
+	if n := len(c.evacuations); n > 0 && c.evacuations[n-1].to.IsZero() {
+		c.fleet.Evacuate(awayZone)
+	} else {
+		c.fleet.EndEvacuation(awayZone)
+	}
+	return now
+}
+
 // document returns the JSON document of the current version.
 func (c *configPublisher) document() []byte {
 	var routes strings.Builder
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -2,7 +2,8 @@
 // processes on loopback against stand-ins of the store and the upstreams, and
 // injects overlapping series of faults from outside the processes. During a run it
 // records what callers and upstreams observe; after the run it checks the
-// guarantees of the system against these records.
+// guarantees of the system against these records. In odd seeds the store also comes
+// back from backups, without what it had acknowledged since.
 //
 // Run it with `make soak SEED=1 TIME=5m`. The test doesn't change clocks: the
 // gateway decides nothing by the time of day, and suspending a process tests the
--- a/soak/system_test.go
+++ b/soak/system_test.go
@@ -121,6 +121,8 @@
 
 	// mu guards the process: a start doesn't overlap with a signal.
 	mu sync.Mutex
+	// starts are the times of the process's starts, guarded by mu.
+	starts []time.Time
 	// faultMu is locked while a fault is injected into the node, so that the node
 	// has at most one fault at a time.
 	faultMu sync.Mutex
@@ -143,9 +145,11 @@
 	// of the plain service.
 	generators     []*upstream
 	plainUpstreams []*upstream
-	faults         *faultLog
-	configs        *configPublisher
-	attempts       *attemptLog
+	// away is an engine of the plain service in awayZone.
+	away     *standin.Engine
+	faults   *faultLog
+	configs  *configPublisher
+	attempts *attemptLog
 	// storeFaultMu is locked while a fault is injected into the store, so that the
 	// store has at most one fault at a time.
 	storeFaultMu sync.Mutex
@@ -183,6 +187,8 @@
 	for i := range 2 + s.rng.IntN(2) {
 		s.plainUpstreams = append(s.plainUpstreams, s.newUpstream(fmt.Sprintf("desk-%d", i), plainService, ""))
 	}
+	s.away = s.fleet.Add(awayEngine, plainService, "")
+	s.away.SetZone(awayZone)
 	for i := range 2 + s.rng.IntN(4) {
 		s.nodes = append(s.nodes, s.newNode(seed, i))
 	}
@@ -292,10 +298,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.incarnation.Add(1)
+	n.starts = append(n.starts, time.Now())
 	n.endRequested.Store(false)
 	Expect(n.Start()).To(Succeed())
 }
 
+// startedAt returns when an incarnation of the node's process was started.
+func (n *node) startedAt(incarnation int64) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.starts[incarnation-1]
+}
+
 // signal sends a signal to the node's process unless it has ended.
 func (n *node) signal(s syscall.Signal) {
 	n.mu.Lock()
@@ -343,7 +357,8 @@
 	}
 }
 
-// serves reports whether a node answers a new request of a kind with status 200.
+// serves reports whether a node answers a new request of a kind, or for the route of a
+// version, with status 200.
 func (s *testSystem) serves(n *node, kind string) bool {
 	c := &caller{system: s, node: n}
 	defer c.close()
