Revert "gateway: Nodes that all start again don't wait for each other's configuration"

What callers saw: at nodes that start after a restoration, a revoked key was accepted and an added route got 404, although a node with the later configuration ran.

Cause: lets nodes that start confirm the log's configuration to each other once all registered nodes are known to have started. The registrations are read from the restored log, which may lack that of a running node: its process registers again at a tick of 1 s. So "all registered nodes" says nothing about who runs.

Evidence: found by a review. Ruled out as a fix: to heed a later version that was heard meanwhile, which doesn't help a node that has heard none yet.

--- a/gateway/coldstart.go
+++ b/gateway/coldstart.go
@@ -22,7 +22,6 @@
 	n.nodesMu.Lock()
 	defer n.nodesMu.Unlock()
 	n.coldStart.Join(bootclock.Now())
-	n.noteRegistration(n.id)
 }
 
 // ProcessEnded records that the process of another node has ended, because another one has
@@ -38,7 +37,6 @@
 	n.nodesMu.Lock()
 	defer n.nodesMu.Unlock()
 	n.coldStart.Register(nodeName(id), id)
-	n.noteRegistration(id)
 }
 
 // nodeName returns the name of the node whose process has an id.
--- a/gateway/node.go
+++ b/gateway/node.go
@@ -146,9 +146,6 @@
 	coldStart *slowstart.Limiter
 	// toldCold holds until when upstreams are cold that told this node so.
 	toldCold map[fleet.Incarnation]time.Duration
-	// startingNodes holds, by name, the registered nodes and whether they have just started,
-	// until peersConsulted.
-	startingNodes map[string]bool
 
 	retryBudgetMu sync.Mutex
 	retryBudgets  map[string]*retry.Window
@@ -174,7 +171,6 @@
 		holder:          func() string { return "" },
 		retryBudgets:    map[string]*retry.Window{},
 		toldCold:        map[fleet.Incarnation]time.Duration{},
-		startingNodes:   map[string]bool{},
 		durations:       map[string]*hdrhistogram.Histogram{},
 		configClient:    relay.NewConfigurationClient(),
 		answersMemory:   bounded.NewBudget(limitAnswersMemory, answersMemoryBytes),
--- a/gateway/peerconfig.go
+++ b/gateway/peerconfig.go
@@ -61,13 +61,13 @@
 	return 0
 }
 
-// toldVersions returns the version in force as the node tells it to peers: as confirmed if it is
-// the latest one that the node could learn of, else as starting. The other one is 0.
-func (s *state) toldVersions() (confirmed, starting int64) {
-	if s.peersConsulted.Load() {
-		return s.version(), 0
+// confirmedVersion is version if the node may tell it to peers as the latest one that it could
+// learn of, else 0.
+func (s *state) confirmedVersion() int64 {
+	if !s.peersConsulted.Load() {
+		return 0
 	}
-	return 0, s.version()
+	return s.version()
 }
 
 // configInForce returns the record of the configuration in force, which must not be changed;
@@ -158,40 +158,6 @@
 	go n.fetchConfig(peerID, version)
 }
 
-// noteStartingVersion handles the version that a peer has in force which has just started, like
-// this node; 0 if it has not. Once all registered nodes are known to have just started, none has
-// a later configuration than the log.
-func (n *Node) noteStartingVersion(peerID string, version int64) {
-	if version == 0 || version > n.state.version() || n.state.peersConsulted.Load() {
-		return
-	}
-	if n.recordStarting(peerID) {
-		n.state.confirmConfig()
-	}
-}
-
-// recordStarting records that a peer has just started. It reports whether all registered nodes
-// have, once this node has read its own registration and thus all earlier ones.
-func (n *Node) recordStarting(peerID string) bool {
-	n.nodesMu.Lock()
-	defer n.nodesMu.Unlock()
-	n.startingNodes[nodeName(peerID)] = true
-	for _, starting := range n.startingNodes {
-		if !starting {
-			return false
-		}
-	}
-	return n.startingNodes[nodeName(n.id)]
-}
-
-// noteRegistration records that a node is registered, which is not known to have just started
-// unless it is this one. The lock of nodesMu must be held.
-func (n *Node) noteRegistration(id string) {
-	if name := nodeName(id); !n.state.peersConsulted.Load() && !n.startingNodes[name] {
-		n.startingNodes[name] = id == n.id
-	}
-}
-
 // fetchConfig takes over the configuration of a peer that has said that it has a version in force.
 func (n *Node) fetchConfig(peerID string, version int64) {
 	err := n.takeConfig(peerID)
--- a/gateway/peerconfig_test.go
+++ b/gateway/peerconfig_test.go
@@ -10,8 +10,6 @@
 
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/keyed"
-	"github.com/tamarackcleat/tamarackcleat/quorum"
-	"github.com/tamarackcleat/tamarackcleat/slowstart"
 )
 
 // versionDecoder decodes a configuration that is its version in decimal digits.
@@ -31,11 +29,6 @@
 	read := func(era int64, value string, at time.Duration) {
 		s.applyConfig(keyed.Batch{Era: era, Records: []keyed.Record{{Key: "config", Value: []byte(value)}}, SentAt: at})
 	}
-	expectTold := func(confirmed, starting int64) {
-		GinkgoHelper()
-		c, st := s.toldVersions()
-		Expect([]int64{c, st}).To(Equal([]int64{confirmed, starting}))
-	}
 	BeforeEach(func() {
 		s = newState(versionDecoder{}, Streams{ConfigKey: "config"}, slog.New(slog.DiscardHandler))
 	})
@@ -68,28 +61,10 @@
 		s.peersConsulted.Store(false)
 		read(first+1, "1", second)
 		Expect(s.configProvedAt()).To(BeZero())
-		expectTold(0, 1)
+		Expect(s.confirmedVersion()).To(BeZero())
 		s.configReadAt -= consultTime
 		read(first+1, "1", 2*second)
 		Expect(s.configProvedAt()).To(Equal(2 * second))
-		expectTold(1, 0)
-	})
-
-	It("is not waited for once all registered nodes are known to have just started", func() {
-		n := &Node{id: "a/1", state: s, coldStart: slowstart.New("a", &quorum.Quorum{}), startingNodes: map[string]bool{}}
-		s.peersConsulted.Store(false)
-		read(first+1, "3", second)
-		n.registerNode("b/1")
-		n.noteStartingVersion("b/2", 3)
-		Expect(s.configProvedAt()).To(BeZero(), "not all registrations are read")
-		n.registerNode("c/1")
-		n.Registered()
-		n.noteStartingVersion("b/2", 3)
-		n.noteStartingVersion("c/2", 0)
-		n.noteStartingVersion("c/2", 4)
-		Expect(s.configProvedAt()).To(BeZero(), "one is not known to have started")
-		n.noteStartingVersion("c/2", 2)
-		Expect(s.configProvedAt()).To(Equal(second))
-		expectTold(3, 0)
+		Expect(s.confirmedVersion()).To(BeEquivalentTo(1))
 	})
 })
--- a/gateway/peers.go
+++ b/gateway/peers.go
@@ -79,10 +79,8 @@
 	n.avoidDead(time.Now(), dead)
 	closing := n.closingHeads()
 	n.avoidClosing(time.Now(), closing)
-	confirmed, starting := n.state.toldVersions()
 	return gossip.Message{
-		Loads: n.balancer.LocalLoads(), Silent: silent, Dead: dead, Closing: closing,
-		ConfigVersion: confirmed, StartingVersion: starting,
+		Loads: n.balancer.LocalLoads(), Silent: silent, Dead: dead, Closing: closing, ConfigVersion: n.state.confirmedVersion(),
 		Parts: n.parts.report(time.Now()), Leaving: n.state.leavingUnreported(), Cold: n.coldTold(), NoTunnels: noTunnels,
 	}
 }
@@ -99,7 +97,6 @@
 		n.requestSeen.Store(true)
 	}
 	n.noteConfigVersion(m.Node, m.ConfigVersion)
-	n.noteStartingVersion(m.Node, m.StartingVersion)
 	n.tunnels.noteWithout(now, m.Node, m.NoTunnels)
 	n.avoidDead(now, m.Dead)
 	n.avoidClosing(now, m.Closing)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -47,9 +47,6 @@
 	// ConfigVersion is the version of the configuration that the sender itself has in force;
 	// 0 for none, or if a later one may be known to its peers.
 	ConfigVersion int64 `json:"config,omitempty"`
-	// StartingVersion takes the place of ConfigVersion while the sender has just started and
-	// knows its configuration from a restored log alone.
-	StartingVersion int64 `json:"config_starting,omitempty"`
 	// Silent lists the ids of the head VMs of replicas that have requests but send
 	// nothing.
 	Silent []string `json:"silent,omitempty"`
@@ -107,7 +104,7 @@
 		m.Cold[i].RemainingMs = min(max(0, m.Cold[i].RemainingMs), maxColdMs)
 	}
 	m.Nodes = clampCount(m.Nodes)
-	m.ConfigVersion, m.StartingVersion = max(0, m.ConfigVersion), max(0, m.StartingVersion)
+	m.ConfigVersion = max(0, m.ConfigVersion)
 	for _, loads := range []loadMap{m.Loads, m.Excess} {
 		for vm, l := range loads {
 			loads[vm] = dispatch.Load{InFlight: clampCount(l.InFlight), PendingPromptTokens: clampCount(l.PendingPromptTokens)}
