gateway: A check of the path ends with the first upstream that accepts

What callers saw: engines that hang were declared dead late, and retries after a lost connection waited up to 0.3 s, whenever a node checked its path to engines.

Cause: the check waited for all four of its connection attempts, although one accepted connection shows that the node has a path. With one of them at an engine that hangs it took the whole 300 ms, and verdicts on engines are held back meanwhile.

A node that is without a path still counts all accepted connections, since two of them end that state.

--- a/gateway/notices_test.go
+++ b/gateway/notices_test.go
@@ -38,9 +38,12 @@
 
 // newPlainNode returns a node with a plain service, whose upstreams report themselves by
 // the function that is returned.
-func newPlainNode() (*Node, func(vms ...fleet.VM)) {
-	n := New(Settings{Node: "n", Bounds: Bounds{DrainTime: time.Second, RetrySlack: 100, RetryWindow: 10 * time.Second}},
-		Dependencies{Protocol: noticeProtocol{}, Decoder: jsonDecoder{}, Log: awayLog{}}, slog.New(slog.DiscardHandler))
+func newPlainNode(adjust ...func(*Settings)) (*Node, func(vms ...fleet.VM)) {
+	s := Settings{Node: "n", Bounds: Bounds{DrainTime: time.Second, RetrySlack: 100, RetryWindow: 10 * time.Second}}
+	for _, f := range adjust {
+		f(&s)
+	}
+	n := New(s, Dependencies{Protocol: noticeProtocol{}, Decoder: jsonDecoder{}, Log: awayLog{}}, slog.New(slog.DiscardHandler))
 	c := fleet.NewConfig(1, nil)
 	c.Services = map[string]fleet.Service{"desk": {Name: "desk"}}
 	n.state.builder.SetConfig(c)
--- a/gateway/reachability.go
+++ b/gateway/reachability.go
@@ -190,8 +190,10 @@
 	return addresses
 }
 
-// countAccepting returns how many of some upstreams accept a connection at once.
+// countAccepting returns how many of some upstreams accept a connection. It returns at the
+// first one that does if that decides the check.
 func (n *Node) countAccepting(addresses []string) int {
+	oneDecides := !n.path.lost()
 	results := make(chan bool, len(addresses))
 	for _, a := range addresses {
 		go func() {
@@ -207,6 +209,9 @@
 	for range addresses {
 		if <-results {
 			accepted++
+			if oneDecides {
+				break
+			}
 		}
 	}
 	n.countMany("path.checks", int64(len(addresses)))
