gateway: A crash counts although the caller leaves while the node checks its path

What callers saw: nothing alone; a request that ends its engines, and whose caller hangs up once the answer stops, was never counted while a check was under way, so it could end further engines.

Cause: whether a lost connection is a crash is decided after the check, for which the code waited no longer than the caller stayed.

Evidence, found by a review: the spec 'counts a crash although the caller leaves during the check' fails before and passes after.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -250,7 +250,7 @@
 		return
 	}
 	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
-	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil && f.node.path.settled(t.ctx) == reach.Reachable {
+	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil && f.node.path.settled(context.WithoutCancel(t.ctx)) == reach.Reachable {
 		f.countCrash(t.assignment.Target, begun)
 	}
 }
--- a/gateway/reachability_test.go
+++ b/gateway/reachability_test.go
@@ -10,8 +10,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/tamarackcleat/tamarackcleat/dispatch"
 	"github.com/tamarackcleat/tamarackcleat/fleet"
 	"github.com/tamarackcleat/tamarackcleat/reach"
+	"github.com/tamarackcleat/tamarackcleat/verdict"
 )
 
 var _ = Describe("A node that checks its path to upstreams", func() {
@@ -21,8 +23,13 @@
 		crashedVM = "192.0.2.2:1"
 		hungVM    = "192.0.2.3:1"
 	)
-	var n *Node
+	var (
+		n *Node
+		// acceptAfter is how long the sound upstream takes to accept a connection.
+		acceptAfter time.Duration
+	)
 	BeforeEach(func() {
+		acceptAfter = 0
 		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
 			switch address {
 			case crashedVM:
@@ -31,6 +38,7 @@
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
+			time.Sleep(acceptAfter)
 			c, upstream := net.Pipe()
 			DeferCleanup(upstream.Close)
 			return c, nil
@@ -53,4 +61,17 @@
 		Expect(n.path.settled(context.Background())).To(Equal(reach.Reachable))
 		Expect(time.Since(begin)).To(BeNumerically("<", pathCheckTimeout/2))
 	})
+
+	// Guards against a request that ends engines one after the other, because its caller leaves
+	// as soon as each has ended.
+	It("counts a crash although the caller leaves during the check", func() {
+		acceptAfter = pathCheckTimeout / 2
+		beginCheck()
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(acceptAfter/2, leave)
+		crashed := dispatch.Assignment{Target: fleet.Target{ID: "b", Boot: 1, Address: crashedVM}}
+		forwarderFor(n, time.Second).noteFailure(&try{ctx: ctx, assignment: crashed},
+			verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "lost"), false)
+		Expect(n.parts.report(time.Now()).Suspects).NotTo(BeEmpty())
+	})
 })
