gateway: A node without a path to engines counts their crashes through tunnels

What callers saw: a prompt that ends its engines, sent to a node that is partitioned from all engines, ended one engine after the other; callers of sound requests lost their service at all nodes.

Cause: to keep a partitioned node from blaming engines for its own loss, it counted no crash at all, although its requests go on through other nodes. The probe that confirms a crash connects directly, which that node can't.

Fix: an answer that was lost on a tunnel is judged like any other. The probe goes through a tunnel too, whose serving node tells that the upstream's port is closed. The loss of the serving node itself is no crash, since the upstream then accepts the probe. Losses of direct connections in a partition count for nothing, as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -250,11 +250,18 @@
 		return
 	}
 	f.suspectOnFailure(t.ctx, t.assignment.Target, e)
-	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil && f.node.path.settled(context.WithoutCancel(t.ctx)) == reach.Reachable {
+	if e.Reason == verdict.ReasonUpstreamLost && t.ctx.Err() == nil && f.node.canBlame(t) {
 		f.countCrash(t.assignment.Target, begun)
 	}
 }
 
+// canBlame reports whether a connection that was lost may be the fault of the upstream: the node
+// has a path to upstreams, or the connection went through another node.
+func (n *Node) canBlame(t *try) bool {
+	s := n.path.settled(context.WithoutCancel(t.ctx))
+	return s == reach.Reachable || t.via != ""
+}
+
 // leavingUseFactor times Bounds.DrainTime is how long a replica with a leaving
 // member still gets requests. The member stays while the head of the replica has
 // work, for up to ten seconds.
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/hex"
 	"net"
 	"os"
@@ -55,7 +56,7 @@
 // ended. A process that still accepts connections has not crashed; only its answer
 // was lost. begun says that the answer had begun.
 func (f *forwarder) countCrash(t fleet.Target, begun bool) {
-	conn, err := f.node.dialWithin(t.Address, crashProbeTimeout)
+	conn, err := f.node.dialCrashProbe(t)
 	switch {
 	case err == nil:
 		go f.awaitCrash(t, conn, begun)
@@ -64,6 +65,18 @@
 	}
 }
 
+// dialCrashProbe opens a connection that shows whether an upstream's process has ended, through
+// another node if this one can connect to no upstream.
+func (n *Node) dialCrashProbe(t fleet.Target) (net.Conn, error) {
+	if !n.path.lost() {
+		return n.dialWithin(t.Address, crashProbeTimeout)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelTimeout)
+	defer cancel()
+	conn, _, err := n.openTunnel(ctx, t, time.Now().Add(crashWatchTime))
+	return conn, err
+}
+
 // awaitCrash records a crash if an upstream that has accepted a connection ends it and
 // then accepts no other one: a process that ends may close its port last.
 func (f *forwarder) awaitCrash(t fleet.Target, conn net.Conn, begun bool) {
@@ -74,7 +87,7 @@
 	if n > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	again, err := f.node.dialWithin(t.Address, crashProbeTimeout)
+	again, err := f.node.dialCrashProbe(t)
 	if err == nil {
 		_ = again.Close()
 		return
--- a/gateway/tunnels.go
+++ b/gateway/tunnels.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -246,6 +247,9 @@
 	}
 	switch refusal.Reason {
 	case tunnel.NotConnected:
+		if refusal.PortClosed {
+			return errors.Mark(last, syscall.ECONNREFUSED)
+		}
 		return last
 	case tunnel.Gone:
 		return errors.Mark(last, errUpstreamGone)
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -90,7 +91,7 @@
 		// Nothing was written to the connection.
 		_ = c.Close()
 	case refusal == nil && err != nil:
-		refusal = &Refusal{Reason: NotConnected, Detail: err.Error()}
+		refusal = &Refusal{Reason: NotConnected, PortClosed: errors.Is(err, syscall.ECONNREFUSED), Detail: err.Error()}
 	}
 	return c, refusal
 }
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -64,8 +64,10 @@
 	Reason Reason `json:"reason"`
 	// PauseMs is for how long the upstream wants no requests from the serving node, in
 	// milliseconds.
-	PauseMs int64  `json:"pause_ms,omitempty"`
-	Detail  string `json:"detail,omitempty"`
+	PauseMs int64 `json:"pause_ms,omitempty"`
+	// PortClosed says, with NotConnected, that no process listens at the upstream's port.
+	PortClosed bool   `json:"port_closed,omitempty"`
+	Detail     string `json:"detail,omitempty"`
 }
 
 func (r *Refusal) Error() string {
