gateway: Two red specs of what a node concludes from its first failure in a partition

Nothing is concluded from a failure at one upstream: a check of the path begins with failures at two.

--- a/gateway/reachability_test.go
+++ b/gateway/reachability_test.go
@@ -27,14 +27,16 @@
 		n *Node
 		// acceptAfter is how long the sound upstream takes to accept a connection.
 		acceptAfter time.Duration
+		// cut says that all connections are refused.
+		cut bool
 	)
 	BeforeEach(func() {
-		acceptAfter = 0
+		acceptAfter, cut = 0, false
 		dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-			switch address {
-			case crashedVM:
+			switch {
+			case cut || address == crashedVM:
 				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-			case hungVM:
+			case address == hungVM:
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
@@ -74,4 +76,29 @@
 			verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "lost"), false)
 		Expect(n.parts.report(time.Now()).Suspects).NotTo(BeEmpty())
 	})
+
+	// Guards against a sound request that is stopped, because the connection that a partition
+	// broke first is taken for a crash of its upstream.
+	It("counts no crash at the first failure in a partition", func() {
+		cut = true
+		sound := dispatch.Assignment{Target: fleet.Target{ID: "a", Boot: 1, Address: soundVM}}
+		forwarderFor(n, time.Second).noteFailure(&try{ctx: context.Background(), assignment: sound},
+			verdict.New(verdict.MayHaveRun, verdict.ReasonUpstreamLost, "lost"), false)
+		Expect(n.parts.report(time.Now()).Suspects).To(BeEmpty())
+	})
+
+	// Guards against an upstream that is declared dead for all nodes, because the node that
+	// probes it alone has lost its path.
+	It("does not take an upstream for dead in a partition by its probes alone", func() {
+		cut = true
+		const probesUntilDead = 2
+		counted := 0
+		for range probesUntilDead {
+			if n.RecordProbe(soundVM, false) {
+				counted++
+			}
+			time.Sleep(150 * time.Millisecond)
+		}
+		Expect(counted).To(BeNumerically("<", probesUntilDead))
+	})
 })
